--- /dev/null
+++ b/src/wire/Frame.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "include/heatherplank/Error.h"
+
+namespace heatherplank {
+
+/** What a frame or datagram between our processes carries. Each kind has one
+ * FlatBuffers root table; numbers are never reused.
+ */
+enum class MessageKind : std::uint16_t
+{
+  Packet = 1,
+  Ask = 2,
+  AskReply = 3,
+  Claim = 4,
+  ClaimAck = 5,
+  Hint = 6,
+  Load = 7,
+  HandOff = 8,
+  HandOffAck = 9,
+  Heartbeat = 20,
+  MemberDelta = 21,
+  MemberDigest = 22,
+  MemberSnapshotRequest = 23,
+  MemberSnapshot = 24,
+  ConfigOffer = 30,
+  ConfigRequest = 31,
+  ConfigObjects = 32,
+  StatusReport = 33,
+};
+
+using Bytes = std::vector<std::uint8_t>;
+using ByteView = std::span<const std::uint8_t>;
+
+/** Version of the protocol between our processes. */
+constexpr std::uint16_t kProtocolVersion = 1;
+/** Largest payload of a frame: a platform value and its envelope. */
+constexpr std::size_t kMaxFramePayload = std::size_t{ 2 } * 1024 * 1024;
+/** Bytes before a frame's payload: length, version, kind. */
+constexpr std::size_t kFrameHeaderSize = 8;
+/** Bytes before a datagram's payload: version, kind. */
+constexpr std::size_t kDatagramHeaderSize = 4;
+
+/** A whole message; the payload is a view into the decoder's buffer or the
+ * datagram, valid until either changes.
+ */
+struct Frame
+{
+  MessageKind mKind{};
+  ByteView mPayload;
+};
+
+/** A frame for a TCP connection. Precondition: payload within the limit. */
+Bytes EncodeFrame(MessageKind aKind, ByteView aPayload);
+
+/** A datagram for the UDP tunnel. */
+Bytes EncodeDatagram(MessageKind aKind, ByteView aPayload);
+
+/** Reads a datagram; a wrong version or a cut header is Malformed. */
+Result<Frame> DecodeDatagram(ByteView aDatagram);
+
+/** Cuts a byte stream into frames. Not thread safe. */
+class FrameDecoder
+{
+public:
+  /** Adds bytes that came from the connection. */
+  void Feed(ByteView aBytes);
+
+  /** Takes the next whole frame into aOut, whose payload is valid until the
+   * next call. False if more bytes are needed. After an error (Malformed,
+   * TooLarge) the stream can't be read on and must be closed.
+   */
+  Result<bool> Next(Frame& aOut);
+
+private:
+  Bytes mBuffer;
+  std::size_t mConsumed = 0;
+};
+
+} // namespace heatherplank
