--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -6,13 +6,10 @@
 
 namespace {
 
-void PutHeader(Bytes& aOut, MessageKind aKind)
+void PutVersionAndKind(std::uint8_t* aAt, MessageKind aKind)
 {
-  std::size_t at = aOut.size();
-  aOut.resize(at + kDatagramHeaderSize);
-  boost::endian::store_little_u16(&aOut[at], kProtocolVersion);
-  boost::endian::store_little_u16(&aOut[at + 2],
-                                  static_cast<std::uint16_t>(aKind));
+  boost::endian::store_little_u16(aAt, kProtocolVersion);
+  boost::endian::store_little_u16(aAt + 2, static_cast<std::uint16_t>(aKind));
 }
 
 Result<void> CheckVersion(std::uint16_t aVersion)
@@ -30,10 +27,10 @@
 
 Bytes EncodeFrame(MessageKind aKind, ByteView aPayload)
 {
-  Bytes out(4);
+  Bytes out(kFrameHeaderSize);
   boost::endian::store_little_u32(out.data(),
                                   static_cast<std::uint32_t>(aPayload.size()));
-  PutHeader(out, aKind);
+  PutVersionAndKind(out.data() + 4, aKind);
   out.insert(out.end(), aPayload.begin(), aPayload.end());
   return out;
 }
@@ -42,7 +39,8 @@
 {
   Bytes out;
   out.reserve(kDatagramHeaderSize + aPayload.size());
-  PutHeader(out, aKind);
+  out.resize(kDatagramHeaderSize);
+  PutVersionAndKind(out.data(), aKind);
   out.insert(out.end(), aPayload.begin(), aPayload.end());
   return out;
 }
@@ -65,15 +63,15 @@
 
 void FrameDecoder::Feed(ByteView aBytes)
 {
-  mBuffer.erase(mBuffer.begin(),
-                mBuffer.begin() + static_cast<std::ptrdiff_t>(mConsumed));
-  mConsumed = 0;
   mBuffer.insert(mBuffer.end(), aBytes.begin(), aBytes.end());
 }
 
 Result<bool> FrameDecoder::Next(Frame& aOut)
 {
-  ByteView rest = ByteView(mBuffer).subspan(mConsumed);
+  mBuffer.erase(mBuffer.begin(),
+                mBuffer.begin() + static_cast<std::ptrdiff_t>(mConsumed));
+  mConsumed = 0;
+  ByteView rest(mBuffer);
   if (rest.size() < kFrameHeaderSize) {
     return false;
   }
@@ -94,7 +92,7 @@
   auto kind = boost::endian::load_little_u16(rest.data() + 6);
   aOut = Frame{ static_cast<MessageKind>(kind),
                 rest.subspan(kFrameHeaderSize, length) };
-  mConsumed += kFrameHeaderSize + length;
+  mConsumed = kFrameHeaderSize + length;
   return true;
 }
 
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -44,11 +44,12 @@
 constexpr std::size_t kMaxFramePayload = std::size_t{ 2 } * 1024 * 1024;
 /** Bytes before a frame's payload: length, version, kind. */
 constexpr std::size_t kFrameHeaderSize = 8;
-/** Bytes before a datagram's payload: version, kind. */
-constexpr std::size_t kDatagramHeaderSize = 4;
+/** Bytes before a datagram's payload: version, kind and four of zero, so that
+ * the payload is aligned as FlatBuffers wants it. */
+constexpr std::size_t kDatagramHeaderSize = 8;
 
 /** A whole message; the payload is a view into the decoder's buffer or the
- * datagram, valid until either changes.
+ * datagram, valid until either changes, and aligned to 8 bytes if that is.
  */
 struct Frame
 {
@@ -80,6 +81,7 @@
 
 private:
   Bytes mBuffer;
+  /** Bytes of the frame that Next gave out last. */
   std::size_t mConsumed = 0;
 };
 
