--- /dev/null
+++ b/src/config/ConfigurationParser.cpp
@@ -0,0 +1,328 @@
+#include "src/config/ConfigurationParser.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include "src/net/Endpoint.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kImportances{ "low", "normal", "high",
+                                                        "critical" };
+constexpr std::array<std::string_view, 4> kPolicies{ "random", "rendezvous",
+                                                     "two-choices",
+                                                     "least-latency" };
+constexpr std::int64_t kMaxSlots = 4096;
+constexpr std::int64_t kMaxWeight = 10000;
+constexpr std::int64_t kMaxDeadlineMs = 600000;
+constexpr std::int64_t kMaxQueue = 1000000;
+constexpr double kMaxScoreWeight = 1000;
+/** A service's canonical JSON must fit one part object with room to spare. */
+constexpr std::size_t kMaxHostsPerService = 4000;
+constexpr std::size_t kMaxNameBytes = 63;
+
+/** Names stand in URLs, metrics labels and keys, so only plain characters. */
+bool IsPlainName(std::string_view aName)
+{
+  return aName.size() <= kMaxNameBytes &&
+         std::ranges::all_of(aName, [](unsigned char aChar) {
+           return (aChar >= 'a' && aChar <= 'z') ||
+                  (aChar >= '0' && aChar <= '9') || aChar == '-' ||
+                  aChar == '_' || aChar == '.';
+         });
+}
+
+/** Reads one document; keeps what must be unique over all of it. */
+class Reading
+{
+public:
+  explicit Reading(Configuration& aOut)
+    : mOut(&aOut)
+  {
+  }
+
+  void Read(JsonReader& aReader)
+  {
+    mOut->mDataCentres = aReader.Strings("data_centres");
+    CheckDataCentres(aReader);
+    aReader.Object("policy", [this](JsonReader& aIt) { ReadPolicy(aIt); });
+    aReader.Objects("services", [this](JsonReader& aIt) { ReadService(aIt); });
+    if (mOut->mServices.empty()) {
+      aReader.AddFault("services", "no service", "list at least one service");
+    }
+    mOut->mDrainedHosts = aReader.Strings("drained_hosts");
+    CheckDrainedHosts(aReader);
+  }
+
+private:
+  std::string ReadName(JsonReader& aReader)
+  {
+    std::string name = aReader.RequiredString("name");
+    if (!IsPlainName(name)) {
+      aReader.AddFault("name", "found \"" + name + "\"",
+                       "use at most 63 of a-z, 0-9, '-', '_' and '.'");
+    }
+    return name;
+  }
+
+  void CheckDataCentres(JsonReader& aReader)
+  {
+    if (mOut->mDataCentres.empty()) {
+      aReader.AddFault("data_centres", "no data centre", "list at least one");
+    }
+    std::set<DataCentreId> ids;
+    for (const auto& it : mOut->mDataCentres) {
+      if (!IsPlainName(it)) {
+        aReader.AddFault("data_centres", "found \"" + it + "\"",
+                         "use at most 63 of a-z, 0-9, '-', '_' and '.'");
+      }
+      if (!ids.insert(MakeDataCentreId(it)).second) {
+        aReader.AddFault("data_centres", "\"" + it + "\" stands twice",
+                         "list each data centre once");
+      }
+    }
+  }
+
+  void ReadPolicy(JsonReader& aReader)
+  {
+    PolicyChoice& policy = mOut->mPolicy;
+    policy.mName = aReader.Choice("name", kPolicies, policy.mName);
+    policy.mBrokenFlowsWeight = aReader.Number(
+      "broken_flows_weight", 0, kMaxScoreWeight, policy.mBrokenFlowsWeight);
+    policy.mImbalanceWeight = aReader.Number(
+      "imbalance_weight", 0, kMaxScoreWeight, policy.mImbalanceWeight);
+    if (policy.mBrokenFlowsWeight + policy.mImbalanceWeight <= 0) {
+      aReader.AddFault("broken_flows_weight", "both weights are 0",
+                       "give at least one weight above 0");
+    }
+  }
+
+  void ReadService(JsonReader& aReader)
+  {
+    Service service;
+    service.mName = ReadName(aReader);
+    service.mId = MakeServiceId(service.mName);
+    service.mSlotsPerHost = static_cast<std::uint16_t>(
+      aReader.Integer("slots_per_host", 1, kMaxSlots, service.mSlotsPerHost));
+    ReadAddresses(aReader, service);
+    aReader.Objects("hosts", [&](JsonReader& aIt) { ReadHost(aIt, service); });
+    CheckHostCount(aReader, service);
+    aReader.Objects("rules", [&](JsonReader& aIt) { ReadRule(aIt, service); });
+    auto [it, isNew] = mOut->mServices.try_emplace(service.mId, service);
+    if (!isNew) {
+      ReportTaken(aReader, it->second.mName, service.mName);
+    }
+  }
+
+  /** The same name twice, or two names with one hash: either would merge two
+   * services into one, and packets of one would reach the other. */
+  static void ReportTaken(JsonReader& aReader, const std::string& aFirst,
+                          const std::string& aSecond)
+  {
+    if (aFirst == aSecond) {
+      aReader.AddFault("name", "\"" + aSecond + "\" stands twice",
+                       "give each its own name");
+      return;
+    }
+    aReader.AddFault(
+      "name", "\"" + aSecond + "\" has the same hash as \"" + aFirst + "\"",
+      "change one of the two names");
+  }
+
+  void ReadAddresses(JsonReader& aReader, Service& aService)
+  {
+    auto texts = aReader.Strings("addresses");
+    if (texts.empty()) {
+      aReader.AddFault("addresses", "no address", "list at least one IP:port");
+    }
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+      ReadAddress(aReader, "addresses[" + std::to_string(i) + "]", texts[i],
+                  aService);
+    }
+  }
+
+  void ReadAddress(JsonReader& aReader, const std::string& aKey,
+                   const std::string& aText, Service& aService)
+  {
+    auto address = ParseAddress(aText);
+    if (!address) {
+      aReader.AddFault(aKey, "found \"" + aText + "\"",
+                       address.error().mRemedy);
+      return;
+    }
+    if (!IsReachable(*address)) {
+      aReader.AddFault(aKey, "found \"" + aText + "\", which no caller reaches",
+                       "give a unicast IP address and a port from 1");
+      return;
+    }
+    auto [it, isNew] = mAddressOf.try_emplace(*address, aService.mName);
+    if (!isNew) {
+      aReader.AddFault(aKey,
+                       aText + " belongs to service \"" + it->second + "\"",
+                       "give each address to one service, once");
+      return;
+    }
+    aService.mAddresses.push_back(*address);
+  }
+
+  /** Neither "any", multicast, link-local IPv6 (no scope can be given) nor
+   * port 0. */
+  static bool IsReachable(const Address& aAddress)
+  {
+    auto ip = ToEndpoint<boost::asio::ip::udp>(aAddress).address();
+    bool linkLocal = ip.is_v6() && ip.to_v6().is_link_local();
+    return aAddress.mPort != 0 && !ip.is_unspecified() && !ip.is_multicast() &&
+           !linkLocal;
+  }
+
+  void ReadHost(JsonReader& aReader, Service& aService)
+  {
+    ExpectedHost host;
+    host.mName = ReadName(aReader);
+    host.mDataCentre = aReader.RequiredString("data_centre");
+    host.mWeight = static_cast<std::uint16_t>(
+      aReader.Integer("weight", 0, kMaxWeight, host.mWeight));
+    if (!host.mDataCentre.empty() &&
+        std::ranges::find(mOut->mDataCentres, host.mDataCentre) ==
+          mOut->mDataCentres.end()) {
+      aReader.AddFault("data_centre",
+                       "\"" + host.mDataCentre + "\" is not in data_centres",
+                       "name a data centre of the list, or add it there");
+    }
+    auto [it, isNew] = mHosts.try_emplace(MakeHostId(host.mName), host.mName);
+    if (!isNew) {
+      ReportTaken(aReader, it->second, host.mName);
+    }
+    aService.mHosts.push_back(std::move(host));
+  }
+
+  static void CheckHostCount(JsonReader& aReader, const Service& aService)
+  {
+    if (aService.mHosts.size() > kMaxHostsPerService) {
+      aReader.AddFault(
+        "hosts", "found " + std::to_string(aService.mHosts.size()) + " hosts",
+        "split the service: at most " + std::to_string(kMaxHostsPerService));
+    }
+  }
+
+  void ReadRule(JsonReader& aReader, Service& aService)
+  {
+    Rule rule;
+    rule.mName = ReadName(aReader);
+    rule.mMethod = aReader.String("method", "");
+    rule.mPathPrefix = aReader.String("path_prefix", "");
+    std::string importance =
+      aReader.Choice("importance", kImportances, "normal");
+    rule.mImportance = static_cast<Importance>(
+      std::ranges::find(kImportances, importance) - kImportances.begin());
+    rule.mNeverRepeat = aReader.Bool("never_repeat", false);
+    rule.mMayWait = aReader.Bool("may_wait", false);
+    rule.mDeadline = std::chrono::milliseconds(
+      aReader.Integer("deadline_ms", 1, kMaxDeadlineMs, 2000));
+    rule.mQueueLimit = static_cast<std::uint32_t>(
+      aReader.Integer("queue_limit", 0, kMaxQueue, rule.mQueueLimit));
+    CheckRule(aReader, rule, aService);
+    aService.mRules.push_back(std::move(rule));
+  }
+
+  static void CheckRule(JsonReader& aReader, const Rule& aRule,
+                        const Service& aService)
+  {
+    if (!aRule.mMethod.empty() &&
+        !std::ranges::all_of(aRule.mMethod, [](char aChar) {
+          return aChar >= 'A' && aChar <= 'Z';
+        })) {
+      aReader.AddFault("method", "found \"" + aRule.mMethod + "\"",
+                       "give an HTTP method in capitals, such as GET");
+    }
+    if (!aRule.mPathPrefix.empty() && aRule.mPathPrefix.front() != '/') {
+      aReader.AddFault("path_prefix", "found \"" + aRule.mPathPrefix + "\"",
+                       "begin the path with /");
+    }
+    if (std::ranges::find(aService.mRules, aRule.mName, &Rule::mName) !=
+        aService.mRules.end()) {
+      aReader.AddFault("name", "rule \"" + aRule.mName + "\" stands twice",
+                       "give each rule of a service its own name");
+    }
+    for (const auto& it : aService.mRules) {
+      bool covers = (it.mMethod.empty() || it.mMethod == aRule.mMethod) &&
+                    aRule.mPathPrefix.starts_with(it.mPathPrefix);
+      if (covers) {
+        aReader.AddFault("name",
+                         "rule \"" + aRule.mName +
+                           "\" is never reached, since \"" + it.mName +
+                           "\" before it meets all that it meets",
+                         "put the narrower rule first");
+        return;
+      }
+    }
+  }
+
+  void CheckDrainedHosts(JsonReader& aReader)
+  {
+    std::set<std::string_view> seen;
+    for (const auto& it : mOut->mDrainedHosts) {
+      if (!mHosts.contains(MakeHostId(it))) {
+        aReader.AddFault("drained_hosts",
+                         "\"" + it +
+                           "\" is not in the "
+                           "inventory",
+                         "name a host of a service");
+      }
+      if (!seen.insert(it).second) {
+        aReader.AddFault("drained_hosts", "\"" + it + "\" stands twice",
+                         "list it once");
+      }
+    }
+  }
+
+  Configuration* mOut;
+  std::map<Address, std::string> mAddressOf;
+  std::map<HostId, std::string> mHosts;
+};
+
+} // namespace
+
+ConfigurationPtr ParseConfiguration(std::string_view aText,
+                                    std::uint64_t aVersion, JsonFaults& aFaults)
+{
+  auto out = std::make_shared<Configuration>();
+  out->mVersion = aVersion;
+  Reading reading(*out);
+  ReadJsonDocument(aText, aFaults, [&](JsonReader& aIt) { reading.Read(aIt); });
+  if (!aFaults.IsEmpty()) {
+    return nullptr;
+  }
+  IndexAddresses(*out);
+  return out;
+}
+
+Result<ConfigurationPtr> ParseConfiguration(std::string_view aText,
+                                            std::uint64_t aVersion,
+                                            const std::string& aFile)
+{
+  JsonFaults faults(aFile);
+  auto out = ParseConfiguration(aText, aVersion, faults);
+  if (!out) {
+    return tl::unexpected(faults.ToError());
+  }
+  return out;
+}
+
+void IndexAddresses(Configuration& aConfiguration)
+{
+  aConfiguration.mByAddress.clear();
+  for (const auto& [id, service] : aConfiguration.mServices) {
+    for (const auto& it : service.mAddresses) {
+      aConfiguration.mByAddress.emplace(it, id);
+    }
+  }
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/config/ConfigurationWriter.cpp
@@ -0,0 +1,148 @@
+#include <algorithm>
+#include <array>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
+
+#include "src/config/ConfigurationParser.h"
+
+namespace heatherplank {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kImportances{ "low", "normal", "high",
+                                                        "critical" };
+/** A list or object whose text fits this many bytes stays on one line. */
+constexpr std::size_t kOneLine = 72;
+
+json::value ToJson(const ExpectedHost& aHost)
+{
+  return { { "name", aHost.mName },
+           { "data_centre", aHost.mDataCentre },
+           { "weight", aHost.mWeight } };
+}
+
+json::value ToJson(const Rule& aRule)
+{
+  json::object out;
+  out["name"] = aRule.mName;
+  if (!aRule.mMethod.empty()) {
+    out["method"] = aRule.mMethod;
+  }
+  if (!aRule.mPathPrefix.empty()) {
+    out["path_prefix"] = aRule.mPathPrefix;
+  }
+  out["importance"] = kImportances[static_cast<std::size_t>(aRule.mImportance)];
+  out["never_repeat"] = aRule.mNeverRepeat;
+  out["may_wait"] = aRule.mMayWait;
+  out["deadline_ms"] =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aRule.mDeadline)
+      .count();
+  out["queue_limit"] = aRule.mQueueLimit;
+  return out;
+}
+
+json::value ToJson(const PolicyChoice& aPolicy)
+{
+  return { { "name", aPolicy.mName },
+           { "broken_flows_weight", aPolicy.mBrokenFlowsWeight },
+           { "imbalance_weight", aPolicy.mImbalanceWeight } };
+}
+
+template<typename T>
+json::array ToList(const std::vector<T>& aItems)
+{
+  json::array out;
+  for (const auto& it : aItems) {
+    out.push_back(ToJson(it));
+  }
+  return out;
+}
+
+void Print(const json::value& aValue, std::size_t aIndent, std::string& aOut);
+
+void PrintItems(const json::object& aObject, const std::string& aPad,
+                std::size_t aIndent, std::string& aOut)
+{
+  const char* between = "\n";
+  for (const auto& it : aObject) {
+    aOut += between + aPad + json::serialize(json::value(it.key())) + ": ";
+    Print(it.value(), aIndent, aOut);
+    between = ",\n";
+  }
+}
+
+void PrintItems(const json::array& aArray, const std::string& aPad,
+                std::size_t aIndent, std::string& aOut)
+{
+  const char* between = "\n";
+  for (const auto& it : aArray) {
+    aOut += between + aPad;
+    Print(it, aIndent, aOut);
+    between = ",\n";
+  }
+}
+
+void Print(const json::value& aValue, std::size_t aIndent, std::string& aOut)
+{
+  std::string line = json::serialize(aValue);
+  if (!aValue.is_structured() || line.size() + aIndent <= kOneLine) {
+    aOut += line;
+    return;
+  }
+  std::string pad(aIndent + 2, ' ');
+  bool isObject = aValue.is_object();
+  aOut += isObject ? "{" : "[";
+  if (isObject) {
+    PrintItems(aValue.get_object(), pad, aIndent + 2, aOut);
+  } else {
+    PrintItems(aValue.get_array(), pad, aIndent + 2, aOut);
+  }
+  aOut += "\n" + std::string(aIndent, ' ') + (isObject ? "}" : "]");
+}
+
+} // namespace
+
+json::value ToJson(const Service& aService)
+{
+  json::array addresses;
+  for (const auto& it : aService.mAddresses) {
+    addresses.emplace_back(it.ToString());
+  }
+  return { { "name", aService.mName },
+           { "addresses", std::move(addresses) },
+           { "slots_per_host", aService.mSlotsPerHost },
+           { "hosts", ToList(aService.mHosts) },
+           { "rules", ToList(aService.mRules) } };
+}
+
+json::value ToJson(const Configuration& aConfiguration)
+{
+  std::vector<const Service*> services;
+  for (const auto& it : aConfiguration.mServices) {
+    services.push_back(&it.second);
+  }
+  std::ranges::sort(services, {}, &Service::mName);
+  json::array list;
+  for (const auto* it : services) {
+    list.push_back(ToJson(*it));
+  }
+  return { { "data_centres", json::value_from(aConfiguration.mDataCentres) },
+           { "policy", ToJson(aConfiguration.mPolicy) },
+           { "services", std::move(list) },
+           { "drained_hosts",
+             json::value_from(aConfiguration.mDrainedHosts) } };
+}
+
+std::string ToPrettyText(const json::value& aValue)
+{
+  std::string out;
+  Print(aValue, 0, out);
+  return out + "\n";
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/platform/HttpObjectStore.cpp
@@ -0,0 +1,302 @@
+#include "src/platform/HttpObjectStore.h"
+
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+#include <boost/json/parse.hpp>
+
+namespace heatherplank {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kObjects = "/v1/objects/";
+
+/** Percent-encodes a key; slashes stay, as the contract has it. */
+std::string EncodeKey(std::string_view aKey)
+{
+  static constexpr std::string_view kHex = "0123456789ABCDEF";
+  static constexpr std::string_view kPlain = "-._~/";
+  std::string out;
+  for (char it : aKey) {
+    auto c = static_cast<unsigned char>(it);
+    if (std::isalnum(c) != 0 || kPlain.find(it) != std::string_view::npos) {
+      out += it;
+      continue;
+    }
+    out += '%';
+    out += kHex[c >> 4U];
+    out += kHex[c & 15U];
+  }
+  return out;
+}
+
+HttpRequest MakeCall(http::verb aVerb, const std::string& aTarget)
+{
+  HttpRequest request(aVerb, aTarget, 11);
+  request.set(http::field::host, "platform");
+  return request;
+}
+
+void SetCondition(HttpRequest& aRequest, const WriteCondition& aCondition)
+{
+  if (aCondition.mKind == WriteCondition::Kind::IfAbsent) {
+    aRequest.set(http::field::if_none_match, "*");
+  }
+  if (aCondition.mKind == WriteCondition::Kind::IfVersion) {
+    aRequest.set(http::field::if_match,
+                 "\"" + std::to_string(aCondition.mVersion) + "\"");
+  }
+}
+
+/** The version in an ETag of the form "17". */
+std::optional<std::uint64_t> VersionOf(const HttpResponse& aResponse)
+{
+  std::string_view tag = aResponse[http::field::etag];
+  if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"') {
+    return std::nullopt;
+  }
+  tag = tag.substr(1, tag.size() - 2);
+  std::uint64_t version = 0;
+  auto [end, ec] =
+    std::from_chars(tag.data(), tag.data() + tag.size(), version);
+  if (ec != std::errc() || end != tag.data() + tag.size() || version == 0) {
+    return std::nullopt;
+  }
+  return version;
+}
+
+tl::unexpected<Error> NoSense(const std::string& aWhat)
+{
+  return Fail(ErrorKind::Malformed, "the platform's answer " + aWhat,
+              "check that --platform is the address of the object API");
+}
+
+/** The error of an answer that is not a success. A 5xx other than 503 may come
+ * from a server that failed after the write took effect, so its effect counts
+ * as unknown; 429 and 503 mean by contract that nothing was done.
+ */
+tl::unexpected<Error> Refusal(const HttpResponse& aResponse,
+                              std::string_view aKey)
+{
+  std::string status = std::to_string(aResponse.result_int());
+  std::string key(aKey);
+  switch (aResponse.result_int()) {
+    case 404:
+      return Fail(ErrorKind::NotFound, "no object " + key,
+                  "write it first, or check the key");
+    case 409:
+    case 412:
+      return Fail(ErrorKind::Conflict, key + " has another version now",
+                  "read it again and redo the change on top");
+    case 401:
+    case 403:
+      return Fail(ErrorKind::Forbidden, "the platform forbids " + key,
+                  "give this process access to it");
+    case 413:
+      return Fail(ErrorKind::TooLarge, key + " is too large for the platform",
+                  "split the value");
+    case 429:
+    case 503:
+      return Fail(ErrorKind::Unavailable, "the platform refuses: " + status,
+                  "try again later");
+    default:
+      break;
+  }
+  if (aResponse.result_int() >= 500) {
+    return Fail(ErrorKind::Timeout, "the platform failed: " + status,
+                "the write may have taken effect; read back first");
+  }
+  return NoSense("has the status " + status);
+}
+
+Result<Object> ToObject(const HttpResponse& aResponse, std::string_view aKey)
+{
+  if (aResponse.result() != http::status::ok) {
+    return Refusal(aResponse, aKey);
+  }
+  auto version = VersionOf(aResponse);
+  if (!version) {
+    return NoSense("has no version of " + std::string(aKey));
+  }
+  if (aResponse.body().size() > ObjectStore::kMaxObjectSize) {
+    return NoSense("is larger than any object");
+  }
+  return Object{ std::string(aKey), aResponse.body(), *version };
+}
+
+/** A success without a version is no proof of what was done: its effect is
+ * unknown. */
+Result<std::uint64_t> ToVersion(const HttpResponse& aResponse,
+                                std::string_view aKey)
+{
+  if (aResponse.result() != http::status::ok) {
+    return Refusal(aResponse, aKey);
+  }
+  auto version = VersionOf(aResponse);
+  if (!version) {
+    return Fail(ErrorKind::Timeout,
+                "the platform gave no version for " + std::string(aKey),
+                "the write may have taken effect; read back first");
+  }
+  return *version;
+}
+
+/** 304 is "nothing newer". A store that answers a watch with a version that
+ * was already seen is stale; it is taken as "nothing newer" too, so that no
+ * reader goes back.
+ */
+Result<std::optional<Object>> ToChange(const HttpResponse& aResponse,
+                                       std::string_view aKey,
+                                       std::uint64_t aAfter)
+{
+  if (aResponse.result() == http::status::not_modified) {
+    return std::optional<Object>();
+  }
+  auto object = ToObject(aResponse, aKey);
+  if (!object) {
+    return tl::unexpected(object.error());
+  }
+  if (object->mVersion <= aAfter) {
+    return std::optional<Object>();
+  }
+  return std::optional<Object>(std::move(*object));
+}
+
+std::optional<ObjectName> ToName(const json::value& aValue)
+{
+  const auto* entry = aValue.if_object();
+  const auto* key = entry != nullptr ? entry->if_contains("key") : nullptr;
+  const auto* version =
+    entry != nullptr ? entry->if_contains("version") : nullptr;
+  if (key == nullptr || !key->is_string() || version == nullptr ||
+      !version->is_int64() || version->get_int64() <= 0) {
+    return std::nullopt;
+  }
+  return ObjectName{ std::string(key->get_string()),
+                     static_cast<std::uint64_t>(version->get_int64()) };
+}
+
+Result<std::vector<ObjectName>> ToNames(const HttpResponse& aResponse,
+                                        std::string_view aPrefix)
+{
+  if (aResponse.result() != http::status::ok) {
+    return Refusal(aResponse, aPrefix);
+  }
+  json::error_code ec;
+  auto value = json::parse(aResponse.body(), ec);
+  if (ec || !value.is_array()) {
+    return NoSense("is not a listing");
+  }
+  std::vector<ObjectName> out;
+  for (const auto& it : value.get_array()) {
+    auto name = ToName(it);
+    if (!name) {
+      return NoSense("has a listing entry without key and version");
+    }
+    out.push_back(std::move(*name));
+  }
+  return out;
+}
+
+/** Hands an answer on through aRead, and an error as it is. */
+template<typename T, typename Read>
+HttpClient::Done Forward(ObjectStore::Done<T> aDone, Read aRead)
+{
+  return [done = std::move(aDone),
+          read = std::move(aRead)](const Result<HttpResponse>& aResult) {
+    if (!aResult) {
+      done(tl::unexpected(aResult.error()));
+      return;
+    }
+    done(read(*aResult));
+  };
+}
+
+} // namespace
+
+HttpObjectStore::HttpObjectStore(const boost::asio::any_io_executor& aExecutor,
+                                 const Address& aPlatform,
+                                 const Options& aOptions)
+  : mOptions(aOptions)
+  , mCalls(HttpClient::Make(aExecutor, aPlatform, aOptions.mConnections))
+  , mWatches(HttpClient::Make(aExecutor, aPlatform, aOptions.mWatches))
+{
+}
+
+void HttpObjectStore::Get(std::string_view aKey, Done<Object> aDone)
+{
+  auto request =
+    MakeCall(http::verb::get, std::string(kObjects) + EncodeKey(aKey));
+  auto read = [key = std::string(aKey)](const HttpResponse& aResponse) {
+    return ToObject(aResponse, key);
+  };
+  mCalls->Send(std::move(request), mOptions.mTimeout,
+               Forward<Object>(std::move(aDone), read));
+}
+
+void HttpObjectStore::Put(std::string_view aKey, std::string aValue,
+                          WriteCondition aCondition, Done<std::uint64_t> aDone)
+{
+  if (aValue.size() > kMaxObjectSize) {
+    aDone(Fail(ErrorKind::TooLarge,
+               std::string(aKey) + " would hold " +
+                 std::to_string(aValue.size()) + " bytes",
+               "split it into objects of at most " +
+                 std::to_string(kMaxObjectSize)));
+    return;
+  }
+  auto request =
+    MakeCall(http::verb::put, std::string(kObjects) + EncodeKey(aKey));
+  SetCondition(request, aCondition);
+  request.body() = std::move(aValue);
+  auto read = [key = std::string(aKey)](const HttpResponse& aResponse) {
+    return ToVersion(aResponse, key);
+  };
+  mCalls->Send(std::move(request), mOptions.mTimeout,
+               Forward<std::uint64_t>(std::move(aDone), read));
+}
+
+void HttpObjectStore::Delete(std::string_view aKey, WriteCondition aCondition,
+                             Done<std::uint64_t> aDone)
+{
+  auto request =
+    MakeCall(http::verb::delete_, std::string(kObjects) + EncodeKey(aKey));
+  SetCondition(request, aCondition);
+  auto read = [key = std::string(aKey)](const HttpResponse& aResponse) {
+    return ToVersion(aResponse, key);
+  };
+  mCalls->Send(std::move(request), mOptions.mTimeout,
+               Forward<std::uint64_t>(std::move(aDone), read));
+}
+
+void HttpObjectStore::Watch(std::string_view aKey, std::uint64_t aAfter,
+                            Duration aWait, Done<std::optional<Object>> aDone)
+{
+  auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(aWait);
+  auto request =
+    MakeCall(http::verb::get, std::string(kObjects) + EncodeKey(aKey) +
+                                "?after=" + std::to_string(aAfter) +
+                                "&wait_ms=" + std::to_string(wait.count()));
+  auto read = [key = std::string(aKey), aAfter](const HttpResponse& aResponse) {
+    return ToChange(aResponse, key, aAfter);
+  };
+  mWatches->Send(std::move(request), aWait + mOptions.mTimeout,
+                 Forward<std::optional<Object>>(std::move(aDone), read));
+}
+
+void HttpObjectStore::List(std::string_view aPrefix,
+                           Done<std::vector<ObjectName>> aDone)
+{
+  auto request =
+    MakeCall(http::verb::get, "/v1/objects?prefix=" + EncodeKey(aPrefix));
+  auto read = [prefix = std::string(aPrefix)](const HttpResponse& aResponse) {
+    return ToNames(aResponse, prefix);
+  };
+  mCalls->Send(std::move(request), mOptions.mTimeout,
+               Forward<std::vector<ObjectName>>(std::move(aDone), read));
+}
+
+} // namespace heatherplank
