Control connections, tunnel sockets, callers' requests and kept answers

Cause: balancer and agent need their edges: UDP for packets, framed TCP for control, HTTP towards callers and the backend server. Ruled out: reusing an idle connection to the backend server unseen: one that the server had closed made a request count as perhaps run that nobody read. Conclusion: the edges stand; steering, membership and admission go between.

--- /dev/null
+++ b/src/agent/Answer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/heatherplank/Clock.h"
+#include "src/agent/CallerRequest.h"
+#include "src/wire/PacketCodec.h"
+
+namespace heatherplank {
+
+/** What became of a request, as the caller is told. */
+enum class Outcome : std::uint8_t
+{
+  /** The backend server ran it; the answer is its own. */
+  Run = 0,
+  /** It was not run, and will not be unless asked again. */
+  NotRun = 1,
+  /** It may have run; it will not be run again. */
+  Unknown = 2,
+};
+
+std::string_view ToString(Outcome aOutcome);
+
+/** The final answer to a request. */
+struct Answer
+{
+  unsigned mStatus = 200;
+  Outcome mOutcome = Outcome::Run;
+  /** With NotRun and Unknown: the counter's reason. */
+  std::string mReason;
+  /** With NotRun: when to come back. */
+  Duration mRetryAfter{ 0 };
+  std::string mContentType;
+  std::string mBody;
+  /** The host that ran it, and its service. */
+  std::string mServedBy;
+  std::string mService;
+};
+
+/** Body bytes of an answer that go into one datagram: with its headers it
+ * stays under the 1,500 bytes of an Ethernet frame. */
+constexpr std::size_t kMaxBodyPerDatagram = 1100;
+
+/** A refusal: not run, and when to come back. */
+Answer MakeNotRun(unsigned aStatus, std::string_view aReason,
+                  Duration aRetryAfter);
+
+/** An answer for what may have run, with nothing to come back for. */
+Answer MakeUnknown(std::string_view aReason);
+
+/** The datagrams of an answer: one, or one a range if the body is too large.
+ * With aRange, only those that cover it. Thread safe.
+ */
+std::vector<std::string> WriteAnswer(const Answer& aAnswer,
+                                     std::string_view aRequestId,
+                                     FlowEpoch aEpoch,
+                                     const std::optional<ByteRange>& aRange);
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/agent/AnswerStore.cpp
@@ -0,0 +1,206 @@
+#include "src/agent/AnswerStore.h"
+
+#include <utility>
+#include <vector>
+
+#include "src/wire/WireAddress.h"
+#include "src/wire/answers_generated.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Maps, list and header fields around an entry's strings, roughly. */
+constexpr std::size_t kEntryOverhead = 400;
+
+std::string Text(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+Answer FromWire(const wire::KeptAnswer& aFrom)
+{
+  Answer answer;
+  answer.mStatus = aFrom.status();
+  answer.mOutcome = static_cast<Outcome>(aFrom.outcome());
+  answer.mReason = Text(aFrom.reason());
+  answer.mRetryAfter = std::chrono::nanoseconds(aFrom.retry_after_ns());
+  answer.mContentType = Text(aFrom.content_type());
+  answer.mBody = Text(aFrom.body());
+  answer.mServedBy = Text(aFrom.served_by());
+  answer.mService = Text(aFrom.service());
+  return answer;
+}
+
+flatbuffers::Offset<wire::KeptAnswer> ToWire(
+  flatbuffers::FlatBufferBuilder& aBuilder, const std::string& aRequestId,
+  const Answer& aAnswer)
+{
+  auto retryAfter = std::chrono::nanoseconds(aAnswer.mRetryAfter).count();
+  return wire::CreateKeptAnswer(aBuilder, aBuilder.CreateString(aRequestId),
+                                static_cast<std::uint16_t>(aAnswer.mStatus),
+                                static_cast<std::uint8_t>(aAnswer.mOutcome),
+                                aBuilder.CreateString(aAnswer.mReason),
+                                retryAfter,
+                                aBuilder.CreateString(aAnswer.mContentType),
+                                aBuilder.CreateString(aAnswer.mBody),
+                                aBuilder.CreateString(aAnswer.mServedBy),
+                                aBuilder.CreateString(aAnswer.mService));
+}
+
+} // namespace
+
+AnswerStore::AnswerStore(std::size_t aMaxBytes)
+  : mMaxBytes(aMaxBytes)
+{
+}
+
+AnswerStore::~AnswerStore()
+{
+  mByAge.clear();
+}
+
+std::size_t AnswerStore::Size(const Entry& aEntry)
+{
+  std::size_t body = aEntry.mAnswer ? aEntry.mAnswer->mBody.size() : 0;
+  return kEntryOverhead + aEntry.mRequestId.size() + body;
+}
+
+RequestState AnswerStore::Begin(const FlowKey& aFlow,
+                                const std::string& aRequestId)
+{
+  FlowEntries& flow = mFlows[aFlow];
+  auto [it, added] = flow.mById.try_emplace(aRequestId);
+  if (!added) {
+    return it->second->mAnswer ? RequestState::Answered
+                               : RequestState::InProgress;
+  }
+  it->second = std::make_unique<Entry>();
+  it->second->mFlow = aFlow;
+  it->second->mRequestId = aRequestId;
+  ++flow.mInProgress;
+  mBytes += Size(*it->second);
+  return RequestState::New;
+}
+
+void AnswerStore::Finish(const FlowKey& aFlow, const std::string& aRequestId,
+                         Answer aAnswer, Time aNow)
+{
+  if (Begin(aFlow, aRequestId) == RequestState::Answered) {
+    return;
+  }
+  FlowEntries& flow = mFlows[aFlow];
+  Entry& entry = *flow.mById[aRequestId];
+  --flow.mInProgress;
+  mBytes -= Size(entry);
+  entry.mAnswer = std::move(aAnswer);
+  entry.mAnsweredAt = aNow;
+  mBytes += Size(entry);
+  mByAge.push_back(entry);
+  MakeRoom();
+}
+
+const Answer* AnswerStore::Find(const FlowKey& aFlow,
+                                const std::string& aRequestId) const
+{
+  auto flow = mFlows.find(aFlow);
+  if (flow == mFlows.end()) {
+    return nullptr;
+  }
+  auto it = flow->second.mById.find(aRequestId);
+  bool answered =
+    it != flow->second.mById.end() && it->second->mAnswer.has_value();
+  return answered ? &*it->second->mAnswer : nullptr;
+}
+
+std::size_t AnswerStore::InProgress(const FlowKey& aFlow) const
+{
+  auto it = mFlows.find(aFlow);
+  return it == mFlows.end() ? 0 : it->second.mInProgress;
+}
+
+Bytes AnswerStore::Export(const FlowKey& aFlow) const
+{
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<wire::KeptAnswer>> answers;
+  if (auto flow = mFlows.find(aFlow); flow != mFlows.end()) {
+    for (const auto& [id, entry] : flow->second.mById) {
+      if (entry->mAnswer) {
+        answers.push_back(ToWire(builder, id, *entry->mAnswer));
+      }
+    }
+  }
+  builder.Finish(
+    wire::CreateKeptAnswers(builder, builder.CreateVector(answers)));
+  ByteView bytes = Finished(builder);
+  return { bytes.begin(), bytes.end() };
+}
+
+Result<void> AnswerStore::Import(const FlowKey& aFlow, ByteView aBytes,
+                                 Time aNow)
+{
+  if (aBytes.empty()) {
+    return {};
+  }
+  auto read = ReadRoot<wire::KeptAnswers>(aBytes, "kept answers");
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  const auto* answers = (*read)->answers();
+  if (answers == nullptr) {
+    return {};
+  }
+  for (const auto* it : *answers) {
+    if (it->outcome() > static_cast<std::uint8_t>(Outcome::Unknown)) {
+      return MalformedMessage("outcome of a kept answer");
+    }
+    Finish(aFlow, it->request_id()->str(), FromWire(*it), aNow);
+  }
+  return {};
+}
+
+void AnswerStore::Forget(const FlowKey& aFlow)
+{
+  auto flow = mFlows.find(aFlow);
+  if (flow == mFlows.end()) {
+    return;
+  }
+  std::vector<Entry*> answered;
+  for (auto& [id, entry] : flow->second.mById) {
+    if (entry->mAnswer) {
+      answered.push_back(entry.get());
+    }
+  }
+  for (Entry* it : answered) {
+    Drop(*it);
+  }
+}
+
+void AnswerStore::Expire(Time aNow)
+{
+  while (!mByAge.empty() && mByAge.front().mAnsweredAt + kRetention <= aNow) {
+    Drop(mByAge.front());
+  }
+}
+
+void AnswerStore::Drop(Entry& aEntry)
+{
+  mBytes -= Size(aEntry);
+  mByAge.erase(mByAge.iterator_to(aEntry));
+  auto flow = mFlows.find(aEntry.mFlow);
+  flow->second.mById.erase(std::string(aEntry.mRequestId));
+  if (flow->second.mById.empty()) {
+    mFlows.erase(flow);
+  }
+}
+
+void AnswerStore::MakeRoom()
+{
+  // The newest answer stays, whatever its size: its caller has not had it.
+  while (mBytes > mMaxBytes && !mByAge.empty() &&
+         &mByAge.front() != &mByAge.back()) {
+    Drop(mByAge.front());
+  }
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/net/ControlClient.cpp
@@ -0,0 +1,218 @@
+#include "src/net/ControlClient.h"
+
+#include <mutex>
+#include <random>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "src/net/CutList.h"
+#include "src/net/Endpoint.h"
+
+namespace heatherplank {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kFirstBackOff = std::chrono::milliseconds(50);
+constexpr auto kLongestBackOff = std::chrono::milliseconds(2000);
+/** How often a cut that an experiment ordered is looked for. */
+constexpr auto kCutPoll = std::chrono::milliseconds(100);
+
+} // namespace
+
+struct ControlClient::Impl
+{
+  Impl(const asio::any_io_executor& aExecutor, const Address& aPeer,
+       const CutList* aCuts, Events aEvents)
+    : mStrand(asio::make_strand(aExecutor))
+    , mTimer(mStrand)
+    , mPeer(aPeer)
+    , mCuts(aCuts)
+    , mEvents(std::move(aEvents))
+    , mRandom(static_cast<std::uint32_t>(
+        std::hash<Address>{}(aPeer) ^
+        static_cast<std::uint64_t>(
+          std::chrono::steady_clock::now().time_since_epoch().count())))
+  {
+  }
+
+  asio::any_io_executor mStrand;
+  asio::steady_timer mTimer;
+  Address mPeer;
+  const CutList* mCuts;
+  Events mEvents;
+  std::minstd_rand mRandom;
+  Duration mBackOff = kFirstBackOff;
+  std::unique_ptr<tcp::socket> mConnecting;
+  mutable std::mutex mLock;
+  ControlConnection::Ptr mConnection;
+  std::uint64_t mPastSent = 0;
+  std::uint64_t mPastReceived = 0;
+  bool mStopped = false;
+
+  bool IsCut() const { return mCuts != nullptr && mCuts->IsCut(mPeer); }
+
+  void Connect(const std::shared_ptr<ControlClient>& aSelf)
+  {
+    if (mStopped) {
+      return;
+    }
+    if (IsCut()) {
+      Later(aSelf, kCutPoll);
+      return;
+    }
+    mConnecting = std::make_unique<tcp::socket>(mStrand);
+    mConnecting->async_connect(ToEndpoint<tcp>(mPeer),
+                               [aSelf, this](boost::system::error_code aEc) {
+                                 if (mStopped) {
+                                   return;
+                                 }
+                                 if (aEc) {
+                                   Later(aSelf, NextBackOff());
+                                   return;
+                                 }
+                                 OnConnected(aSelf);
+                               });
+  }
+
+  void OnConnected(const std::shared_ptr<ControlClient>& aSelf)
+  {
+    mBackOff = kFirstBackOff;
+    ControlConnection::Events events;
+    events.mFrame = [aSelf, this](const ControlConnection::Ptr& aConnection,
+                                  const Frame& aFrame) {
+      if (!IsCut() && mEvents.mFrame) {
+        mEvents.mFrame(aConnection, aFrame);
+      }
+    };
+    events.mClosed = [aSelf, this](const ControlConnection::Ptr& aConnection,
+                                   const Error&) {
+      OnClosed(aSelf, aConnection);
+    };
+    auto connection = std::make_shared<ControlConnection>(
+      std::move(*mConnecting), std::move(events));
+    {
+      std::lock_guard lock(mLock);
+      mConnection = connection;
+    }
+    connection->Start();
+    if (mEvents.mConnected) {
+      mEvents.mConnected(connection);
+    }
+  }
+
+  void OnClosed(const std::shared_ptr<ControlClient>& aSelf,
+                const ControlConnection::Ptr& aConnection)
+  {
+    {
+      std::lock_guard lock(mLock);
+      mConnection.reset();
+      mPastSent += aConnection->BytesSent();
+      mPastReceived += aConnection->BytesReceived();
+    }
+    if (mEvents.mDisconnected) {
+      mEvents.mDisconnected();
+    }
+    Later(aSelf, NextBackOff());
+  }
+
+  void Later(const std::shared_ptr<ControlClient>& aSelf, Duration aDelay)
+  {
+    if (mStopped) {
+      return;
+    }
+    mTimer.expires_after(aDelay);
+    mTimer.async_wait([aSelf, this](boost::system::error_code aEc) {
+      if (!aEc) {
+        Connect(aSelf);
+      }
+    });
+  }
+
+  /** Between half and the whole of a delay that doubles. */
+  Duration NextBackOff()
+  {
+    auto half = mBackOff / 2;
+    mBackOff = std::min<Duration>(mBackOff * 2, kLongestBackOff);
+    return half + Duration(static_cast<Duration::rep>(
+                    mRandom() % static_cast<std::uint64_t>(half.count())));
+  }
+
+  ControlConnection::Ptr Connection() const
+  {
+    std::lock_guard lock(mLock);
+    return mConnection;
+  }
+};
+
+ControlClient::ControlClient(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+ControlClient::~ControlClient() = default;
+
+std::shared_ptr<ControlClient> ControlClient::Make(
+  const asio::any_io_executor& aExecutor, const Address& aPeer,
+  const CutList* aCuts, Events aEvents)
+{
+  std::shared_ptr<ControlClient> client(new ControlClient(
+    std::make_unique<Impl>(aExecutor, aPeer, aCuts, std::move(aEvents))));
+  asio::post(client->mImpl->mStrand,
+             [client] { client->mImpl->Connect(client); });
+  return client;
+}
+
+bool ControlClient::Send(MessageKind aKind, ByteView aPayload)
+{
+  auto connection = mImpl->Connection();
+  if (!connection || mImpl->IsCut()) {
+    return false;
+  }
+  connection->Send(aKind, aPayload);
+  return true;
+}
+
+bool ControlClient::IsConnected() const
+{
+  return mImpl->Connection() != nullptr && !mImpl->IsCut();
+}
+
+const Address& ControlClient::Peer() const
+{
+  return mImpl->mPeer;
+}
+
+void ControlClient::Stop()
+{
+  asio::post(mImpl->mStrand, [self = shared_from_this()] {
+    self->mImpl->mStopped = true;
+    self->mImpl->mTimer.cancel();
+    if (auto connection = self->mImpl->Connection()) {
+      connection->Close();
+    } else if (self->mImpl->mConnecting) {
+      boost::system::error_code ec;
+      self->mImpl->mConnecting->close(ec);
+    }
+  });
+}
+
+std::uint64_t ControlClient::BytesSent() const
+{
+  std::lock_guard lock(mImpl->mLock);
+  return mImpl->mPastSent +
+         (mImpl->mConnection ? mImpl->mConnection->BytesSent() : 0);
+}
+
+std::uint64_t ControlClient::BytesReceived() const
+{
+  std::lock_guard lock(mImpl->mLock);
+  return mImpl->mPastReceived +
+         (mImpl->mConnection ? mImpl->mConnection->BytesReceived() : 0);
+}
+
+} // namespace heatherplank
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -115,10 +115,12 @@
         self->GiveUp(aConnection, "no answer in time");
       }
     });
-    if (aConnection.mConnected) {
+    if (aConnection.mConnected && !ClosedByServer(aConnection)) {
       Write(aConnection);
       return;
     }
+    aConnection.mStream.close();
+    aConnection.mConnected = false;
     aConnection.mBuffer.clear();
     aConnection.mStream.async_connect(
       mServer, [self = shared_from_this(), &aConnection,
@@ -138,6 +140,19 @@
       });
   }
 
+  /** A server may close an idle connection at any time. Written to it, a
+   * request would count as perhaps run although nobody read it; nothing may be
+   * waiting to be read on an idle connection, not even its end. */
+  static bool ClosedByServer(Connection& aConnection)
+  {
+    auto& socket = aConnection.mStream.socket();
+    char byte = 0;
+    beast::error_code ec;
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec != asio::error::would_block;
+  }
+
   void Write(Connection& aConnection)
   {
     auto generation = aConnection.mGeneration;
