--- /dev/null
+++ b/src/decide/AdmissionPolicy.cpp
@@ -0,0 +1,25 @@
+#include "src/decide/AdmissionPolicy.h"
+
+#include <string>
+
+#include "src/decide/BaselineAdmission.h"
+
+namespace heatherplank {
+
+Result<std::unique_ptr<AdmissionPolicy>> MakeAdmissionPolicy(
+  std::string_view aName, const AdmissionOptions& aOptions)
+{
+  if (aOptions.mSlots == 0 || aOptions.mClasses.empty()) {
+    return Fail(ErrorKind::InvalidInput,
+                "an admission without slots or without classes",
+                "set mSlots to 1 or more and give at least one class");
+  }
+  if (aName == "fifo" || aName == "priority") {
+    return std::make_unique<BaselineAdmission>(aOptions, aName == "priority");
+  }
+  return Fail(ErrorKind::InvalidInput,
+              "no admission policy is named \"" + std::string(aName) + "\"",
+              "use reservation, priority or fifo");
+}
+
+} // namespace heatherplank
