Membership as soft state: thin table and its messages

Ruled out: comparing times between machines (heartbeats carry a count of their own instead); a view version by agreement (a Lamport clock orders views well enough for the tie rules of ownership); a record without a join (any order of messages must end in the same table). Conclusion: usable by balancer and agent; the test with the cap off drops the whole fleet of ten, with it on the last view stays.

--- /dev/null
+++ b/src/membership/MemberTable.cpp
@@ -0,0 +1,423 @@
+#include "src/membership/MemberTable.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace heatherplank {
+
+std::string_view ToString(MemberEvent aEvent)
+{
+  switch (aEvent) {
+    case MemberEvent::HeartbeatTaken:
+      return "heartbeat_taken";
+    case MemberEvent::HeartbeatStale:
+      return "heartbeat_stale";
+    case MemberEvent::RefusedByInventory:
+      return "refused_by_inventory";
+    case MemberEvent::Suspected:
+      return "suspected";
+    case MemberEvent::DeclaredDead:
+      return "declared_dead";
+    case MemberEvent::Refuted:
+      return "refuted";
+    case MemberEvent::DeathHeldByCap:
+      return "death_held_by_cap";
+    case MemberEvent::Left:
+      return "left";
+    case MemberEvent::TombstoneExpired:
+      return "tombstone_expired";
+    case MemberEvent::TombstoneEvicted:
+      return "tombstone_evicted";
+  }
+  return "unknown";
+}
+
+MemberTable::MemberTable(MemberTableId aId, const InventoryCheck& aCheck,
+                         const MemberTableOptions& aOptions)
+  : mId(aId)
+  , mCheck(aCheck)
+  , mOptions(aOptions)
+  , mIsMonitor([](HostId) { return true; })
+{
+}
+
+MemberTable::~MemberTable()
+{
+  // Hooks check on destruction that they stand in no list.
+  mHeard.clear();
+  mSilent.clear();
+  mChanges.clear();
+  mStarting.clear();
+  mGone.clear();
+}
+
+std::uint64_t MemberTable::Count(MemberEvent aEvent) const
+{
+  return mCounts[static_cast<std::size_t>(aEvent)];
+}
+
+MemberEntry* MemberTable::Find(HostId aHost)
+{
+  auto it = mEntries.find(aHost);
+  return it == mEntries.end() ? nullptr : &it->second;
+}
+
+bool MemberTable::OnHeartbeat(const Heartbeat& aHeartbeat, Time aNow)
+{
+  MemberRecord record = aHeartbeat.mRecord;
+  record.mVerdict = Verdict::Alive;
+  if (IsRefused(record)) {
+    return false;
+  }
+  const MemberEntry* held = Find(record.mMember.mHost);
+  bool stale =
+    held != nullptr &&
+    (held->mRecord.mMember.mIncarnation > record.mMember.mIncarnation ||
+     (held->mRecord.mMember.mIncarnation == record.mMember.mIncarnation &&
+      held->mRecord.mBeat >= record.mBeat));
+  Bump(stale ? MemberEvent::HeartbeatStale : MemberEvent::HeartbeatTaken);
+  if (Merge(record, aNow)) {
+    MarkForPeers(*Find(record.mMember.mHost));
+  }
+  CloseEvent(aHeartbeat.mVersion);
+  return true;
+}
+
+std::vector<MemberRecord> MemberTable::OnDelta(const MemberDelta& aDelta,
+                                               Time aNow)
+{
+  return MergeAll(aDelta.mRecords, aDelta.mVersion, aNow);
+}
+
+void MemberTable::OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow)
+{
+  MergeAll(aSnapshot.mRecords, aSnapshot.mVersion, aNow);
+}
+
+std::vector<MemberRecord> MemberTable::MergeAll(
+  std::span<const MemberRecord> aRecords, std::uint64_t aVersion, Time aNow)
+{
+  std::vector<MemberRecord> news;
+  for (const MemberRecord& it : aRecords) {
+    if (!IsRefused(it) && Merge(it, aNow)) {
+      news.push_back(it);
+    }
+  }
+  CloseEvent(aVersion);
+  return news;
+}
+
+/** Failure met: an agent with a wrong setting announces itself for a service
+ * that is not its own, and would be sent that service's requests. Shown by
+ * refused_by_inventory. It holds since every way into the table passes here,
+ * and the agent checks the service again on delivery. */
+bool MemberTable::IsRefused(const MemberRecord& aRecord)
+{
+  if (mCheck.Allows(aRecord.mMember)) {
+    return false;
+  }
+  Bump(MemberEvent::RefusedByInventory);
+  return true;
+}
+
+bool MemberTable::Merge(const MemberRecord& aRecord, Time aNow)
+{
+  MemberEntry* entry = Find(aRecord.mMember.mHost);
+  if (entry == nullptr) {
+    return Insert(aRecord, aNow);
+  }
+  return Update(*entry, aRecord, aNow);
+}
+
+bool MemberTable::Insert(const MemberRecord& aRecord, Time aNow)
+{
+  MemberEntry& entry = mEntries[aRecord.mMember.mHost];
+  entry.mRecord = aRecord;
+  entry.mServingSince = aNow - aRecord.mAge;
+  mServices[aRecord.mMember.mService].mEntries[aRecord.mMember.mHost] = &entry;
+  Place(entry, aNow);
+  MarkChanged(entry);
+  return true;
+}
+
+bool MemberTable::Update(MemberEntry& aEntry, const MemberRecord& aFrom,
+                         Time aNow)
+{
+  if (IsDeathHeld(aEntry, aFrom, aNow)) {
+    return false;
+  }
+  Refute(aEntry, aFrom);
+  MemberRecord before = aEntry.mRecord;
+  bool changed = MergeRecord(aEntry.mRecord, aFrom);
+  const Member& held = aEntry.mRecord.mMember;
+  bool restarted = held.mIncarnation != before.mMember.mIncarnation;
+  if (restarted || held.mState != before.mMember.mState) {
+    aEntry.mServingSince = aNow - aFrom.mAge;
+  }
+  if (held.mService != before.mMember.mService) {
+    MarkChanged(aEntry);
+    mServices[before.mMember.mService].mEntries.erase(held.mHost);
+    mTouched.push_back(before.mMember.mService);
+    mServices[held.mService].mEntries[held.mHost] = &aEntry;
+  }
+  bool heard = restarted || aEntry.mRecord.mBeat != before.mBeat;
+  if (heard || held.mState != before.mMember.mState || aEntry.IsGone()) {
+    Place(aEntry, aNow);
+  }
+  if (changed) {
+    MarkChanged(aEntry);
+  }
+  return changed;
+}
+
+/** Failure met: a peer that is itself cut off declares most hosts dead, and
+ * its verdicts empty every view. Shown by death_held_by_cap. It holds since
+ * freshly dead hosts are counted whoever judged them. */
+bool MemberTable::IsDeathHeld(const MemberEntry& aEntry,
+                              const MemberRecord& aFrom, Time aNow)
+{
+  bool kills = aFrom.mVerdict == Verdict::Dead && !aEntry.IsGone();
+  if (!kills || !mOptions.mCapDeaths) {
+    return false;
+  }
+  std::size_t dead = FreshlyDead(aNow, false);
+  if (dead + 1 <= DeathCap(Size() + dead)) {
+    return false;
+  }
+  Bump(MemberEvent::DeathHeldByCap);
+  return true;
+}
+
+/** Failure met: one balancer can't hear a host that others hear, and has it
+ * dropped everywhere. Shown by refuted. It holds since beats are counted by
+ * the host itself: whoever holds a later beat than the suspicion names has
+ * evidence that the suspicion lacks, with no clock compared. */
+void MemberTable::Refute(MemberEntry& aEntry, const MemberRecord& aFrom)
+{
+  const MemberRecord& held = aEntry.mRecord;
+  bool same = aFrom.mMember.mIncarnation == held.mMember.mIncarnation;
+  if (same && aFrom.mVerdict > held.mVerdict && aFrom.mBeat < held.mBeat) {
+    Bump(MemberEvent::Refuted);
+    MarkForPeers(aEntry);
+  }
+}
+
+/** Puts an entry into the lists that its record calls for. */
+void MemberTable::Place(MemberEntry& aEntry, Time aNow)
+{
+  aEntry.mHeardAt = aNow;
+  Unwatch(aEntry);
+  Unlink(mStarting, aEntry, aEntry.mStartHook);
+  if (aEntry.IsGone()) {
+    if (!aEntry.mGoneHook.is_linked()) {
+      bool left = aEntry.mRecord.mMember.mState == HostState::Leaving;
+      Bump(left ? MemberEvent::Left : MemberEvent::DeclaredDead);
+      aEntry.mGoneAt = aNow;
+      mGone.push_back(aEntry);
+    }
+    return;
+  }
+  Unlink(mGone, aEntry, aEntry.mGoneHook);
+  aEntry.mJudgedHere = false;
+  Watch(aEntry, aNow);
+  aEntry.mStep = StepOf(aEntry, aNow);
+  if (aEntry.mStep < mOptions.mSlowStartSteps) {
+    mStarting.push_back(aEntry);
+  }
+}
+
+void MemberTable::Watch(MemberEntry& aEntry, Time aNow)
+{
+  if (mOptions.mJudgesSilence && mIsMonitor(aEntry.mRecord.mMember.mHost)) {
+    aEntry.mHeardAt = aNow;
+    mHeard.push_back(aEntry);
+  }
+}
+
+void MemberTable::Unwatch(MemberEntry& aEntry)
+{
+  if (!aEntry.mSilenceHook.is_linked()) {
+    return;
+  }
+  SilenceList& list = aEntry.mOverdue ? mSilent : mHeard;
+  list.erase(list.iterator_to(aEntry));
+  aEntry.mOverdue = false;
+}
+
+void MemberTable::SetMonitored(const std::function<bool(HostId)>& aIsMonitor,
+                               Time aNow)
+{
+  mIsMonitor = aIsMonitor;
+  for (auto& [host, entry] : mEntries) {
+    bool watched = entry.mSilenceHook.is_linked();
+    if (watched && !mIsMonitor(host)) {
+      Unwatch(entry);
+    } else if (!watched && !entry.IsGone()) {
+      Watch(entry, aNow);
+    }
+  }
+}
+
+void MemberTable::OnTick(Time aNow)
+{
+  CollectSilent(aNow);
+  UpdateIsolation(aNow);
+  if (!mIsolated) {
+    RaiseSuspicions(aNow);
+    DeclareDeaths(aNow);
+  }
+  MoveSlowStarts(aNow);
+  ExpireTombstones(aNow);
+  CloseEvent();
+}
+
+void MemberTable::CollectSilent(Time aNow)
+{
+  while (!mHeard.empty() &&
+         aNow - mHeard.front().mHeardAt >= mOptions.mSuspectAfter) {
+    MemberEntry& entry = mHeard.front();
+    mHeard.pop_front();
+    entry.mOverdue = true;
+    mSilent.push_back(entry);
+  }
+}
+
+/** Failure met: this balancer is cut off (or was frozen), hears nobody, and
+ * would drop the whole fleet. Shown by IsIsolated and readiness. It holds
+ * since all silent hosts are collected before any is judged, so the first
+ * death is weighed against the silence of all. */
+void MemberTable::UpdateIsolation(Time aNow)
+{
+  std::size_t silent = mSilent.size() + FreshlyDead(aNow, true);
+  std::size_t cap = DeathCap(mHeard.size() + silent);
+  mIsolated = mOptions.mCapDeaths && silent > cap;
+}
+
+void MemberTable::RaiseSuspicions(Time aNow)
+{
+  for (MemberEntry& it : mSilent) {
+    if (it.mRecord.mVerdict == Verdict::Alive || !it.mJudgedHere) {
+      Bump(MemberEvent::Suspected);
+      Judge(it, Verdict::Suspect, aNow);
+    }
+  }
+}
+
+void MemberTable::DeclareDeaths(Time aNow)
+{
+  for (auto it = mSilent.begin(); it != mSilent.end();) {
+    MemberEntry& entry = *it;
+    ++it;
+    if (aNow - entry.mSuspectedAt >= mOptions.mRefuteWithin) {
+      Judge(entry, Verdict::Dead, aNow);
+      Place(entry, aNow);
+    }
+  }
+}
+
+void MemberTable::Judge(MemberEntry& aEntry, Verdict aVerdict, Time aNow)
+{
+  aEntry.mRecord.mVerdict = aVerdict;
+  aEntry.mJudgedHere = true;
+  aEntry.mSuspectedAt = aNow;
+  MarkChanged(aEntry);
+  MarkForPeers(aEntry);
+}
+
+std::size_t MemberTable::FreshlyDead(Time aNow, bool aJudgedHereOnly) const
+{
+  std::size_t n = 0;
+  for (auto it = mGone.rbegin(); it != mGone.rend(); ++it) {
+    if (aNow - it->mGoneAt >= mOptions.mDeadCountsFor) {
+      break;
+    }
+    bool dead = it->mRecord.mVerdict == Verdict::Dead;
+    n += dead && (it->mJudgedHere || !aJudgedHereOnly) ? 1 : 0;
+  }
+  return n;
+}
+
+std::size_t MemberTable::DeathCap(std::size_t aMembers) const
+{
+  auto share = static_cast<std::size_t>(mOptions.mDeadShare *
+                                        static_cast<double>(aMembers));
+  return std::max<std::size_t>(1, share);
+}
+
+/** Failure met: a host that just started gets its full share before its caches
+ * are warm, and the requests sent to it wait. Shown as latency after each
+ * restart. Its weight grows in steps, so that views change a few times and
+ * not all the time. */
+void MemberTable::MoveSlowStarts(Time aNow)
+{
+  for (auto it = mStarting.begin(); it != mStarting.end();) {
+    MemberEntry& entry = *it;
+    std::uint16_t step = StepOf(entry, aNow);
+    if (step != entry.mStep) {
+      entry.mStep = step;
+      MarkChanged(entry);
+    }
+    it = step >= mOptions.mSlowStartSteps ? mStarting.erase(it) : std::next(it);
+  }
+}
+
+/** Failure met: a record that was on its way (or held by a cut-off peer) while
+ * its host left brings the host back to life. Shown as a member that answers
+ * nothing. The tombstone holds the later state and beat, against which the
+ * stale record loses; a record staler than the tombstone's time is silent, so
+ * it is suspected and dies again. */
+void MemberTable::ExpireTombstones(Time aNow)
+{
+  while (!mGone.empty()) {
+    MemberEntry& oldest = mGone.front();
+    bool expired = aNow - oldest.mGoneAt >= mOptions.mTombstoneFor;
+    bool evicted = !expired && mGone.size() > mOptions.mTombstoneLimit;
+    if (!expired && !evicted) {
+      return;
+    }
+    Bump(expired ? MemberEvent::TombstoneExpired
+                 : MemberEvent::TombstoneEvicted);
+    Erase(oldest);
+  }
+}
+
+void MemberTable::Recheck(Time aNow)
+{
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    MemberEntry& entry = it->second;
+    ++it;
+    if (IsRefused(entry.mRecord)) {
+      Erase(entry);
+    }
+  }
+  CloseEvent();
+  UpdateIsolation(aNow);
+}
+
+void MemberTable::Erase(MemberEntry& aEntry)
+{
+  Unwatch(aEntry);
+  Unlink(mChanges, aEntry, aEntry.mChangeHook);
+  Unlink(mStarting, aEntry, aEntry.mStartHook);
+  Unlink(mGone, aEntry, aEntry.mGoneHook);
+  Member member = aEntry.mRecord.mMember;
+  MarkChanged(aEntry);
+  mServices[member.mService].mEntries.erase(member.mHost);
+  mEntries.erase(member.mHost);
+}
+
+std::uint16_t MemberTable::StepOf(const MemberEntry& aEntry, Time aNow) const
+{
+  HostState state = aEntry.mRecord.mMember.mState;
+  if (state == HostState::Cold) {
+    return 1;
+  }
+  Duration age = aNow - aEntry.mServingSince;
+  if (state != HostState::Serving || age >= mOptions.mSlowStart) {
+    return mOptions.mSlowStartSteps;
+  }
+  auto grown = age * (mOptions.mSlowStartSteps - 1) / mOptions.mSlowStart;
+  return static_cast<std::uint16_t>(1 + std::max<decltype(grown)>(0, grown));
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/membership/MemberTableViews.cpp
@@ -0,0 +1,208 @@
+// What a table gives out: views for steering, records and digests for peers.
+#include <algorithm>
+#include <bit>
+
+#include "src/membership/MemberTable.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Members a digest range: small ranges repair precisely, large ones keep the
+ * digest short. 16 records are 1.4 KB, a datagram. */
+constexpr std::size_t kMembersPerRange = 16;
+constexpr std::size_t kMaxRanges = 1024;
+/** Records a message unless the request says otherwise. */
+constexpr std::size_t kDefaultRecords = 512;
+
+std::size_t RangeOf(HostId aHost, std::size_t aRanges)
+{
+  int bits = std::countr_zero(aRanges);
+  return bits == 0 ? 0 : aHost.mValue >> (64 - bits);
+}
+
+HostId FirstOf(std::size_t aRange, std::size_t aRanges)
+{
+  int bits = std::countr_zero(aRanges);
+  return { bits == 0 ? 0 : std::uint64_t{ aRange } << (64 - bits) };
+}
+
+HostId LastOf(std::size_t aRange, std::size_t aRanges)
+{
+  bool last = aRange + 1 == aRanges;
+  return { last ? UINT64_MAX : FirstOf(aRange + 1, aRanges).mValue - 1 };
+}
+
+std::vector<std::uint64_t> HashRanges(
+  const std::map<HostId, MemberEntry>& aEntries, std::size_t aRanges)
+{
+  std::vector<std::uint64_t> hashes(aRanges, 0);
+  for (const auto& [host, entry] : aEntries) {
+    hashes[RangeOf(host, aRanges)] += HashRecord(entry.mRecord);
+  }
+  return hashes;
+}
+
+} // namespace
+
+void MemberTable::MarkChanged(MemberEntry& aEntry)
+{
+  mTouched.push_back(aEntry.mRecord.mMember.mService);
+}
+
+void MemberTable::MarkForPeers(MemberEntry& aEntry)
+{
+  if (!aEntry.mChangeHook.is_linked()) {
+    mChanges.push_back(aEntry);
+  }
+}
+
+void MemberTable::CloseEvent(std::uint64_t aPeerVersion)
+{
+  mVersion = std::max(mVersion + (mTouched.empty() ? 0 : 1), aPeerVersion);
+  for (ServiceId it : mTouched) {
+    ServiceState& state = mServices[it];
+    state.mVersion = mVersion;
+    state.mView.reset();
+    if (!state.mChanged) {
+      state.mChanged = true;
+      mChangedServices.push_back(it);
+    }
+  }
+  mTouched.clear();
+}
+
+std::vector<ServiceId> MemberTable::TakeChangedServices()
+{
+  std::vector<ServiceId> out;
+  out.swap(mChangedServices);
+  for (ServiceId it : out) {
+    mServices[it].mChanged = false;
+  }
+  return out;
+}
+
+ServiceViewPtr MemberTable::View(ServiceId aService) const
+{
+  static const ServiceViewPtr kNone = std::make_shared<ServiceView>();
+  auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return kNone;
+  }
+  if (!it->second.mView) {
+    it->second.mView = Build(it->second);
+  }
+  return it->second.mView;
+}
+
+ServiceViewPtr MemberTable::Build(const ServiceState& aState) const
+{
+  auto view = std::make_shared<ServiceView>();
+  view->mVersion = aState.mVersion;
+  for (const auto& [host, entry] : aState.mEntries) {
+    if (entry->IsGone()) {
+      continue;
+    }
+    const Member& member = entry->mRecord.mMember;
+    std::uint32_t weight =
+      std::uint32_t{ member.mWeight } * entry->mStep / mOptions.mSlowStartSteps;
+    view->mMembers.push_back({ member,
+                               static_cast<std::uint16_t>(std::max(1U, weight)),
+                               entry->mRecord.mVerdict == Verdict::Suspect });
+  }
+  return view;
+}
+
+MemberRecord MemberTable::Export(const MemberEntry& aEntry, Time aNow) const
+{
+  MemberRecord record = aEntry.mRecord;
+  bool serves = record.mMember.mState == HostState::Serving;
+  record.mAge = serves ? aNow - aEntry.mServingSince : Duration{};
+  return record;
+}
+
+std::vector<MemberRecord> MemberTable::TakeChanges(std::size_t aLimit,
+                                                   Time aNow)
+{
+  std::vector<MemberRecord> out;
+  while (!mChanges.empty() && out.size() < aLimit) {
+    out.push_back(Export(mChanges.front(), aNow));
+    mChanges.pop_front();
+  }
+  return out;
+}
+
+MemberDigest MemberTable::Digest() const
+{
+  std::size_t ranges = std::bit_ceil(1 + mEntries.size() / kMembersPerRange);
+  return { mId, mVersion, HashRanges(mEntries, std::min(ranges, kMaxRanges)) };
+}
+
+std::vector<MemberSnapshotRequest> MemberTable::Differences(
+  const MemberDigest& aPeer, std::size_t aLimit) const
+{
+  std::size_t ranges = aPeer.mHashes.size();
+  std::vector<std::uint64_t> mine = HashRanges(mEntries, ranges);
+  std::vector<MemberSnapshotRequest> out;
+  for (std::size_t i = 0; i < ranges; ++i) {
+    if (mine[i] == aPeer.mHashes[i]) {
+      continue;
+    }
+    HostId first = FirstOf(i, ranges);
+    bool joins = !out.empty() && out.back().mLast.mValue + 1 == first.mValue;
+    if (joins) {
+      out.back().mLast = LastOf(i, ranges);
+    } else if (out.size() < aLimit) {
+      out.push_back({ mId, first, LastOf(i, ranges), 0 });
+    } else {
+      break;
+    }
+  }
+  return out;
+}
+
+MemberSnapshot MemberTable::Snapshot(const MemberSnapshotRequest& aRequest,
+                                     std::size_t aMaxRecords, Time aNow) const
+{
+  std::size_t limit =
+    aRequest.mMaxRecords == 0 ? kDefaultRecords : aRequest.mMaxRecords;
+  limit = std::max<std::size_t>(1, std::min(limit, aMaxRecords));
+  MemberSnapshot out{ mId, mVersion, aRequest.mFirst, aRequest.mLast, {} };
+  auto it = mEntries.lower_bound(aRequest.mFirst);
+  for (; it != mEntries.end() && it->first <= aRequest.mLast; ++it) {
+    if (out.mRecords.size() == limit) {
+      out.mLast = { it->first.mValue - 1 };
+      break;
+    }
+    out.mRecords.push_back(Export(it->second, aNow));
+  }
+  return out;
+}
+
+MemberDelta MemberTable::ServiceDelta(ServiceId aService, Time aNow) const
+{
+  MemberDelta out{ mId, mVersion, kNoTree, {} };
+  auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return out;
+  }
+  for (const auto& [host, entry] : it->second.mEntries) {
+    out.mRecords.push_back(Export(*entry, aNow));
+  }
+  return out;
+}
+
+std::uint64_t MemberTable::ServiceDigest(ServiceId aService) const
+{
+  auto it = mServices.find(aService);
+  std::uint64_t sum = 0;
+  if (it == mServices.end()) {
+    return sum;
+  }
+  for (const auto& [host, entry] : it->second.mEntries) {
+    sum += HashRecord(entry->mRecord);
+  }
+  return sum;
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/tests/MemberTableTest.cpp
@@ -0,0 +1,98 @@
+#include "src/membership/MemberTable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+class AllowAll final : public InventoryCheck
+{
+public:
+  bool Allows(const Member& aMember) const override
+  {
+    return aMember.mService != MakeServiceId("forbidden");
+  }
+};
+
+const AllowAll kAllowAll;
+const ServiceId kService = MakeServiceId("agenda");
+
+Heartbeat Beat(int aHost, std::uint32_t aBeat, Incarnation aIncarnation = 1,
+               HostState aState = HostState::Serving)
+{
+  Heartbeat beat;
+  Member& member = beat.mRecord.mMember;
+  member.mHost = MakeHostId("host-" + std::to_string(aHost));
+  member.mService = kService;
+  member.mIncarnation = aIncarnation;
+  member.mState = aState;
+  beat.mRecord.mBeat = aBeat;
+  beat.mRecord.mAge = 1h;
+  return beat;
+}
+
+} // namespace
+
+TEST_GROUP(MemberTable)
+{
+  ManualClock mClock;
+  MemberTable mTable{ MemberTableId::Hosts, kAllowAll };
+
+  std::size_t InView()
+  {
+    return mTable.View(kService)->mMembers.size();
+  }
+
+  /** Beats of hosts 0..aHosts-1 every 500 ms for a time. */
+  void Run(MemberTable & aTable, int aHosts, Duration aFor)
+  {
+    for (Duration t{}; t < aFor; t += 500ms) {
+      ++mBeat;
+      for (int i = 0; i < aHosts; ++i) {
+        aTable.OnHeartbeat(Beat(i, mBeat), mClock.Now());
+      }
+      aTable.OnTick(mClock.Now());
+      mClock.Advance(500ms);
+    }
+  }
+
+  std::uint32_t mBeat = 0;
+};
+
+TEST(MemberTable, ASilentHostIsSuspectedThenDeadAndComesBack)
+{
+  Run(mTable, 10, 2s);
+  CHECK_EQUAL(10, InView());
+  Run(mTable, 9, 2s);
+  CHECK_EQUAL(10, InView());
+  CHECK_EQUAL(1, mTable.Count(MemberEvent::Suspected));
+  Run(mTable, 9, 2s);
+  CHECK_EQUAL(9, InView());
+  Run(mTable, 10, 500ms);
+  CHECK_EQUAL(10, InView());
+}
+
+TEST(MemberTable, RefusesWhatTheInventoryDoesNotGive)
+{
+  Heartbeat beat = Beat(1, 1);
+  beat.mRecord.mMember.mService = MakeServiceId("forbidden");
+  CHECK_FALSE(mTable.OnHeartbeat(beat, mClock.Now()));
+  CHECK_EQUAL(1, mTable.Count(MemberEvent::RefusedByInventory));
+}
+
+// The cable of one balancer is pulled, or it is frozen for ten seconds. It
+// hears nobody; without the cap it would answer every caller "no host".
+TEST(MemberTable, ACutOffBalancerKeepsItsLastView)
+{
+  for (bool guard : { false, true }) {
+    MemberTableOptions options;
+    options.mCapDeaths = guard;
+    MemberTable table(MemberTableId::Hosts, kAllowAll, options);
+    Run(table, 10, 2s);
+    Run(table, 0, 10s);
+    CHECK_EQUAL(guard ? 10 : 0, table.View(kService)->mMembers.size());
+    CHECK_EQUAL(guard, table.IsIsolated());
+  }
+}
