--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -86,7 +86,7 @@
 };
 
 /** The members of a service, ordered by host id. Immutable. */
-struct ServiceView
+struct MemberView
 {
   /** Orders views without agreement: a Lamport clock. A view made with the
    * knowledge of another has no lower version; two made apart may tie. */
@@ -94,7 +94,7 @@
   std::vector<ViewMember> mMembers;
 };
 
-using ServiceViewPtr = std::shared_ptr<const ServiceView>;
+using MemberViewPtr = std::shared_ptr<const MemberView>;
 
 /** The soft state of who is a member, in balancers (judging silence) and agents
  * (of their own service only). Pure: no I/O, time as an argument. Not thread
@@ -132,7 +132,7 @@
   void Recheck(Time aNow);
 
   /** The view of a service; empty if it has no members. */
-  ServiceViewPtr View(ServiceId aService) const;
+  MemberViewPtr View(ServiceId aService) const;
   /** Services whose view changed since the last call. */
   std::vector<ServiceId> TakeChangedServices();
 
@@ -170,7 +170,7 @@
     std::map<HostId, MemberEntry*> mEntries;
     std::uint64_t mVersion = 0;
     bool mChanged = false;
-    mutable ServiceViewPtr mView;
+    mutable MemberViewPtr mView;
   };
 
   MemberEntry* Find(HostId aHost);
@@ -201,7 +201,7 @@
   void MarkForPeers(MemberEntry& aEntry);
   /** Stamps what changed since the last call with a new version. */
   void CloseEvent(std::uint64_t aPeerVersion = 0);
-  ServiceViewPtr Build(const ServiceState& aState) const;
+  MemberViewPtr Build(const ServiceState& aState) const;
   std::uint16_t StepOf(const MemberEntry& aEntry, Time aNow) const;
   MemberRecord Export(const MemberEntry& aEntry, Time aNow) const;
   void Bump(MemberEvent aEvent) { ++mCounts[static_cast<std::size_t>(aEvent)]; }
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -82,9 +82,9 @@
   return out;
 }
 
-ServiceViewPtr MemberTable::View(ServiceId aService) const
+MemberViewPtr MemberTable::View(ServiceId aService) const
 {
-  static const ServiceViewPtr kNone = std::make_shared<ServiceView>();
+  static const MemberViewPtr kNone = std::make_shared<MemberView>();
   auto it = mServices.find(aService);
   if (it == mServices.end()) {
     return kNone;
@@ -95,9 +95,9 @@
   return it->second.mView;
 }
 
-ServiceViewPtr MemberTable::Build(const ServiceState& aState) const
+MemberViewPtr MemberTable::Build(const ServiceState& aState) const
 {
-  auto view = std::make_shared<ServiceView>();
+  auto view = std::make_shared<MemberView>();
   view->mVersion = aState.mVersion;
   for (const auto& [host, entry] : aState.mEntries) {
     if (entry->IsGone()) {
