Configurations accepted as one version: parts, head, merge, settled writes

Cause: 6,000 services exceed one object of 1 MB, operators race one another, and the answer of a write can be lost after it took effect. Ruled out: parts keyed by their hash alone: a collected part could come back under its old key while another writer relies on it, and the loser of a race could not remove its own; one part a service (the head would hold 6,000 references, 300 KB to every reader for each change). Change: ConfigurationStore writes parts first, under keys with the write's own nonce, and accepts by the conditional update of a small head; keeps replaced heads as history, merges an edit by service against its base, settles a lost answer by nonce (also after a successor), refuses stale reads, collects garbage. Guards off: a lost answer then removes parts that are in force; a stale read goes back a version (both shown by tests).

--- a/include/heatherplank/Configuration.h
+++ b/include/heatherplank/Configuration.h
@@ -41,6 +41,8 @@
   Duration mDeadline = std::chrono::seconds(2);
   /** Most requests of this rule that wait at one host. */
   std::uint32_t mQueueLimit = 64;
+
+  bool operator==(const Rule&) const = default;
 };
 
 /** A host that the inventory expects, by name. */
@@ -49,6 +51,8 @@
   std::string mName;
   std::string mDataCentre;
   std::uint16_t mWeight = 100;
+
+  bool operator==(const ExpectedHost&) const = default;
 };
 
 /** A service of the inventory. */
@@ -61,6 +65,8 @@
   std::vector<ExpectedHost> mHosts;
   std::uint16_t mSlotsPerHost = 2;
   std::vector<Rule> mRules;
+
+  bool operator==(const Service&) const = default;
 };
 
 /** The balancing policy in force. */
@@ -71,6 +77,8 @@
   /** Weights of the score: broken flows against imbalance. */
   double mBrokenFlowsWeight = 1.0;
   double mImbalanceWeight = 1.0;
+
+  bool operator==(const PolicyChoice&) const = default;
 };
 
 /** Inventory, rules and policy, accepted as one version. Immutable once made;
--- a/src/config/ConfigurationParser.cpp
+++ b/src/config/ConfigurationParser.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
+#include <span>
+#include <string>
 #include <utility>
 
 #include <boost/asio/ip/udp.hpp>
@@ -26,6 +29,7 @@
 /** A service's canonical JSON must fit one part object with room to spare. */
 constexpr std::size_t kMaxHostsPerService = 4000;
 constexpr std::size_t kMaxNameBytes = 63;
+constexpr std::int64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
 
 /** Names stand in URLs, metrics labels and keys, so only plain characters. */
 bool IsPlainName(std::string_view aName)
@@ -47,17 +51,26 @@
   {
   }
 
-  void Read(JsonReader& aReader)
+  void ReadGeneral(JsonReader& aReader)
   {
     mOut->mDataCentres = aReader.Strings("data_centres");
     CheckDataCentres(aReader);
     aReader.Object("policy", [this](JsonReader& aIt) { ReadPolicy(aIt); });
+    mOut->mDrainedHosts = aReader.Strings("drained_hosts");
+  }
+
+  void ReadServices(JsonReader& aReader)
+  {
     aReader.Objects("services", [this](JsonReader& aIt) { ReadService(aIt); });
+  }
+
+  /** What can be checked only after all services were read. */
+  void CheckWhole(JsonFaults& aFaults) const
+  {
     if (mOut->mServices.empty()) {
-      aReader.AddFault("services", "no service", "list at least one service");
+      aFaults.Add("services", "no service", "list at least one service");
     }
-    mOut->mDrainedHosts = aReader.Strings("drained_hosts");
-    CheckDrainedHosts(aReader);
+    CheckDrainedHosts(aFaults);
   }
 
 private:
@@ -264,20 +277,17 @@
     }
   }
 
-  void CheckDrainedHosts(JsonReader& aReader)
+  void CheckDrainedHosts(JsonFaults& aFaults) const
   {
     std::set<std::string_view> seen;
     for (const auto& it : mOut->mDrainedHosts) {
       if (!mHosts.contains(MakeHostId(it))) {
-        aReader.AddFault("drained_hosts",
-                         "\"" + it +
-                           "\" is not in the "
-                           "inventory",
-                         "name a host of a service");
+        aFaults.Add("drained_hosts", "\"" + it + "\" is not in the inventory",
+                    "name a host of a service");
       }
       if (!seen.insert(it).second) {
-        aReader.AddFault("drained_hosts", "\"" + it + "\" stands twice",
-                         "list it once");
+        aFaults.Add("drained_hosts", "\"" + it + "\" stands twice",
+                    "list it once");
       }
     }
   }
@@ -295,7 +305,36 @@
   auto out = std::make_shared<Configuration>();
   out->mVersion = aVersion;
   Reading reading(*out);
-  ReadJsonDocument(aText, aFaults, [&](JsonReader& aIt) { reading.Read(aIt); });
+  ReadJsonDocument(aText, aFaults, [&](JsonReader& aReader) {
+    std::int64_t version = aReader.Integer("version", 0, kMaxVersion, 0);
+    if (aVersion == 0) {
+      out->mVersion = static_cast<std::uint64_t>(version);
+    }
+    reading.ReadGeneral(aReader);
+    reading.ReadServices(aReader);
+    reading.CheckWhole(aFaults);
+  });
+  if (!aFaults.IsEmpty()) {
+    return nullptr;
+  }
+  IndexAddresses(*out);
+  return out;
+}
+
+ConfigurationPtr ParseParts(std::string_view aGeneral,
+                            std::span<const std::string_view> aServices,
+                            std::uint64_t aVersion, JsonFaults& aFaults)
+{
+  auto out = std::make_shared<Configuration>();
+  out->mVersion = aVersion;
+  Reading reading(*out);
+  ReadJsonDocument(aGeneral, aFaults,
+                   [&](JsonReader& aReader) { reading.ReadGeneral(aReader); });
+  for (auto it : aServices) {
+    ReadJsonDocument(
+      it, aFaults, [&](JsonReader& aReader) { reading.ReadServices(aReader); });
+  }
+  reading.CheckWhole(aFaults);
   if (!aFaults.IsEmpty()) {
     return nullptr;
   }
--- a/src/config/ConfigurationParser.h
+++ b/src/config/ConfigurationParser.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include <cstdint>
+#include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
 #include "include/heatherplank/Configuration.h"
@@ -12,7 +17,8 @@
 /** Reads and checks a configuration as operators write it (docs/ADMIN.md has
  * the format). Null if anything is wrong; then aFaults holds every fault:
  * unknown keys, wrong types and ranges, names or addresses that stand twice or
- * are not known, and names whose hashes collide. Thread safe.
+ * are not known, and names whose hashes collide. With aVersion 0 the version
+ * is that of the text's key "version" (0 if there is none). Thread safe.
  */
 ConfigurationPtr ParseConfiguration(std::string_view aText,
                                     std::uint64_t aVersion,
@@ -23,13 +29,26 @@
                                             std::uint64_t aVersion,
                                             const std::string& aFile);
 
+/** Reads a configuration that was split into one part with all that is not a
+ * service, and parts with services; checked as a whole. Thread safe.
+ */
+ConfigurationPtr ParseParts(std::string_view aGeneral,
+                            std::span<const std::string_view> aServices,
+                            std::uint64_t aVersion, JsonFaults& aFaults);
+
 /** The canonical JSON of a service: every key present, keys in a fixed order,
  * so that equal services give equal bytes. Thread safe.
  */
 boost::json::value ToJson(const Service& aService);
 
-/** The canonical JSON of a configuration without its version; services in the
- * order of their names. ParseConfiguration reads it back. Thread safe.
+/** All of a configuration that is not a service; canonical. Thread safe. */
+boost::json::object GeneralToJson(const Configuration& aConfiguration);
+
+/** {"services": [...]}, canonical, in the order of their names. Thread safe. */
+boost::json::object ServicesToJson(std::vector<const Service*> aServices);
+
+/** The canonical JSON of a whole configuration, with the version unless it is
+ * 0. ParseConfiguration reads it back. Thread safe.
  */
 boost::json::value ToJson(const Configuration& aConfiguration);
 
--- /dev/null
+++ b/src/config/ConfigurationParts.cpp
@@ -0,0 +1,103 @@
+#include "src/config/ConfigurationParts.h"
+
+#include <algorithm>
+#include <bit>
+#include <string_view>
+
+#include <boost/json/serialize.hpp>
+
+#include "include/heatherplank/ObjectStore.h"
+#include "src/config/ConfigurationParser.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** A change of one service sends its whole part to every balancer, and the
+ * list of all parts to those that missed a version. With 16 services (about 16
+ * KB) a part, 6,000 services make 512 parts and a list of 8 KB, so both weigh
+ * about the same. */
+constexpr std::size_t kServicesPerPart = 16;
+constexpr std::size_t kMaxParts = 4096;
+/** How far off the best number of parts may be before all are made anew. */
+constexpr std::size_t kTolerance = 4;
+
+std::string JoinServices(const std::vector<const Service*>& aServices)
+{
+  return boost::json::serialize(ServicesToJson(aServices));
+}
+
+std::vector<std::string> SplitServices(const Configuration& aConfiguration,
+                                       std::size_t aPartCount)
+{
+  std::vector<std::vector<const Service*>> buckets(aPartCount);
+  for (const auto& [id, service] : aConfiguration.mServices) {
+    buckets[id.mValue % aPartCount].push_back(&service);
+  }
+  std::vector<std::string> out;
+  out.reserve(aPartCount + 1);
+  for (const auto& it : buckets) {
+    out.push_back(JoinServices(it));
+  }
+  return out;
+}
+
+bool Fits(const std::string& aPart)
+{
+  return aPart.size() <= ObjectStore::kMaxObjectSize;
+}
+
+} // namespace
+
+std::size_t ChoosePartCount(std::size_t aServices, std::size_t aBefore)
+{
+  std::size_t best = std::clamp<std::size_t>(
+    std::bit_ceil(aServices / kServicesPerPart), 1, kMaxParts);
+  bool near = aBefore != 0 && best <= aBefore * kTolerance &&
+              aBefore <= best * kTolerance;
+  return near ? aBefore : best;
+}
+
+Result<std::vector<std::string>> SplitConfiguration(
+  const Configuration& aConfiguration, std::size_t aPartCount)
+{
+  std::string general = boost::json::serialize(GeneralToJson(aConfiguration));
+  for (std::size_t n = aPartCount; n <= kMaxParts && Fits(general); n *= 2) {
+    auto out = SplitServices(aConfiguration, n);
+    if (std::ranges::all_of(out, Fits)) {
+      out.insert(out.begin(), std::move(general));
+      return out;
+    }
+  }
+  return Fail(ErrorKind::TooLarge,
+              "a part of the configuration would exceed " +
+                std::to_string(ObjectStore::kMaxObjectSize) + " bytes",
+              "give large services fewer hosts, or drain fewer hosts at once");
+}
+
+Result<ConfigurationPtr> AssembleConfiguration(
+  const ConfigurationHead& aHead, std::span<const std::string> aParts)
+{
+  JsonFaults faults("configuration version " + std::to_string(aHead.mVersion));
+  if (aParts.size() != aHead.mParts.size() || aParts.empty()) {
+    faults.Add("", "parts are missing", "");
+    return Fail(ErrorKind::Malformed, faults.Describe(), "read it again");
+  }
+  for (std::size_t i = 0; i < aParts.size(); ++i) {
+    if (HashPart(aParts[i]) != aHead.mParts[i].mHash) {
+      return Fail(ErrorKind::Malformed,
+                  "part " + std::to_string(i) + " of configuration version " +
+                    std::to_string(aHead.mVersion) + " is damaged",
+                  "read it again; if it stays so, apply the inventory anew");
+    }
+  }
+  std::vector<std::string_view> services(aParts.begin() + 1, aParts.end());
+  auto out = ParseParts(aParts.front(), services, aHead.mVersion, faults);
+  if (!out) {
+    return Fail(ErrorKind::Malformed, faults.Describe(),
+                "let nothing but heatherplank write below config/");
+  }
+  return out;
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/config/ConfigurationParts.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "include/heatherplank/Configuration.h"
+#include "src/config/ConfigurationHead.h"
+
+namespace heatherplank {
+
+/** The number of service parts for a configuration of this many services, if
+ * the version before had aBefore of them (0: none). It changes only when the
+ * parts would become four times too large or too small, since then all of them
+ * are written and sent anew. Thread safe.
+ */
+std::size_t ChoosePartCount(std::size_t aServices, std::size_t aBefore);
+
+/** Splits a configuration into parts of at most ObjectStore::kMaxObjectSize
+ * bytes: the general one, then the services by id. More service parts than
+ * aPartCount are made if one would be too large; TooLarge if even that does
+ * not help. Thread safe.
+ */
+Result<std::vector<std::string>> SplitConfiguration(
+  const Configuration& aConfiguration, std::size_t aPartCount);
+
+/** Puts parts together again and checks the whole, as ParseConfiguration
+ * does; Malformed with every fault, or if a part's hash differs from that in
+ * the head. Thread safe.
+ */
+Result<ConfigurationPtr> AssembleConfiguration(
+  const ConfigurationHead& aHead, std::span<const std::string> aParts);
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/config/ConfigurationStore.cpp
@@ -0,0 +1,360 @@
+#include "src/config/ConfigurationStore.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/config/ConfigurationGarbage.h"
+#include "src/config/ConfigurationMerge.h"
+#include "src/config/ConfigurationParts.h"
+#include "src/platform/CallLimits.h"
+
+namespace heatherplank {
+
+namespace {
+
+std::int64_t WallClockMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::uint64_t RandomSeed()
+{
+  std::random_device device;
+  return (std::uint64_t{ device() } << 32U) ^ device();
+}
+
+tl::unexpected<Error> LostRace(const ConfigurationHead& aNewest,
+                               const Error& aWhy)
+{
+  return Fail(ErrorKind::Conflict,
+              "not applied: " + DescribeHead(aNewest) + ", is in force now; " +
+                aWhy.mMessage,
+              aWhy.mRemedy);
+}
+
+} // namespace
+
+ConfigurationStore::ConfigurationStore(SyncObjectStore& aStore,
+                                       Options aOptions)
+  : mStore(&aStore)
+  , mOptions(std::move(aOptions))
+{
+  if (!mOptions.mWallClock) {
+    mOptions.mWallClock = WallClockMs;
+  }
+  mRandom.seed(mOptions.mSeed != 0 ? mOptions.mSeed : RandomSeed());
+}
+
+Result<std::optional<StoredConfiguration>> ConfigurationStore::ReadHead()
+{
+  const auto& limits = mStore->GetOptions();
+  Backoff backoff(limits.mFirstPause, limits.mLongestPause, limits.mSeed);
+  for (unsigned attempt = 1;; ++attempt) {
+    auto object = mStore->Get(config_keys::kHead);
+    bool absent = !object && object.error().mKind == ErrorKind::NotFound;
+    if (!object && !absent) {
+      return tl::unexpected(object.error());
+    }
+    std::uint64_t version = absent ? 0 : object->mVersion;
+    // A replica of the platform that lags serves an older head than one read
+    // before. Built upon, it would show the operator an old inventory, and
+    // tell a writer that its accepted change is not there. The versions of
+    // objects only grow, so a smaller one is stale.
+    bool stale = version < mSeen && mOptions.mRefuseStaleReads;
+    if (!stale && absent) {
+      return std::optional<StoredConfiguration>();
+    }
+    if (!stale) {
+      mSeen = std::max(mSeen, version);
+      auto head = ParseHead(object->mValue);
+      if (!head) {
+        return tl::unexpected(head.error());
+      }
+      return std::optional(
+        StoredConfiguration{ std::move(*head), version, nullptr });
+    }
+    if (attempt >= limits.mAttempts) {
+      return Fail(ErrorKind::Unavailable,
+                  "the platform serves an older configuration than before",
+                  "try again when its replicas have caught up");
+    }
+    mStore->Pause(backoff.Next());
+  }
+}
+
+Result<ConfigurationPtr> ConfigurationStore::ReadParts(
+  const ConfigurationHead& aHead)
+{
+  std::vector<std::string> keys;
+  for (const auto& it : aHead.mParts) {
+    keys.push_back(config_keys::Part(it));
+  }
+  auto objects = mStore->GetAll(keys);
+  if (!objects) {
+    return tl::unexpected(objects.error());
+  }
+  std::vector<std::string> texts;
+  texts.reserve(objects->size());
+  for (auto& it : *objects) {
+    texts.push_back(std::move(it.mValue));
+  }
+  return AssembleConfiguration(aHead, texts);
+}
+
+Result<std::optional<StoredConfiguration>> ConfigurationStore::Read()
+{
+  auto out = ReadHead();
+  if (!out || !*out) {
+    return out;
+  }
+  auto whole = ReadParts((*out)->mHead);
+  if (!whole) {
+    return tl::unexpected(whole.error());
+  }
+  (*out)->mConfiguration = *whole;
+  return out;
+}
+
+Result<ConfigurationPtr> ConfigurationStore::ReadVersion(std::uint64_t aVersion)
+{
+  auto object = mStore->Get(config_keys::History(aVersion));
+  if (!object) {
+    return tl::unexpected(object.error());
+  }
+  auto head = ParseHead(object->mValue);
+  if (!head) {
+    return tl::unexpected(head.error());
+  }
+  return ReadParts(*head);
+}
+
+Result<ConfigurationPtr> ConfigurationStore::Rebase(
+  const ConfigurationChange& aChange, const StoredConfiguration& aCurrent) const
+{
+  std::uint64_t base = aChange.mBase ? aChange.mBase->mVersion : 0;
+  std::uint64_t current = aCurrent.mHead.mVersion;
+  if (aChange.mIfVersion && *aChange.mIfVersion != current) {
+    return Fail(ErrorKind::Conflict,
+                "the change was asked for version " +
+                  std::to_string(*aChange.mIfVersion) + " only",
+                "look at the newer version with `get`, then apply with "
+                "--if-version " +
+                  std::to_string(current));
+  }
+  if (base == current) {
+    return aChange.mWanted;
+  }
+  Configuration nothing;
+  return MergeConfigurations(aChange.mBase ? *aChange.mBase : nothing,
+                             *aChange.mWanted, *aCurrent.mConfiguration);
+}
+
+Result<AcceptedChange> ConfigurationStore::Commit(
+  const ConfigurationChange& aChange)
+{
+  const auto& limits = mStore->GetOptions();
+  Backoff backoff(limits.mFirstPause, limits.mLongestPause, mRandom());
+  for (unsigned attempt = 0; attempt < mOptions.mAttempts; ++attempt) {
+    auto current = Read();
+    if (!current) {
+      return tl::unexpected(current.error());
+    }
+    Outcome outcome = Outcome::LostRace;
+    auto done =
+      CommitOnTop(aChange, current->value_or(StoredConfiguration{}), outcome);
+    if (!done || outcome == Outcome::Accepted) {
+      return done;
+    }
+    mStore->Pause(backoff.Next());
+  }
+  return Fail(ErrorKind::Conflict,
+              "not applied: others changed the configuration each time",
+              "apply again");
+}
+
+Result<AcceptedChange> ConfigurationStore::CommitOnTop(
+  const ConfigurationChange& aChange, const StoredConfiguration& aCurrent,
+  Outcome& aOutcome)
+{
+  auto wanted = Rebase(aChange, aCurrent);
+  if (!wanted) {
+    return aCurrent.mHead.mVersion == 0
+             ? tl::unexpected(wanted.error())
+             : LostRace(aCurrent.mHead, wanted.error());
+  }
+  std::uint64_t base = aChange.mBase ? aChange.mBase->mVersion : 0;
+  AcceptedChange out;
+  out.mRebased = aCurrent.mHead.mVersion != base;
+  if (aCurrent.mConfiguration && HoldSame(*aCurrent.mConfiguration, **wanted)) {
+    out.mStored = aCurrent;
+    out.mUnchanged = true;
+    aOutcome = Outcome::Accepted;
+    return out;
+  }
+  std::size_t before =
+    aCurrent.mHead.mParts.empty() ? 0 : aCurrent.mHead.mParts.size() - 1;
+  auto parts = SplitConfiguration(
+    **wanted, ChoosePartCount((*wanted)->mServices.size(), before));
+  if (!parts) {
+    return tl::unexpected(parts.error());
+  }
+  ConfigurationHead& head = out.mStored.mHead;
+  head.mVersion = aCurrent.mHead.mVersion + 1;
+  head.mAuthor = aChange.mAuthor;
+  head.mTimeMs = mOptions.mWallClock();
+  head.mNonce = mRandom();
+  auto written = WriteParts(aCurrent, *parts, head);
+  if (!written) {
+    return tl::unexpected(written.error());
+  }
+  auto accepted = WriteHead(aCurrent, out.mStored);
+  if (!accepted) {
+    return tl::unexpected(accepted.error());
+  }
+  aOutcome = *accepted;
+  if (aOutcome == Outcome::LostRace) {
+    config_garbage::RemoveOwnParts(*mStore, head);
+    return out;
+  }
+  auto whole = std::make_shared<Configuration>(**wanted);
+  whole->mVersion = head.mVersion;
+  out.mStored.mConfiguration = std::move(whole);
+  config_garbage::CollectAfter(*mStore, head, out.mStored.mObjectVersion,
+                               mOptions.mHistory);
+  return out;
+}
+
+Result<void> ConfigurationStore::WriteParts(
+  const StoredConfiguration& aCurrent, const std::vector<std::string>& aParts,
+  ConfigurationHead& aHead)
+{
+  const auto& before = aCurrent.mHead.mParts;
+  for (std::size_t i = 0; i < aParts.size(); ++i) {
+    PartHash hash = HashPart(aParts[i]);
+    bool kept = before.size() == aParts.size() && before[i].mHash == hash;
+    aHead.mParts.push_back(kept ? before[i] : PartRef{ hash, aHead.mNonce });
+    if (kept) {
+      continue;
+    }
+    auto written = WriteOnce(config_keys::Part(aHead.mParts.back()), aParts[i]);
+    if (!written) {
+      return written;
+    }
+  }
+  if (aCurrent.mHead.mVersion == 0) {
+    return {};
+  }
+  return WriteOnce(config_keys::History(aCurrent.mHead.mVersion),
+                   SerializeHead(aCurrent.mHead));
+}
+
+/** Writes an object whose key settles its value, so that finding it there
+ * already, from a try whose answer was lost, is a success. */
+Result<void> ConfigurationStore::WriteOnce(const std::string& aKey,
+                                           const std::string& aValue)
+{
+  const auto& limits = mStore->GetOptions();
+  Backoff backoff(limits.mFirstPause, limits.mLongestPause, mRandom());
+  for (unsigned attempt = 1;; ++attempt) {
+    auto written = mStore->Put(aKey, aValue, WriteCondition::IfAbsent());
+    if (written || written.error().mKind == ErrorKind::Conflict) {
+      return {};
+    }
+    if (written.error().mKind != ErrorKind::Timeout) {
+      return tl::unexpected(written.error());
+    }
+    if (attempt >= limits.mAttempts) {
+      return Fail(ErrorKind::Unavailable,
+                  "not applied: " + written.error().mMessage,
+                  "apply again when the platform answers");
+    }
+    mStore->Pause(backoff.Next());
+  }
+}
+
+Result<ConfigurationStore::Outcome> ConfigurationStore::WriteHead(
+  const StoredConfiguration& aCurrent, StoredConfiguration& aNew)
+{
+  const auto& limits = mStore->GetOptions();
+  Backoff backoff(limits.mFirstPause, limits.mLongestPause, mRandom());
+  auto condition = aCurrent.mObjectVersion == 0
+                     ? WriteCondition::IfAbsent()
+                     : WriteCondition::IfVersion(aCurrent.mObjectVersion);
+  std::string text = SerializeHead(aNew.mHead);
+  bool mayBeThere = false;
+  for (unsigned attempt = 0; attempt < limits.mAttempts; ++attempt) {
+    auto written = mStore->Put(config_keys::kHead, text, condition);
+    if (written) {
+      aNew.mObjectVersion = *written;
+      mSeen = std::max(mSeen, *written);
+      return Outcome::Accepted;
+    }
+    ErrorKind kind = written.error().mKind;
+    mayBeThere = mayBeThere || kind == ErrorKind::Timeout;
+    if (!mOptions.mSettleLostAnswers ||
+        (kind == ErrorKind::Conflict && !mayBeThere)) {
+      return Outcome::LostRace;
+    }
+    if (!mayBeThere) {
+      return tl::unexpected(written.error());
+    }
+    auto settled = Settle(aCurrent, aNew);
+    if (settled && *settled) {
+      return **settled;
+    }
+    mStore->Pause(backoff.Next());
+  }
+  return Fail(ErrorKind::Timeout,
+              "version " + std::to_string(aNew.mHead.mVersion) +
+                " may have been accepted, the platform does not tell",
+              "compare with `get` when it answers, before applying again");
+}
+
+/** Finds out after a lost answer whether our head was written. Without it a
+ * change that took effect is reported as a lost race, or applied a second time
+ * on top of itself. The nonce is in no other head. None while the head is
+ * still the one that we wanted to replace: our write may yet arrive, and
+ * sending it again under the same condition can take effect only once.
+ */
+Result<std::optional<ConfigurationStore::Outcome>> ConfigurationStore::Settle(
+  const StoredConfiguration& aCurrent, StoredConfiguration& aNew)
+{
+  auto now = ReadHead();
+  if (!now) {
+    return tl::unexpected(now.error());
+  }
+  if (!*now || (*now)->mObjectVersion == aCurrent.mObjectVersion) {
+    return std::optional<Outcome>();
+  }
+  if ((*now)->mHead.mNonce == aNew.mHead.mNonce) {
+    aNew.mObjectVersion = (*now)->mObjectVersion;
+    return std::optional(Outcome::Accepted);
+  }
+  if ((*now)->mHead.mVersion == aNew.mHead.mVersion) {
+    return std::optional(Outcome::LostRace);
+  }
+  auto accepted = WasAccepted(aNew.mHead);
+  if (!accepted) {
+    return tl::unexpected(accepted.error());
+  }
+  return std::optional(*accepted ? Outcome::Accepted : Outcome::LostRace);
+}
+
+/** Whether a head that is no longer the newest was accepted: whoever replaced
+ * it kept it as history first. */
+Result<bool> ConfigurationStore::WasAccepted(const ConfigurationHead& aHead)
+{
+  auto object = mStore->Get(config_keys::History(aHead.mVersion));
+  if (!object) {
+    return tl::unexpected(object.error());
+  }
+  auto head = ParseHead(object->mValue);
+  if (!head) {
+    return tl::unexpected(head.error());
+  }
+  return head->mNonce == aHead.mNonce;
+}
+
+} // namespace heatherplank
--- a/src/config/ConfigurationWriter.cpp
+++ b/src/config/ConfigurationWriter.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -120,22 +121,42 @@
            { "rules", ToList(aService.mRules) } };
 }
 
+json::object GeneralToJson(const Configuration& aConfiguration)
+{
+  json::object out;
+  out["data_centres"] = json::value_from(aConfiguration.mDataCentres);
+  out["policy"] = ToJson(aConfiguration.mPolicy);
+  out["drained_hosts"] = json::value_from(aConfiguration.mDrainedHosts);
+  return out;
+}
+
+json::object ServicesToJson(std::vector<const Service*> aServices)
+{
+  std::ranges::sort(aServices, {}, &Service::mName);
+  json::array list;
+  for (const auto* it : aServices) {
+    list.push_back(ToJson(*it));
+  }
+  json::object out;
+  out["services"] = std::move(list);
+  return out;
+}
+
 json::value ToJson(const Configuration& aConfiguration)
 {
   std::vector<const Service*> services;
   for (const auto& it : aConfiguration.mServices) {
     services.push_back(&it.second);
   }
-  std::ranges::sort(services, {}, &Service::mName);
-  json::array list;
-  for (const auto* it : services) {
-    list.push_back(ToJson(*it));
+  json::object out;
+  if (aConfiguration.mVersion != 0) {
+    out["version"] = aConfiguration.mVersion;
   }
-  return { { "data_centres", json::value_from(aConfiguration.mDataCentres) },
-           { "policy", ToJson(aConfiguration.mPolicy) },
-           { "services", std::move(list) },
-           { "drained_hosts",
-             json::value_from(aConfiguration.mDrainedHosts) } };
+  json::object general = GeneralToJson(aConfiguration);
+  out.insert(general.begin(), general.end());
+  json::object list = ServicesToJson(std::move(services));
+  out.insert(list.begin(), list.end());
+  return out;
 }
 
 std::string ToPrettyText(const json::value& aValue)
--- /dev/null
+++ b/tests/FakeObjectStore.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/heatherplank/ObjectStore.h"
+
+namespace heatherplank {
+
+/** What happens to a write of the fake store. */
+enum class WriteFault
+{
+  None,
+  /** It takes effect, its answer is lost. */
+  LostAnswer,
+  /** It has no effect yet and no answer: it arrives with the next call. */
+  Late,
+  /** It never arrives, and there is no answer. */
+  LostRequest,
+  /** The platform refuses: surely no effect. */
+  Refused,
+};
+
+/** A platform in memory that answers at once, with faults on demand. */
+class FakeObjectStore final : public ObjectStore
+{
+public:
+  /** Decides the fault of each write; none if empty. */
+  std::function<WriteFault(const std::string& aKey)> mOnWrite;
+  /** Runs before a read or write of a key; another operator, say. */
+  std::function<void(const std::string& aKey)> mBefore;
+  /** Reads of a key that give the value before the newest. */
+  int mStaleReads = 0;
+  int mCalls = 0;
+
+  std::map<std::string, Object> mObjects;
+
+  void Get(std::string_view aKey, Done<Object> aDone) override
+  {
+    Enter(std::string(aKey));
+    auto it = mObjects.find(std::string(aKey));
+    auto old = mOlder.find(std::string(aKey));
+    if (mStaleReads > 0 && old != mOlder.end()) {
+      --mStaleReads;
+      aDone(old->second);
+    } else if (it == mObjects.end()) {
+      aDone(Fail(ErrorKind::NotFound, "no object", ""));
+    } else {
+      aDone(it->second);
+    }
+  }
+
+  void Put(std::string_view aKey, std::string aValue, WriteCondition aCondition,
+           Done<std::uint64_t> aDone) override
+  {
+    std::string key(aKey);
+    Enter(key);
+    WriteFault fault = mOnWrite ? mOnWrite(key) : WriteFault::None;
+    auto write = [this, key, aValue, aCondition] {
+      return Write(key, aValue, aCondition);
+    };
+    switch (fault) {
+      case WriteFault::None:
+        aDone(write());
+        return;
+      case WriteFault::Refused:
+        aDone(Fail(ErrorKind::Unavailable, "refused", "later"));
+        return;
+      case WriteFault::LostAnswer:
+        write();
+        break;
+      case WriteFault::Late:
+        mLate.push_back(write);
+        break;
+      case WriteFault::LostRequest:
+        break;
+    }
+    aDone(Fail(ErrorKind::Timeout, "no answer", "read back"));
+  }
+
+  void Delete(std::string_view aKey, WriteCondition aCondition,
+              Done<std::uint64_t> aDone) override
+  {
+    std::string key(aKey);
+    Enter(key);
+    auto it = mObjects.find(key);
+    if (it == mObjects.end()) {
+      aDone(Fail(ErrorKind::NotFound, "no object", ""));
+    } else if (!Holds(key, aCondition)) {
+      aDone(Fail(ErrorKind::Conflict, "other version", ""));
+    } else {
+      mObjects.erase(it);
+      aDone(++mVersion);
+    }
+  }
+
+  void Watch(std::string_view, std::uint64_t, Duration,
+             Done<std::optional<Object>> aDone) override
+  {
+    aDone(Fail(ErrorKind::Unavailable, "no watches here", ""));
+  }
+
+  void List(std::string_view aPrefix,
+            Done<std::vector<ObjectName>> aDone) override
+  {
+    Enter(std::string(aPrefix));
+    std::vector<ObjectName> out;
+    for (const auto& [key, object] : mObjects) {
+      if (key.starts_with(aPrefix)) {
+        out.push_back({ key, object.mVersion });
+      }
+    }
+    aDone(out);
+  }
+
+private:
+  void Enter(const std::string& aKey)
+  {
+    ++mCalls;
+    if (mBefore) {
+      mBefore(aKey);
+    }
+    auto late = std::exchange(mLate, {});
+    for (const auto& it : late) {
+      it();
+    }
+  }
+
+  bool Holds(const std::string& aKey, const WriteCondition& aCondition) const
+  {
+    auto it = mObjects.find(aKey);
+    switch (aCondition.mKind) {
+      case WriteCondition::Kind::Always:
+        return true;
+      case WriteCondition::Kind::IfAbsent:
+        return it == mObjects.end();
+      case WriteCondition::Kind::IfVersion:
+        return it != mObjects.end() &&
+               it->second.mVersion == aCondition.mVersion;
+    }
+    return false;
+  }
+
+  Result<std::uint64_t> Write(const std::string& aKey,
+                              const std::string& aValue,
+                              const WriteCondition& aCondition)
+  {
+    if (!Holds(aKey, aCondition)) {
+      return Fail(ErrorKind::Conflict, "other version", "");
+    }
+    if (mObjects.contains(aKey)) {
+      mOlder[aKey] = mObjects[aKey];
+    }
+    mObjects[aKey] = { aKey, aValue, ++mVersion };
+    return mVersion;
+  }
+
+  std::uint64_t mVersion = 0;
+  std::map<std::string, Object> mOlder;
+  std::vector<std::function<void()>> mLate;
+};
+
+} // namespace heatherplank
