--- a/src/cli/ExitCodes.h
+++ b/src/cli/ExitCodes.h
@@ -6,23 +6,23 @@
 
 /** What the binary's subcommands return to the shell; docs/ADMIN.md lists
  * them. Numbers are never reused. */
-enum ExitCode : int
+enum class ExitCode : int
 {
-  kExitOk = 0,
+  Ok = 0,
   /** A failure that no other code names. */
-  kExitFailure = 1,
+  Failure = 1,
   /** The command line or an input file is wrong. */
-  kExitUsage = 2,
+  Usage = 2,
   /** A newer version is in force; nothing was changed. */
-  kExitConflict = 3,
+  Conflict = 3,
   /** The platform or a process can't be reached; nothing was changed. */
-  kExitUnavailable = 4,
+  Unavailable = 4,
   /** A write may or may not have taken effect, and reading back failed. */
-  kExitUnknown = 5,
+  Unknown = 5,
   /** The operator answered no; nothing was changed. */
-  kExitDeclined = 6,
+  Declined = 6,
   /** `status` found a process that lags behind the accepted version. */
-  kExitLagging = 7,
+  Lagging = 7,
 };
 
 /** The exit code of an error. Thread safe. */
@@ -32,15 +32,15 @@
     case ErrorKind::InvalidInput:
     case ErrorKind::TooLarge:
     case ErrorKind::NotFound:
-      return kExitUsage;
+      return ExitCode::Usage;
     case ErrorKind::Conflict:
-      return kExitConflict;
+      return ExitCode::Conflict;
     case ErrorKind::Unavailable:
-      return kExitUnavailable;
+      return ExitCode::Unavailable;
     case ErrorKind::Timeout:
-      return kExitUnknown;
+      return ExitCode::Unknown;
     default:
-      return kExitFailure;
+      return ExitCode::Failure;
   }
 }
 
--- /dev/null
+++ b/src/cli/StatusCommands.cpp
@@ -0,0 +1,115 @@
+#include "src/cli/Commands.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <vector>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "src/cli/CommandContext.h"
+#include "src/cli/Flags.h"
+#include "src/cli/StatusView.h"
+
+namespace heatherplank {
+
+namespace json = boost::json;
+
+namespace {
+
+std::int64_t NowMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+/** All status objects, put together. */
+Result<StatusObject> ReadStatusObjects(SyncObjectStore& aPlatform)
+{
+  auto names = aPlatform.List(kStatusPrefix);
+  if (!names) {
+    return tl::unexpected(names.error());
+  }
+  std::vector<std::string> keys;
+  for (const auto& it : *names) {
+    keys.push_back(it.mKey);
+  }
+  auto objects = aPlatform.GetAll(keys);
+  if (!objects) {
+    return tl::unexpected(objects.error());
+  }
+  StatusObject out;
+  for (const auto& it : *objects) {
+    auto status = ParseStatus(it.mValue);
+    if (!status) {
+      return tl::unexpected(status.error());
+    }
+    AddStatus(out, *status);
+  }
+  return out;
+}
+
+struct Read
+{
+  StoredConfiguration mNewest;
+  StatusObject mStatus;
+};
+
+Result<Read> ReadAll()
+{
+  auto context = CommandContext::Make();
+  if (!context) {
+    return tl::unexpected(context.error());
+  }
+  auto newest = (*context)->ReadNewest();
+  if (!newest) {
+    return tl::unexpected(newest.error());
+  }
+  auto status = ReadStatusObjects((*context)->Platform());
+  if (!status) {
+    return tl::unexpected(status.error());
+  }
+  return Read{ std::move(*newest), std::move(*status) };
+}
+
+} // namespace
+
+ExitCode RunStatus(std::span<const std::string> aArgs)
+{
+  if (!aArgs.empty()) {
+    std::cerr << "usage: " << CommandUsage("status") << "\n";
+    return ExitCode::Usage;
+  }
+  auto read = ReadAll();
+  if (!read) {
+    return ReportError("status", read.error());
+  }
+  StatusView view = MakeStatusView(read->mNewest.mHead, read->mStatus, NowMs());
+  std::cout << (FLAGS_json ? json::serialize(ToJson(view)) + "\n"
+                           : ToTable(view));
+  return view.IsLagging() ? ExitCode::Lagging : ExitCode::Ok;
+}
+
+ExitCode RunReport(std::span<const std::string> aArgs)
+{
+  if (!aArgs.empty()) {
+    std::cerr << "usage: " << CommandUsage("report") << "\n";
+    return ExitCode::Usage;
+  }
+  auto read = ReadAll();
+  if (!read) {
+    return ReportError("report", read.error());
+  }
+  const PolicyChoice& policy = read->mNewest.mConfiguration->mPolicy;
+  std::cout << (FLAGS_json
+                  ? json::serialize(ReportToJson(read->mStatus, policy)) + "\n"
+                  : ReportToTable(read->mStatus, policy));
+  return ExitCode::Ok;
+}
+
+} // namespace heatherplank
--- a/src/config/ConfigurationParser.cpp
+++ b/src/config/ConfigurationParser.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "src/decide/BalancingPolicy.h"
 #include "src/net/Endpoint.h"
 
 namespace heatherplank {
@@ -18,9 +19,6 @@
 
 constexpr std::array<std::string_view, 4> kImportances{ "low", "normal", "high",
                                                         "critical" };
-constexpr std::array<std::string_view, 4> kPolicies{ "random", "rendezvous",
-                                                     "two-choices",
-                                                     "least-latency" };
 constexpr std::int64_t kMaxSlots = 4096;
 constexpr std::int64_t kMaxWeight = 10000;
 constexpr std::int64_t kMaxDeadlineMs = 600000;
@@ -105,7 +103,7 @@
   void ReadPolicy(JsonReader& aReader)
   {
     PolicyChoice& policy = mOut->mPolicy;
-    policy.mName = aReader.Choice("name", kPolicies, policy.mName);
+    policy.mName = aReader.Choice("name", BalancingPolicyNames(), policy.mName);
     policy.mBrokenFlowsWeight = aReader.Number(
       "broken_flows_weight", 0, kMaxScoreWeight, policy.mBrokenFlowsWeight);
     policy.mImbalanceWeight = aReader.Number(
--- a/src/settings/JsonReader.cpp
+++ b/src/settings/JsonReader.cpp
@@ -125,6 +125,16 @@
   mFaults->Add(PathOf(aKey), std::move(aFound), std::move(aRemedy));
 }
 
+std::vector<std::string> JsonReader::Keys() const
+{
+  std::vector<std::string> out;
+  out.reserve(mObject->size());
+  for (const auto& it : *mObject) {
+    out.emplace_back(it.key());
+  }
+  return out;
+}
+
 const json::value* JsonReader::Find(std::string_view aKey)
 {
   mKnown.emplace(aKey);
--- a/src/settings/JsonReader.h
+++ b/src/settings/JsonReader.h
@@ -66,6 +66,8 @@
   bool Has(std::string_view aKey) const { return mObject->contains(aKey); }
   void AddFault(std::string_view aKey, std::string aFound,
                 std::string aRemedy) const;
+  /** All keys, for objects whose keys are names. */
+  std::vector<std::string> Keys() const;
 
   /** A string that must be there and not be empty. */
   std::string RequiredString(std::string_view aKey);
