Admission by importance with deadlines, reservations, turns and honest returns

Cause: a host needs to say at once what it can't answer in time, keep a slot for claims, and keep a busy caller from pushing out the others. Ruled out: preemption as in Peloton's guide, it would run a claim twice; one deadline for the whole queue, it lets a busy caller decide for all; pushing accepted requests out for room, documents must not be lost. HostLoad gains mFailing, since a host that fails fast looks lightest.

--- a/src/decide/AdmissionOptions.h
+++ b/src/decide/AdmissionOptions.h
@@ -52,6 +52,8 @@
   bool mProbe = true;
   /** Give refused callers different moments to come back. */
   bool mSpreadReturns = true;
+  /** Shorten the wait that is let in while a queue does not empty. */
+  bool mStandingQueue = true;
   /** Move waiting work only for a clear gain, and only once. */
   bool mHandOnHysteresis = true;
 };
--- a/src/decide/AdmissionPolicy.cpp
+++ b/src/decide/AdmissionPolicy.cpp
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "src/decide/BaselineAdmission.h"
+#include "src/decide/ReservationAdmission.h"
 
 namespace heatherplank {
 
@@ -14,6 +15,9 @@
                 "an admission without slots or without classes",
                 "set mSlots to 1 or more and give at least one class");
   }
+  if (aName == "reservation") {
+    return std::make_unique<ReservationAdmission>(aOptions);
+  }
   if (aName == "fifo" || aName == "priority") {
     return std::make_unique<BaselineAdmission>(aOptions, aName == "priority");
   }
--- a/src/decide/HostLoad.h
+++ b/src/decide/HostLoad.h
@@ -20,6 +20,9 @@
   std::uint32_t mSlots = 1;
   /** Moving average of an answer's time, queue included; zero if none yet. */
   Duration mLatency{};
+  /** Moving share (0 to 1) of dispatched requests that failed or timed out. A
+   * host that fails fast has short queues; by load alone it would look best. */
+  double mFailing = 0;
   /** Time since the figures were taken, when they are read. */
   Duration mAge{};
 };
