Steering, service views, hint cache and flow ownership

Cause: packets of one flow reach any balancer, so a packet must find the host that owns its flow without state in balancers. Ruled out: a rendezvous scan for every service size (linear in the hosts); a table that draws one time per bucket and member (its making grows with both); gaps between events as the sign of a pause, since the age of the last confirmed heartbeat covers pauses and cuts alike and is the owner's lease. Change: ServiceView and RankTable (weighted rendezvous; above 32 members buckets filled from the earliest points of Poisson processes), HintCache, Steer, and Ownership with asking, promises, claims, hand-off and lapses, each with a guard that tests can switch off.

--- /dev/null
+++ b/src/steer/RankTable.cpp
@@ -0,0 +1,210 @@
+#include "src/steer/RankTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "include/heatherplank/Types.h"
+#include "src/steer/ServiceView.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Buckets of a service up to kManyMembers, and above: tens of buckets a
+ * member, so that arbiters share flows within a few tens of percent (owners
+ * are balanced by policy, not by the table).
+ */
+constexpr std::size_t kFewBuckets = 16384;
+constexpr std::size_t kManyBuckets = 65536;
+constexpr std::size_t kManyMembers = 1024;
+/** Points a bucket that are drawn at first: one bucket in a thousand then has
+ * fewer than kRankDepth members, and more points are drawn. */
+constexpr double kPointsPerBucket = 20;
+constexpr double kTwoTo64 = 18446744073709551616.0;
+
+/** An exponentially distributed number of mean 1. */
+double Exponential(std::uint64_t aHash)
+{
+  return -std::log((static_cast<double>(aHash) + 0.5) / kTwoTo64);
+}
+
+/** The points of one member's Poisson process, in the order of time. */
+struct PointSource
+{
+  std::uint64_t mHash = 0;
+  double mRate = 0;
+  double mTime = 0;
+  std::uint64_t mIndex = 0;
+
+  void Step()
+  {
+    mTime += Exponential(MixHash(mHash, 2 * mIndex)) / mRate;
+    ++mIndex;
+  }
+
+  std::size_t BucketIn(std::size_t aBuckets) const
+  {
+    return MixHash(mHash, 2 * mIndex - 1) & (aBuckets - 1);
+  }
+};
+
+/** Members of one bucket and their times while a table is filled. */
+struct OpenBucket
+{
+  std::array<double, kRankDepth> mTimes{};
+  std::array<std::uint16_t, kRankDepth> mHosts{};
+  std::size_t mSize = 0;
+
+  bool Has(std::uint16_t aHost) const
+  {
+    return std::find(mHosts.begin(), mHosts.begin() + mSize, aHost) !=
+           mHosts.begin() + mSize;
+  }
+
+  void Insert(std::uint16_t aHost, double aTime)
+  {
+    bool full = mSize == kRankDepth;
+    if ((full && mTimes[mSize - 1] <= aTime) || Has(aHost)) {
+      return;
+    }
+    std::size_t at = full ? mSize - 1 : mSize++;
+    for (; at > 0 && mTimes[at - 1] > aTime; --at) {
+      mTimes[at] = mTimes[at - 1];
+      mHosts[at] = mHosts[at - 1];
+    }
+    mTimes[at] = aTime;
+    mHosts[at] = aHost;
+  }
+};
+
+} // namespace
+
+RankTable::RankTable(std::span<const Member> aMembers)
+{
+  mHosts.reserve(aMembers.size());
+  for (std::size_t i = 0; i < aMembers.size(); ++i) {
+    const Member& it = aMembers[i];
+    if (it.mState != HostState::Leaving) {
+      mHosts.push_back({ it.mHost.mValue, static_cast<float>(it.mWeight),
+                         static_cast<std::uint16_t>(i), CanAdopt(it) });
+    }
+  }
+  auto differs = [this](const Host& aIt) {
+    return aIt.mWeight != mHosts.front().mWeight;
+  };
+  mSameWeights = std::none_of(mHosts.begin(), mHosts.end(), differs);
+  if (mHosts.size() > kScanLimit) {
+    FillBuckets();
+  }
+}
+
+double RankTable::Draw(std::uint64_t aFlowHash, const Host& aHost) const
+{
+  std::uint64_t hash = MixHash(aFlowHash, aHost.mHash);
+  // With one weight for all, the order of -log(u) / w is that of -u: the
+  // logarithm, most of the cost, is not needed.
+  return mSameWeights ? -static_cast<double>(hash)
+                      : Exponential(hash) / aHost.mWeight;
+}
+
+Ranks RankTable::Scan(std::uint64_t aFlowHash, std::size_t aCount,
+                      bool aAdoptableOnly) const
+{
+  Ranks out;
+  std::array<double, kRankDepth + 1> times{};
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (aAdoptableOnly && !mHosts[i].mAdoptable) {
+      continue;
+    }
+    double time = Draw(aFlowHash, mHosts[i]);
+    std::size_t at = out.size();
+    while (at > 0 && times[at - 1] > time) {
+      times[at] = times[at - 1];
+      --at;
+    }
+    if (at >= aCount) {
+      continue;
+    }
+    times[at] = time;
+    if (out.size() == aCount) {
+      out.pop_back();
+    }
+    out.insert(out.begin() + static_cast<std::ptrdiff_t>(at),
+               static_cast<std::uint16_t>(i));
+  }
+  return ToMembers(out);
+}
+
+Ranks RankTable::ToMembers(Ranks aHosts) const
+{
+  for (std::uint16_t& it : aHosts) {
+    it = mHosts[it].mMember;
+  }
+  return aHosts;
+}
+
+const RankTable::Bucket& RankTable::BucketOf(std::uint64_t aFlowHash) const
+{
+  return mBuckets[aFlowHash & (mBuckets.size() - 1)];
+}
+
+Ranks RankTable::Best(std::uint64_t aFlowHash) const
+{
+  if (mBuckets.empty()) {
+    return Scan(aFlowHash, kRankDepth, false);
+  }
+  const Bucket& bucket = BucketOf(aFlowHash);
+  return ToMembers({ bucket.begin(), bucket.end() });
+}
+
+Ranks RankTable::BestAdoptable(std::uint64_t aFlowHash,
+                               std::size_t aCount) const
+{
+  if (mBuckets.empty()) {
+    return Scan(aFlowHash, aCount, true);
+  }
+  Ranks out;
+  for (std::uint16_t it : BucketOf(aFlowHash)) {
+    if (mHosts[it].mAdoptable && out.size() < aCount) {
+      out.push_back(it);
+    }
+  }
+  // All of a bucket's members drain at once: rare enough to pay for a scan.
+  return out.empty() ? Scan(aFlowHash, aCount, true) : ToMembers(out);
+}
+
+void RankTable::FillBuckets()
+{
+  std::size_t count = mHosts.size() > kManyMembers ? kManyBuckets : kFewBuckets;
+  double total = 0;
+  std::vector<PointSource> sources;
+  for (const Host& it : mHosts) {
+    total += it.mWeight;
+    sources.push_back({ it.mHash, it.mWeight * static_cast<double>(count) });
+    sources.back().Step();
+  }
+  std::vector<OpenBucket> open(count);
+  auto isFull = [](const OpenBucket& aIt) { return aIt.mSize == kRankDepth; };
+  double until = 0;
+  do {
+    until += kPointsPerBucket / total;
+    for (std::size_t i = 0; i < sources.size(); ++i) {
+      for (; sources[i].mTime < until; sources[i].Step()) {
+        open[sources[i].BucketIn(count)].Insert(static_cast<std::uint16_t>(i),
+                                                sources[i].mTime);
+      }
+    }
+  } while (!std::all_of(open.begin(), open.end(), isFull));
+  mBuckets.reserve(count);
+  for (const OpenBucket& it : open) {
+    mBuckets.push_back(it.mHosts);
+  }
+}
+
+std::size_t RankTable::MemoryUse() const
+{
+  return mHosts.capacity() * sizeof(Host) +
+         mBuckets.capacity() * sizeof(Bucket);
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/steer/Steering.cpp
@@ -0,0 +1,40 @@
+#include "src/steer/Steering.h"
+
+#include <optional>
+
+namespace heatherplank {
+
+std::string_view ToString(SteerRefusal aReason)
+{
+  switch (aReason) {
+    case SteerRefusal::UnknownService:
+      return "unknown_service";
+    case SteerRefusal::NoMember:
+      return "no_member";
+  }
+  return "unknown";
+}
+
+SteerDecision Steer(std::uint64_t aFlowHash, const ServiceView* aView,
+                    HintCache& aHints)
+{
+  if (aView == nullptr) {
+    return SteerRefusal::UnknownService;
+  }
+  if (auto hint = aHints.Find(aFlowHash)) {
+    const Member* owner = aView->Find(hint->mHost);
+    // A restart at the same address holds none of the old flows: a hint that
+    // outlived its incarnation would send the flow there for nothing.
+    if (owner != nullptr && owner->mIncarnation == hint->mIncarnation) {
+      return SteerTarget{ owner, PacketDirective::Deliver };
+    }
+    aHints.Erase(aFlowHash);
+  }
+  const Member* arbiter = aView->Arbiter(aFlowHash);
+  if (arbiter == nullptr) {
+    return SteerRefusal::NoMember;
+  }
+  return SteerTarget{ arbiter, PacketDirective::Route };
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/tests/HintCacheTest.cpp
@@ -0,0 +1,36 @@
+#include "src/steer/HintCache.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+
+TEST_GROUP(HintCache){};
+
+TEST(HintCache, RemembersReplacesAndForgets)
+{
+  HintCache cache(64);
+  CHECK_FALSE(cache.Find(9).has_value());
+  cache.Put(9, { MakeHostId("a"), 1 });
+  cache.Put(9, { MakeHostId("b"), 2 });
+  CHECK_TRUE(cache.Find(9)->mHost == MakeHostId("b"));
+  CHECK_EQUAL(2, cache.Find(9)->mIncarnation);
+  cache.Erase(9);
+  CHECK_FALSE(cache.Find(9).has_value());
+  CHECK_EQUAL(0, cache.Evictions());
+}
+
+// A flood of new flows passes through a balancer. The cache must not grow, and
+// a flow that is in use meanwhile keeps its hint.
+TEST(HintCache, StaysBoundedAndKeepsWhatIsInUse)
+{
+  HintCache cache(1024);
+  std::size_t before = cache.MemoryUse();
+  std::uint64_t used = MixHash(1, 2);
+  cache.Put(used, { MakeHostId("a"), 1 });
+  for (std::uint64_t i = 0; i < 100000; ++i) {
+    cache.Put(MixHash(i, 77), { MakeHostId("b"), 1 });
+    CHECK_TRUE(cache.Find(used).has_value());
+  }
+  CHECK_EQUAL(before, cache.MemoryUse());
+  CHECK_TRUE(cache.Evictions() > 90000);
+}
