Figures say how many results they stand for; a host out of reach pauses the queue

Cause: a host that is held out gets no work, so its moving share of failures stands still and held it out again for ever; and a backend server that can't be reached was counted as one that sheds, which is no failure. Ruled out: letting the share fade with time, Load() has no clock. Figures: Outlier.FiguresOfTheAgentCountAsResults failed before, passes now. Conclusion: drivers should fill mResults in what agents exchange.

--- a/src/decide/HostLoad.h
+++ b/src/decide/HostLoad.h
@@ -23,6 +23,9 @@
   /** Moving share (0 to 1) of dispatched requests that failed or timed out. A
    * host that fails fast has short queues; by load alone it would look best. */
   double mFailing = 0;
+  /** Results so far that mLatency and mFailing were counted from; the same
+   * number again means that nothing new is known. */
+  std::uint64_t mResults = 0;
   /** Time since the figures were taken, when they are read. */
   Duration mAge{};
 };
--- a/src/decide/OutlierDetector.cpp
+++ b/src/decide/OutlierDetector.cpp
@@ -35,6 +35,8 @@
   std::uint32_t mFailuresInARow = 0;
   std::uint32_t mAnswersInARow = 0;
   std::uint32_t mSeen = 0;
+  /** HostLoad::mResults when its figures last held it out. */
+  std::uint64_t mResults = 0;
   double mFailing = 0;
   double mLatency = 0;
   bool mUnhealthyHint = false;
@@ -72,8 +74,10 @@
   void OnFigures(HostId aHost, const HostLoad& aLoad, Time aNow) override
   {
     Record& record = mRecords[aHost];
-    // Figures from before it was held out would hold it out again.
-    if (aNow - aLoad.mAge < record.mOutUntil) {
+    // Figures from before it was held out would hold it out again, and so
+    // would the same ones after it, as it got no work that could better them.
+    const bool isOld = aNow - aLoad.mAge < record.mOutUntil;
+    if (isOld || aLoad.mResults < record.mResults + kGoodAnswers) {
       return;
     }
     record.mFailing = aLoad.mFailing;
@@ -81,6 +85,7 @@
     record.mSeen = std::max(record.mSeen, kFewest);
     if (IsOutlier(record) || aLoad.mFailing >= kFailingShare) {
       HoldOut(record, aNow);
+      record.mResults = aLoad.mResults;
     }
   }
 
@@ -180,14 +185,15 @@
   {
     mScratch.clear();
     for (const auto& [host, it] : mRecords) {
-      if (it.mSeen > 0) {
+      // One without a latency was never called.
+      if (it.mLatency > 0 || it.mFailing > 0) {
         mScratch.push_back(it.*aMember);
       }
     }
     const auto middle =
       mScratch.begin() + static_cast<std::ptrdiff_t>(mScratch.size() / 2);
     std::ranges::nth_element(mScratch, middle);
-    return *middle;
+    return middle == mScratch.end() ? 0.0 : *middle;
   }
 
   std::vector<double> mScratch;
--- a/src/decide/Request.h
+++ b/src/decide/Request.h
@@ -33,8 +33,10 @@
   Answered,
   /** Answered by an error of the backend server. */
   Failed,
-  /** Shed by the backend server, or its connection was refused: not run. */
+  /** Shed by the backend server: not run. */
   Shed,
+  /** The backend server could not be reached: not run. */
+  Unreachable,
   /** No answer in time; it may have run. */
   TimedOut,
   /** Ended by the driver: cancelled, or never sent (no grant, host lost). */
--- a/src/decide/ReservationAdmission.cpp
+++ b/src/decide/ReservationAdmission.cpp
@@ -149,6 +149,7 @@
   load.mSlots = mSlots;
   load.mLatency = mLatency;
   load.mFailing = mFailing;
+  load.mResults = mResults;
   return load;
 }
 
@@ -191,32 +192,43 @@
   state.mUse.Add(aNow - aSlot.mSince, aNow);
   switch (aResult) {
     case RunResult::Answered:
-      mShedsInARow = 0;
+      ++mResults;
+      mPausesInARow = 0;
       state.mTimes.Observe(aSlot.mSize, aServiceTime);
       mLatency += (aNow - aSlot.mArrival - mLatency) / kLatencyShare;
       mFailing -= mFailing * kFailingShare;
       break;
     case RunResult::TimedOut:
       state.mTimes.ObserveAtLeast(aSlot.mSize, aServiceTime);
-      mFailing += (1 - mFailing) * kFailingShare;
+      NoteFailure();
       break;
     case RunResult::Failed:
       // A quick error says nothing of how long an answer takes.
-      mFailing += (1 - mFailing) * kFailingShare;
+      NoteFailure();
+      break;
+    case RunResult::Unreachable:
+      NoteFailure();
+      Pause(aNow);
       break;
     case RunResult::Shed:
-      NoteShed(aNow);
+      Pause(aNow);
       break;
     case RunResult::Abandoned:
       break;
   }
 }
 
-void ReservationAdmission::NoteShed(Time aNow)
+void ReservationAdmission::NoteFailure()
+{
+  ++mResults;
+  mFailing += (1 - mFailing) * kFailingShare;
+}
+
+void ReservationAdmission::Pause(Time aNow)
 {
-  const std::uint32_t doublings = std::min(mShedsInARow, kMostDoublings);
+  const std::uint32_t doublings = std::min(mPausesInARow, kMostDoublings);
   mPausedUntil = aNow + kFirstPause * (1U << doublings);
-  ++mShedsInARow;
+  ++mPausesInARow;
 }
 
 void ReservationAdmission::Review(Time aNow, Actions& aOut)
--- a/src/decide/ReservationAdmission.h
+++ b/src/decide/ReservationAdmission.h
@@ -21,9 +21,9 @@
  * the rate that more important classes leave to it, is not dropped for room,
  * and goes first when its latest moment to start comes near.
  *
- * A backend server that sheds is left alone for a moment, twice as long each
- * time in a row: sent more at once, it would shed the whole queue within
- * milliseconds.
+ * A backend server that sheds or can't be reached is left alone for a moment,
+ * twice as long each time in a row: sent more at once, it would turn away the
+ * whole queue within milliseconds.
  */
 class ReservationAdmission final : public AdmissionPolicy
 {
@@ -80,7 +80,8 @@
 
   void NoteResult(const RunningSlot& aSlot, RunResult aResult,
                   Duration aServiceTime, Time aNow);
-  void NoteShed(Time aNow);
+  void NoteFailure();
+  void Pause(Time aNow);
 
   ClassState& ClassOf(const Request& aRequest)
   {
@@ -95,10 +96,11 @@
   std::vector<RunningSlot> mRunning;
   HandOnPlanner mHandOn;
   Time mPausedUntil;
-  std::uint32_t mShedsInARow = 0;
+  std::uint32_t mPausesInARow = 0;
   Time mNextReview;
   Duration mLatency{};
   double mFailing = 0;
+  std::uint64_t mResults = 0;
 };
 
 } // namespace heatherplank
--- a/tests/OutlierTest.cpp
+++ b/tests/OutlierTest.cpp
@@ -115,8 +115,12 @@
   auto detector = MakeWithHosts("consecutive");
   HostLoad load;
   load.mFailing = 0.6;
+  load.mResults = 20;
   detector->OnFigures(HostId{ 1 }, load, kNow);
   CHECK_TRUE(detector->IsOut(HostId{ 1 }, kNow));
+  // Held out, it got no work, so its figures stand still: no new evidence.
+  detector->OnFigures(HostId{ 1 }, load, kNow + 3s);
+  CHECK_FALSE(detector->IsOut(HostId{ 1 }, kNow + 3s));
 }
 
 TEST_GROUP(SlowStart){};
