--- /dev/null
+++ b/src/record/GrantShard.cpp
@@ -0,0 +1,146 @@
+#include "src/record/GrantShard.h"
+
+#include <algorithm>
+
+#include "src/wire/WireAddress.h"
+#include "src/wire/grants_generated.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Table, vtable share, offsets and padding of a grant, at most. */
+constexpr std::size_t kGrantOverhead = 72;
+constexpr std::size_t kShardOverhead = 128;
+
+using WireGrants = flatbuffers::Vector<flatbuffers::Offset<wire::Grant>>;
+
+flatbuffers::Offset<WireGrants> PutGrants(
+  flatbuffers::FlatBufferBuilder& aBuilder,
+  const std::map<std::string, Grant>& aGrants)
+{
+  std::vector<flatbuffers::Offset<wire::Grant>> out;
+  out.reserve(aGrants.size());
+  for (const auto& [key, grant] : aGrants) {
+    auto name = aBuilder.CreateString(key);
+    flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> answer;
+    if (grant.mAnswer) {
+      const auto* bytes =
+        reinterpret_cast<const std::uint8_t*>(grant.mAnswer->data());
+      answer = aBuilder.CreateVector(bytes, grant.mAnswer->size());
+    }
+    out.push_back(wire::CreateGrant(aBuilder, name, grant.mHost.mValue,
+                                    grant.mIncarnation, grant.mNonce,
+                                    grant.mAnswered, answer));
+  }
+  return aBuilder.CreateVector(out);
+}
+
+void TakeGrants(const WireGrants& aFrom, std::map<std::string, Grant>& aOut)
+{
+  for (const wire::Grant* it : aFrom) {
+    Grant grant{ { it->host() },
+                 it->incarnation(),
+                 it->nonce(),
+                 it->answered(),
+                 std::nullopt };
+    if (it->answer() != nullptr) {
+      grant.mAnswer.emplace(it->answer()->begin(), it->answer()->end());
+    }
+    aOut.emplace_hint(aOut.end(), it->key()->str(), std::move(grant));
+  }
+}
+
+std::size_t BoundOf(const std::map<std::string, Grant>& aGrants)
+{
+  std::size_t n = 0;
+  for (const auto& [key, grant] : aGrants) {
+    n += kGrantOverhead + key.size();
+    n += grant.mAnswer ? grant.mAnswer->size() : 0;
+  }
+  return n;
+}
+
+} // namespace
+
+Result<GrantShard> GrantShard::Decode(std::string_view aValue)
+{
+  GrantShard shard;
+  if (aValue.empty()) {
+    return shard;
+  }
+  // FlatBuffers wants aligned bytes, a string's are.
+  ByteView bytes(reinterpret_cast<const std::uint8_t*>(aValue.data()),
+                 aValue.size());
+  auto read = ReadRoot<wire::GrantShard>(bytes, "grant shard");
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  const wire::GrantShard& from = **read;
+  TakeGrants(*from.current(), shard.mCurrent);
+  TakeGrants(*from.previous(), shard.mPrevious);
+  shard.mFaded.assign(from.faded()->begin(), from.faded()->end());
+  shard.mGeneration = from.generation();
+  return shard;
+}
+
+std::string GrantShard::Encode() const
+{
+  flatbuffers::FlatBufferBuilder builder(EncodedBound());
+  auto current = PutGrants(builder, mCurrent);
+  auto previous = PutGrants(builder, mPrevious);
+  auto faded = builder.CreateVector(mFaded);
+  builder.Finish(
+    wire::CreateGrantShard(builder, current, previous, faded, mGeneration));
+  ByteView bytes = Finished(builder);
+  return { bytes.begin(), bytes.end() };
+}
+
+const Grant* GrantShard::Find(const std::string& aKey) const
+{
+  auto it = mCurrent.find(aKey);
+  if (it != mCurrent.end()) {
+    return &it->second;
+  }
+  it = mPrevious.find(aKey);
+  return it == mPrevious.end() ? nullptr : &it->second;
+}
+
+bool GrantShard::HasFaded(const std::string& aKey) const
+{
+  return std::ranges::find(mFaded, HashBytes(aKey)) != mFaded.end();
+}
+
+void GrantShard::Set(const std::string& aKey, const Grant& aGrant)
+{
+  Grants& home = mPrevious.contains(aKey) ? mPrevious : mCurrent;
+  home[aKey] = aGrant;
+}
+
+void GrantShard::Remove(const std::string& aKey)
+{
+  mCurrent.erase(aKey);
+  mPrevious.erase(aKey);
+}
+
+void GrantShard::Rotate()
+{
+  mFaded.clear();
+  for (const auto& [key, grant] : mPrevious) {
+    mFaded.push_back(HashBytes(key));
+  }
+  if (mFaded.size() > kMaxFaded) {
+    mFaded.resize(kMaxFaded);
+  }
+  mPrevious = std::move(mCurrent);
+  mCurrent.clear();
+  ++mGeneration;
+}
+
+std::size_t GrantShard::EncodedBound() const
+{
+  return kShardOverhead + BoundOf(mCurrent) + BoundOf(mPrevious) +
+         mFaded.size() * sizeof(std::uint64_t);
+}
+
+} // namespace heatherplank
