--- /dev/null
+++ b/src/config/ConfigTransfer.cpp
@@ -0,0 +1,105 @@
+#include "src/config/ConfigTransfer.h"
+
+#include <utility>
+
+#include "src/config/ConfigurationParts.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** With more changes than this an offer carries none: it goes to several
+ * balancers, and most of them would get the list in vain. */
+constexpr std::size_t kMaxChanges = 32;
+
+} // namespace
+
+ConfigTransfer::ConfigTransfer(ConfigurationHead aHead,
+                               const ConfigTransfer& aFrom)
+  : mHead(std::move(aHead))
+  , mText(SerializeHead(mHead))
+  , mRoot(HashPart(mText))
+{
+  for (const auto& it : mHead.mParts) {
+    if (Part part = aFrom.Find(it.mHash)) {
+      mParts.emplace(it.mHash, std::move(part));
+    } else {
+      mMissing.emplace(it.mHash, it);
+    }
+  }
+}
+
+bool ConfigTransfer::Add(std::string aPart)
+{
+  PartHash hash = HashPart(aPart);
+  if (mMissing.erase(hash) == 0) {
+    return false;
+  }
+  mParts.emplace(hash, std::make_shared<const std::string>(std::move(aPart)));
+  return true;
+}
+
+ConfigTransfer::Part ConfigTransfer::Find(const PartHash& aHash) const
+{
+  auto it = mParts.find(aHash);
+  return it == mParts.end() ? nullptr : it->second;
+}
+
+Result<ConfigurationPtr> ConfigTransfer::Assemble() const
+{
+  std::vector<std::string_view> texts;
+  texts.reserve(mHead.mParts.size());
+  for (const auto& it : mHead.mParts) {
+    texts.push_back(*mParts.at(it.mHash));
+  }
+  return AssembleConfiguration(mHead, texts);
+}
+
+ConfigOffer ConfigTransfer::MakeOffer(const ConfigTransfer& aBase) const
+{
+  ConfigOffer out;
+  out.mVersion = Version();
+  out.mRoot = mRoot;
+  const auto& before = aBase.mHead.mParts;
+  if (before.size() != mHead.mParts.size()) {
+    return out;
+  }
+  std::vector<PartChange> changes;
+  for (std::uint32_t i = 0; i < before.size(); ++i) {
+    if (before[i] != mHead.mParts[i]) {
+      changes.push_back({ i, mHead.mParts[i] });
+    }
+  }
+  if (changes.size() > kMaxChanges) {
+    return out;
+  }
+  out.mBaseRoot = aBase.mRoot;
+  out.mAuthor = mHead.mAuthor;
+  out.mTimeMs = mHead.mTimeMs;
+  out.mNonce = mHead.mNonce;
+  out.mChanges = std::move(changes);
+  return out;
+}
+
+std::optional<ConfigurationHead> ConfigTransfer::ApplyOffer(
+  const ConfigOffer& aOffer) const
+{
+  if (Version() == 0 || aOffer.mBaseRoot != mRoot) {
+    return std::nullopt;
+  }
+  ConfigurationHead out = mHead;
+  out.mVersion = aOffer.mVersion;
+  out.mAuthor = aOffer.mAuthor;
+  out.mTimeMs = aOffer.mTimeMs;
+  out.mNonce = aOffer.mNonce;
+  for (const auto& it : aOffer.mChanges) {
+    if (it.mIndex >= out.mParts.size()) {
+      return std::nullopt;
+    }
+    out.mParts[it.mIndex] = it.mPart;
+  }
+  return HashPart(SerializeHead(out)) == aOffer.mRoot ? std::optional(out)
+                                                      : std::nullopt;
+}
+
+} // namespace heatherplank
--- a/src/config/ConfigurationParts.cpp
+++ b/src/config/ConfigurationParts.cpp
@@ -76,7 +76,7 @@
 }
 
 Result<ConfigurationPtr> AssembleConfiguration(
-  const ConfigurationHead& aHead, std::span<const std::string> aParts)
+  const ConfigurationHead& aHead, std::span<const std::string_view> aParts)
 {
   JsonFaults faults("configuration version " + std::to_string(aHead.mVersion));
   if (aParts.size() != aHead.mParts.size() || aParts.empty()) {
@@ -91,8 +91,8 @@
                   "read it again; if it stays so, apply the inventory anew");
     }
   }
-  std::vector<std::string_view> services(aParts.begin() + 1, aParts.end());
-  auto out = ParseParts(aParts.front(), services, aHead.mVersion, faults);
+  auto out =
+    ParseParts(aParts.front(), aParts.subspan(1), aHead.mVersion, faults);
   if (!out) {
     return Fail(ErrorKind::Malformed, faults.Describe(),
                 "let nothing but heatherplank write below config/");
--- a/src/config/ConfigurationParts.h
+++ b/src/config/ConfigurationParts.h
@@ -2,6 +2,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "include/heatherplank/Configuration.h"
@@ -29,6 +30,6 @@
  * the head. Thread safe.
  */
 Result<ConfigurationPtr> AssembleConfiguration(
-  const ConfigurationHead& aHead, std::span<const std::string> aParts);
+  const ConfigurationHead& aHead, std::span<const std::string_view> aParts);
 
 } // namespace heatherplank
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -1,6 +1,7 @@
 #include "src/config/ConfigurationStore.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "src/config/ConfigurationGarbage.h"
@@ -95,10 +96,10 @@
   if (!objects) {
     return tl::unexpected(objects.error());
   }
-  std::vector<std::string> texts;
+  std::vector<std::string_view> texts;
   texts.reserve(objects->size());
-  for (auto& it : *objects) {
-    texts.push_back(std::move(it.mValue));
+  for (const auto& it : *objects) {
+    texts.push_back(it.mValue);
   }
   return AssembleConfiguration(aHead, texts);
 }
