--- a/lab/Scenario.cpp
+++ b/lab/Scenario.cpp
@@ -1,12 +1,9 @@
 #include "lab/Scenario.h"
 
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
-#include <boost/json/parse.hpp>
-
-#include "lab/JsonReader.h"
+#include "src/settings/JsonReader.h"
+#include "src/settings/JsonText.h"
 
 namespace heatherplank::lab {
 
@@ -14,250 +11,245 @@
 
 namespace {
 
-/** Runs aEach over a list member; faults of the items go to aReader. */
-template<typename Each>
-void ReadList(JsonReader& aReader, std::string_view aKey, const Each& aEach)
+constexpr double kMaxNumber = 1e9;
+
+void Read(JsonReader& aReader, std::string_view aKey, double& aOut)
 {
-  const auto* found = aReader.Find(aKey);
-  if (!found) {
-    return;
-  }
-  if (!found->is_array()) {
-    aReader.Complain(std::string(aKey) + " is not a list");
-    return;
-  }
-  for (const auto& it : found->as_array()) {
-    JsonReader item(it, std::string(aKey));
-    aEach(item);
-    if (auto fault = item.Fault(); !fault.empty()) {
-      aReader.Complain(fault);
-    }
-  }
+  aOut = aReader.Number(aKey, 0, kMaxNumber, aOut);
 }
 
-std::vector<std::string> ReadNames(JsonReader& aReader, std::string_view aKey)
+void Read(JsonReader& aReader, std::string_view aKey, std::size_t& aOut)
 {
-  std::vector<std::string> names;
-  const auto* found = aReader.Find(aKey);
-  if (!found || !found->is_array()) {
-    return names;
-  }
-  for (const auto& it : found->as_array()) {
-    if (!it.is_string()) {
-      aReader.Complain(std::string(aKey) + " holds what is no name");
-      continue;
-    }
-    names.emplace_back(it.as_string());
-  }
-  return names;
+  aOut = static_cast<std::size_t>(
+    aReader.Integer(aKey, 0, static_cast<std::int64_t>(kMaxNumber),
+                    static_cast<std::int64_t>(aOut)));
+}
+
+/** Milliseconds. */
+void Read(JsonReader& aReader, std::string_view aKey, Duration& aOut)
+{
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  double number = Milliseconds(aOut).count();
+  Read(aReader, aKey, number);
+  aOut = std::chrono::duration_cast<Duration>(Milliseconds(number));
 }
 
 LoadSpec ReadLoad(JsonReader& aReader)
 {
   LoadSpec load;
-  aReader.Read("service", load.mService);
-  aReader.Read("class", load.mClass);
-  aReader.Read("method", load.mMethod);
-  aReader.Read("path", load.mPath);
-  aReader.Read("rate", load.mRate);
-  aReader.Read("flows", load.mFlows);
-  aReader.Read("requests_per_flow", load.mRequestsPerFlow);
-  aReader.Read("think_ms", load.mThink);
-  aReader.Read("answer_bytes", load.mAnswerBytes);
-  aReader.Read("body_bytes", load.mBodyBytes);
-  aReader.Read("timeout_ms", load.mTimeout);
-  aReader.Read("key", load.mKey);
-  aReader.Read("copies", load.mCopies);
-  aReader.Read("tries", load.mTries);
-  aReader.Read("from_ms", load.mFrom);
-  Duration until = Duration::max();
-  if (aReader.Find("until_ms")) {
-    aReader.Read("until_ms", until);
-    load.mUntil = until;
-  }
+  load.mService = aReader.RequiredString("service");
+  load.mClass = aReader.RequiredString("class");
+  load.mMethod = aReader.String("method", load.mMethod);
+  load.mPath = aReader.String("path", load.mPath);
+  load.mKey = aReader.Bool("key", load.mKey);
+  Read(aReader, "rate", load.mRate);
+  Read(aReader, "flows", load.mFlows);
+  Read(aReader, "requests_per_flow", load.mRequestsPerFlow);
+  Read(aReader, "think_ms", load.mThink);
+  Read(aReader, "answer_bytes", load.mAnswerBytes);
+  Read(aReader, "body_bytes", load.mBodyBytes);
+  Read(aReader, "timeout_ms", load.mTimeout);
+  Read(aReader, "copies", load.mCopies);
+  Read(aReader, "tries", load.mTries);
   return load;
 }
 
 void ReadFabric(JsonReader& aReader, FabricSpec& aOut)
 {
-  aReader.Read("delay_ms", aOut.mDelay);
-  aReader.Read("loss", aOut.mLoss);
-  aReader.Read("reorder", aOut.mReorder);
-  aReader.Read("reorder_delay_ms", aOut.mReorderDelay);
-  aReader.Read("notice_ms", aOut.mNotice);
+  Read(aReader, "delay_ms", aOut.mDelay);
+  Read(aReader, "loss", aOut.mLoss);
+  Read(aReader, "reorder", aOut.mReorder);
+  Read(aReader, "reorder_delay_ms", aOut.mReorderDelay);
+  Read(aReader, "notice_ms", aOut.mNotice);
 }
 
 ServiceTime ReadServiceTime(JsonReader& aReader)
 {
   ServiceTime time;
-  aReader.Read("prefix", time.mPrefix);
-  aReader.Read("mean_ms", time.mMean);
-  aReader.Read("spread", time.mSpread);
+  time.mPrefix = aReader.String("prefix", "");
+  Read(aReader, "mean_ms", time.mMean);
+  Read(aReader, "spread", time.mSpread);
   return time;
 }
 
 void ReadBackend(JsonReader& aReader, BackendSpec& aOut)
 {
-  aReader.Read("slots", aOut.mSlots);
-  aReader.Read("queue", aOut.mQueue);
-  aReader.Read("cold_ms", aOut.mCold);
-  aReader.Read("cold_factor", aOut.mColdFactor);
-  aReader.Read("hint_lag_ms", aOut.mHintLag);
-  aReader.Read("lies", aOut.mLies);
-  if (aReader.Find("times")) {
+  aOut.mLies = aReader.Bool("lies", aOut.mLies);
+  Read(aReader, "slots", aOut.mSlots);
+  Read(aReader, "queue", aOut.mQueue);
+  Read(aReader, "cold_ms", aOut.mCold);
+  Read(aReader, "cold_factor", aOut.mColdFactor);
+  Read(aReader, "hint_lag_ms", aOut.mHintLag);
+  if (aReader.Has("times")) {
     aOut.mTimes.clear();
   }
-  ReadList(aReader, "times", [&](JsonReader& aItem) {
+  aReader.Objects("times", [&](JsonReader& aItem) {
     aOut.mTimes.push_back(ReadServiceTime(aItem));
   });
 }
 
 void ReadPlatform(JsonReader& aReader, PlatformSpec& aOut)
 {
-  aReader.Read("writes_per_s", aOut.mWritesPerSecond);
-  aReader.Read("reads_per_s", aOut.mReadsPerSecond);
-  aReader.Read("delay_ms", aOut.mDelay);
+  Read(aReader, "writes_per_s", aOut.mWritesPerSecond);
+  Read(aReader, "reads_per_s", aOut.mReadsPerSecond);
+  Read(aReader, "delay_ms", aOut.mDelay);
 }
 
 FaultSpec ReadFault(JsonReader& aReader)
 {
   FaultSpec fault;
-  aReader.Read("at_ms", fault.mAt);
-  aReader.Read("do", fault.mDo);
-  aReader.Read("target", fault.mTarget);
-  aReader.Read("from", fault.mFrom);
-  aReader.Read("step_ms", fault.mStep);
-  aReader.Read("value", fault.mValue);
-  if (const auto* found = aReader.Find("set"); found && found->is_object()) {
-    fault.mSet = found->as_object();
-  }
+  Read(aReader, "at_ms", fault.mAt);
+  fault.mDo = aReader.RequiredString("do");
+  fault.mTarget = aReader.String("target", "");
+  fault.mFrom = aReader.String("from", "");
+  Read(aReader, "step_ms", fault.mStep);
+  Read(aReader, "value", fault.mValue);
   return fault;
 }
 
-/** Runs aEach over a member that is one object of its own. */
-template<typename Each>
-void ReadPart(JsonReader& aReader, std::string_view aKey, const Each& aEach)
+Expectation ReadExpectation(std::string aKey, JsonReader& aReader)
 {
-  const auto* found = aReader.Find(aKey);
-  if (!found) {
-    return;
+  Expectation expectation{ std::move(aKey), {}, {} };
+  if (aReader.Has("min")) {
+    expectation.mMin = aReader.Number("min", 0, kMaxNumber, 0);
   }
-  JsonReader part(*found, std::string(aKey));
-  aEach(part);
-  if (auto fault = part.Fault(); !fault.empty()) {
-    aReader.Complain(fault);
+  if (aReader.Has("max")) {
+    expectation.mMax = aReader.Number("max", 0, kMaxNumber, 0);
   }
+  return expectation;
 }
 
-/** Runs aEach(name, reader) over the members of an object. */
-template<typename Each>
-void ReadMap(JsonReader& aReader, std::string_view aKey, const Each& aEach)
+void ReadTop(JsonReader& aReader, Scenario& aOut)
 {
-  const auto* found = aReader.Find(aKey);
-  if (!found || !found->is_object()) {
-    return;
-  }
-  for (const auto& it : found->as_object()) {
-    JsonReader item(it.value(), std::string(it.key()));
-    aEach(std::string(it.key()), item);
-    if (auto fault = item.Fault(); !fault.empty()) {
-      aReader.Complain(fault);
-    }
-  }
+  aOut.mBase = aReader.RequiredString("base");
+  Read(aReader, "seed", aOut.mSeed);
+  Read(aReader, "duration_ms", aOut.mDuration);
+  Read(aReader, "grace_ms", aOut.mGrace);
+  aOut.mBalancers = aReader.Strings("balancers");
+  aOut.mSpare = aReader.Strings("spare");
+  aReader.Objects(
+    "load", [&](JsonReader& aItem) { aOut.mLoad.push_back(ReadLoad(aItem)); });
+  aReader.Object("fabric",
+                 [&](JsonReader& aPart) { ReadFabric(aPart, aOut.mFabric); });
+  aReader.Object("backend",
+                 [&](JsonReader& aPart) { ReadBackend(aPart, aOut.mBackend); });
+  aReader.Object("platform", [&](JsonReader& aPart) {
+    ReadPlatform(aPart, aOut.mPlatform);
+  });
+  aReader.Objects("faults", [&](JsonReader& aItem) {
+    aOut.mFaults.push_back(ReadFault(aItem));
+  });
 }
 
-void ReadHosts(JsonReader& aReader, Scenario& aOut)
+/** Takes a member out of an object: its keys are names, which no reader of
+ * known keys can check. Empty if it is not there. */
+json::object TakeMap(json::object& aFrom, std::string_view aKey)
 {
-  const auto* found = aReader.Find("hosts");
-  if (!found || !found->is_object()) {
-    return;
-  }
-  for (const auto& it : found->as_object()) {
-    aOut.mHosts[std::string(it.key())] = it.value().to_number<std::size_t>();
+  json::object map;
+  if (auto* found = aFrom.if_contains(aKey); found && found->is_object()) {
+    map = std::move(found->as_object());
+    aFrom.erase(aKey);
   }
+  return map;
 }
 
-Expectation ReadExpectation(std::string aKey, JsonReader& aReader)
+/** Runs aEach(name, reader) over the objects in a map. */
+template<typename Each>
+void ReadMap(const json::object& aMap, const std::string& aPath,
+             JsonFaults& aFaults, const Each& aEach)
 {
-  Expectation expectation{ std::move(aKey), {}, {} };
-  double bound = 0;
-  if (aReader.Find("min")) {
-    aReader.Read("min", bound);
-    expectation.mMin = bound;
+  for (const auto& it : aMap) {
+    std::string name(it.key());
+    std::string path = aPath;
+    path.append(".").append(name);
+    const auto* object = it.value().if_object();
+    if (!object) {
+      aFaults.Add(path, "no object", "write one");
+      continue;
+    }
+    JsonReader reader(*object, path, aFaults);
+    aEach(name, reader);
+    reader.Finish();
   }
-  if (aReader.Find("max")) {
-    aReader.Read("max", bound);
-    expectation.mMax = bound;
+}
+
+/** The changes that each fault lays over the configuration, in order. */
+std::vector<json::object> TakeChanges(json::object& aFrom)
+{
+  std::vector<json::object> changes;
+  auto* faults = aFrom.if_contains("faults");
+  if (faults && faults->is_array()) {
+    for (auto& it : faults->as_array()) {
+      changes.push_back(it.is_object() ? TakeMap(it.as_object(), "set")
+                                       : json::object());
+    }
   }
-  return expectation;
+  return changes;
 }
 
-void ReadTop(JsonReader& aReader, Scenario& aOut)
+Scenario ReadObject(json::object aFrom, JsonFaults& aFaults)
 {
-  std::size_t seed = aOut.mSeed;
-  aReader.Read("base", aOut.mBase);
-  aReader.Read("seed", seed);
-  aOut.mSeed = seed;
-  aReader.Read("duration_ms", aOut.mDuration);
-  aReader.Read("grace_ms", aOut.mGrace);
-  aOut.mBalancers = ReadNames(aReader, "balancers");
-  aOut.mSpare = ReadNames(aReader, "spare");
-  ReadHosts(aReader, aOut);
-  ReadList(aReader, "load",
-           [&](JsonReader& aItem) { aOut.mLoad.push_back(ReadLoad(aItem)); });
-  ReadPart(aReader, "fabric",
-           [&](JsonReader& aPart) { ReadFabric(aPart, aOut.mFabric); });
-  ReadPart(aReader, "backend",
-           [&](JsonReader& aPart) { ReadBackend(aPart, aOut.mBackend); });
-  ReadMap(aReader, "backends",
+  Scenario scenario;
+  auto hosts = TakeMap(aFrom, "hosts");
+  auto backends = TakeMap(aFrom, "backends");
+  auto expect = TakeMap(aFrom, "expect");
+  auto changes = TakeChanges(aFrom);
+  JsonReader reader(aFrom, "", aFaults);
+  ReadTop(reader, scenario);
+  reader.Finish();
+  for (std::size_t i = 0; i < scenario.mFaults.size(); ++i) {
+    scenario.mFaults[i].mSet = std::move(changes[i]);
+  }
+  ReadMap(backends, "backends", aFaults,
           [&](const std::string& aName, JsonReader& aPart) {
-            aOut.mBackends[aName] = aOut.mBackend;
-            ReadBackend(aPart, aOut.mBackends[aName]);
+            auto& spec = scenario.mBackends[aName] = scenario.mBackend;
+            ReadBackend(aPart, spec);
           });
-  ReadPart(aReader, "platform",
-           [&](JsonReader& aPart) { ReadPlatform(aPart, aOut.mPlatform); });
-  ReadList(aReader, "faults", [&](JsonReader& aItem) {
-    aOut.mFaults.push_back(ReadFault(aItem));
-  });
-  ReadMap(aReader, "expect", [&](const std::string& aKey, JsonReader& aPart) {
-    aOut.mExpect.push_back(ReadExpectation(aKey, aPart));
-  });
+  ReadMap(expect, "expect", aFaults,
+          [&](const std::string& aKey, JsonReader& aPart) {
+            scenario.mExpect.push_back(ReadExpectation(aKey, aPart));
+          });
+  JsonReader counts(hosts, "hosts", aFaults);
+  for (const auto& it : hosts) {
+    Read(counts, it.key(), scenario.mHosts[std::string(it.key())]);
+  }
+  return scenario;
 }
 
 } // namespace
 
-Result<json::value> ReadJsonFile(std::string_view aPath)
+Result<json::value> ReadJsonFile(const std::string& aPath)
 {
-  std::ifstream file{ std::string(aPath) };
-  std::stringstream text;
-  text << file.rdbuf();
-  json::parse_options options;
-  options.allow_comments = true;
-  options.allow_trailing_commas = true;
-  boost::system::error_code ec;
-  auto value = json::parse(text.str(), ec, {}, options);
-  if (!file || ec) {
-    return Fail(ErrorKind::InvalidInput,
-                std::string(aPath) + " can't be read as JSON: " + ec.message(),
-                "check the path and the syntax");
+  auto text = ReadFile(aPath);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  JsonFaults faults(aPath);
+  auto value = ParseJsonText(*text, faults);
+  if (!value) {
+    return tl::unexpected(faults.ToError());
   }
-  return value;
+  return std::move(*value);
 }
 
-Result<Scenario> ReadScenario(std::string_view aPath)
+Result<Scenario> ReadScenario(const std::string& aPath)
 {
   auto value = ReadJsonFile(aPath);
   if (!value) {
     return tl::unexpected(value.error());
   }
-  std::filesystem::path path(aPath);
+  JsonFaults faults(aPath);
   Scenario scenario;
-  scenario.mName = path.stem();
-  JsonReader reader(*value, std::string(aPath));
-  ReadTop(reader, scenario);
-  if (auto fault = reader.Fault(); !fault.empty()) {
-    return Fail(ErrorKind::InvalidInput, fault, "see docs/LAB.md");
+  if (value->is_object()) {
+    scenario = ReadObject(std::move(value->as_object()), faults);
+  } else {
+    faults.Add("", "no object", "see docs/LAB.md");
   }
+  if (!faults.IsEmpty()) {
+    return tl::unexpected(faults.ToError());
+  }
+  std::filesystem::path path(aPath);
+  scenario.mName = path.stem();
   scenario.mBase = (path.parent_path() / scenario.mBase).string();
   return scenario;
 }
--- a/lab/Scenario.h
+++ b/lab/Scenario.h
@@ -40,8 +40,6 @@
   std::size_t mCopies = 1;
   /** Attempts, the first included, while the answer is "not-run". */
   std::size_t mTries = 4;
-  Duration mFrom{};
-  std::optional<Duration> mUntil;
 };
 
 /** What the fabric does to datagrams, each way. */
@@ -120,7 +118,7 @@
   std::string mName;
   /** Path of the base configuration. */
   std::string mBase;
-  std::uint64_t mSeed = 1;
+  std::size_t mSeed = 1;
   Duration mDuration = std::chrono::seconds(5);
   /** Extra time for the last answers. */
   Duration mGrace = std::chrono::milliseconds(1000);
@@ -143,11 +141,11 @@
 /** Reads a JSON file that may hold comments; InvalidInput names the file.
  * Thread safe.
  */
-Result<boost::json::value> ReadJsonFile(std::string_view aPath);
+Result<boost::json::value> ReadJsonFile(const std::string& aPath);
 
 /** Reads a scenario; an unknown key or a wrong type is InvalidInput, so that
  * no expectation is lost to a typing error. Thread safe.
  */
-Result<Scenario> ReadScenario(std::string_view aPath);
+Result<Scenario> ReadScenario(const std::string& aPath);
 
 } // namespace heatherplank::lab
