--- a/lab/Faults.cpp
+++ b/lab/Faults.cpp
@@ -86,18 +86,18 @@
     co_await Restart(aName);
   } else if (aFault.mDo == "replace") {
     mGone.insert(aName);
-    fleet.Signal(aName, SIGTERM, true);
+    fleet.Signal(aName, SIGTERM);
     co_await Sleep(mWorld->mScenario.mFabric.mNotice);
     SpreadPackets();
     co_await Restart(aName);
   } else if (aFault.mDo == "thaw") {
-    fleet.Signal(aName, SIGCONT, false);
+    fleet.Signal(aName, SIGCONT);
     mGone.erase(aName);
     SpreadPackets();
   } else {
     int kills = aFault.mDo == "kill" ? SIGKILL : SIGTERM;
     int number = aFault.mDo == "freeze" ? SIGSTOP : kills;
-    fleet.Signal(aName, number, number != SIGSTOP);
+    fleet.Signal(aName, number);
     mGone.insert(aName);
     co_await Sleep(mWorld->mScenario.mFabric.mNotice);
     SpreadPackets();
--- a/lab/Fleet.cpp
+++ b/lab/Fleet.cpp
@@ -125,7 +125,8 @@
     co_return;
   }
   node.mProcess = std::move(*process);
-  node.mMayEnd = false;
+  node.mEndSignal = 0;
+  node.mEndNoted = false;
 }
 
 Awaitable<bool> Fleet::WaitReady(std::string aName, Duration aTimeout)
@@ -145,14 +146,16 @@
   co_return false;
 }
 
-void Fleet::Signal(const std::string& aName, int aNumber, bool aMayEnd)
+void Fleet::Signal(const std::string& aName, int aNumber)
 {
   Node& node = mNodes.at(aName);
   if (!node.mProcess) {
     return;
   }
   NoteEnd(node);
-  node.mMayEnd |= aMayEnd;
+  if (aNumber == SIGTERM || aNumber == SIGKILL) {
+    node.mEndSignal = aNumber;
+  }
   node.mProcess->Signal(aNumber);
 }
 
@@ -209,8 +212,8 @@
 Awaitable<std::size_t> Fleet::StopAll(Duration aTimeout)
 {
   for (auto& [name, node] : mNodes) {
-    Signal(name, SIGCONT, false);
-    Signal(name, SIGTERM, true);
+    Signal(name, SIGCONT);
+    Signal(name, SIGTERM);
   }
   auto end = std::chrono::steady_clock::now() + aTimeout;
   std::size_t slow = 0;
@@ -221,18 +224,21 @@
     }
     if (node.mProcess && !node.mProcess->Poll()) {
       ++slow;
-      node.mProcess->Signal(SIGKILL);
+      Signal(name, SIGKILL);
     }
   }
   co_return slow;
 }
 
-/** An end that nobody asked for is a crash, also with exit code 0. */
 void Fleet::NoteEnd(Node& aNode)
 {
   auto status = aNode.mProcess ? aNode.mProcess->Poll() : std::nullopt;
-  if (status && !aNode.mMayEnd) {
-    aNode.mMayEnd = true;
+  if (!status || aNode.mEndNoted) {
+    return;
+  }
+  aNode.mEndNoted = true;
+  bool orderly = aNode.mEndSignal == SIGTERM && *status == 0;
+  if (!orderly && aNode.mEndSignal != SIGKILL) {
     mCrashes.push_back(aNode.mName + ": " + DescribeStatus(*status));
   }
 }
--- a/lab/Fleet.h
+++ b/lab/Fleet.h
@@ -29,8 +29,9 @@
   std::size_t mSlots = 0;
   std::unique_ptr<Process> mProcess;
   std::shared_ptr<HttpClient> mClient;
-  /** A signal or a drain of the lab's may have ended it. */
-  bool mMayEnd = false;
+  /** SIGTERM or SIGKILL, if the lab sent it; 0 otherwise. */
+  int mEndSignal = 0;
+  bool mEndNoted = false;
 
   bool IsBalancer() const { return mService.empty(); }
 };
@@ -63,8 +64,9 @@
    * not within aTimeout. */
   Awaitable<bool> WaitReady(std::string aName, Duration aTimeout);
 
-  /** Sends a signal; with aMayEnd the process' end is no crash. */
-  void Signal(const std::string& aName, int aNumber, bool aMayEnd);
+  /** Sends a signal. Any end after SIGKILL, and an orderly one after SIGTERM,
+   * is no crash. */
+  void Signal(const std::string& aName, int aNumber);
 
   /** Cuts all processes of two data centres off from each other. */
   Awaitable<void> Cut(std::string aOne, std::string aOther);
@@ -78,7 +80,8 @@
    * how many that were. */
   Awaitable<std::size_t> StopAll(Duration aTimeout);
 
-  /** Processes that ended though nobody asked them to: name and how. */
+  /** Processes that ended unasked, or in disorder when they were asked to stop:
+   * name and how. */
   std::vector<std::string> Crashes();
 
 private:
--- a/lab/World.cpp
+++ b/lab/World.cpp
@@ -122,15 +122,19 @@
 
 Awaitable<int> World::Apply(json::object aSet)
 {
+  std::string path =
+    mFolder + "/configuration-" + std::to_string(++mFiles) + ".json";
   auto configuration = mConfiguration;
+  if (!aSet.empty()) {
+    co_await Get(path);
+    configuration = ReadJsonFile(path).value_or(mConfiguration);
+  }
   for (const auto& it : aSet) {
     boost::system::error_code ec;
     if (auto* member = configuration.find_pointer(it.key(), ec)) {
       *member = it.value();
     }
   }
-  std::string path =
-    mFolder + "/configuration-" + std::to_string(++mFiles) + ".json";
   std::ofstream(path) << json::serialize(configuration) << "\n";
   std::vector<std::string> arguments;
   arguments.emplace_back("apply");
@@ -138,6 +142,15 @@
   co_return co_await Command("apply", std::move(arguments));
 }
 
+Awaitable<void> World::Get(std::string aPath)
+{
+  std::vector<std::string> arguments;
+  arguments.push_back(mBin);
+  arguments.emplace_back("get");
+  arguments.push_back("--platform=" + mPlatform->Local().ToString());
+  co_await RunCommand(std::move(arguments), aPath, kCommandTimeout);
+}
+
 Awaitable<int> World::SetPolicy(std::string aName)
 {
   std::vector<std::string> arguments;
--- a/lab/World.h
+++ b/lab/World.h
@@ -47,8 +47,9 @@
    * InvalidInput or System if that can't be. */
   Result<void> Prepare();
 
-  /** Writes a configuration (mConfiguration with the members at JSON pointers
-   * replaced) and has the operator apply it; gives the exit code. */
+  /** Has the operator apply a configuration and gives the exit code: the
+   * run's own, or if aSet is not empty the one in force (by "get") with the
+   * members at its JSON pointers replaced. */
   Awaitable<int> Apply(boost::json::object aSet);
 
   /** Has the operator put a policy in force; gives the exit code. */
@@ -61,6 +62,8 @@
   void NotePolicy(const std::string& aName);
 
 private:
+  /** Writes the configuration in force to a file. */
+  Awaitable<void> Get(std::string aPath);
   Result<void> PrepareService(boost::json::value& aService);
 };
 
