--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -76,22 +76,17 @@
   std::size_t mTombstoneLimit = 8192;
 };
 
-/** A member as a view shows it. */
-struct ViewMember
-{
-  Member mMember;
-  /** The member's weight, reduced while it starts slowly; never 0. */
-  std::uint16_t mWeight = 0;
-  bool mSuspect = false;
-};
-
-/** The members of a service, ordered by host id. Immutable. */
+/** The members of a service in view. Immutable. */
 struct MemberView
 {
   /** Orders views without agreement: a Lamport clock. A view made with the
    * knowledge of another has no lower version; two made apart may tie. */
   std::uint64_t mVersion = 0;
-  std::vector<ViewMember> mMembers;
+  /** Ordered by host id; the weight is reduced while a host starts slowly, and
+   * never 0. */
+  std::vector<Member> mMembers;
+  /** Those of them that were not heard for a while. */
+  std::vector<HostId> mSuspects;
 };
 
 using MemberViewPtr = std::shared_ptr<const MemberView>;
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -103,12 +103,14 @@
     if (entry->IsGone()) {
       continue;
     }
-    const Member& member = entry->mRecord.mMember;
+    Member member = entry->mRecord.mMember;
     std::uint32_t weight =
       std::uint32_t{ member.mWeight } * entry->mStep / mOptions.mSlowStartSteps;
-    view->mMembers.push_back({ member,
-                               static_cast<std::uint16_t>(std::max(1U, weight)),
-                               entry->mRecord.mVerdict == Verdict::Suspect });
+    member.mWeight = static_cast<std::uint16_t>(std::max(1U, weight));
+    view->mMembers.push_back(member);
+    if (entry->mRecord.mVerdict == Verdict::Suspect) {
+      view->mSuspects.push_back(host);
+    }
   }
   return view;
 }
