--- a/src/membership/MemberRecord.h
+++ b/src/membership/MemberRecord.h
@@ -87,6 +87,10 @@
 struct MemberDigest
 {
   MemberTableId mTable = MemberTableId::Hosts;
+  /** The balancer that sent it. */
+  HostId mFrom;
+  /** It answers a digest, and wants none in return. */
+  bool mIsReply = false;
   std::uint64_t mVersion = 0;
   /** One hash for each of equal ranges of host ids; a power of two of them. */
   std::vector<std::uint64_t> mHashes;
@@ -95,6 +99,7 @@
 struct MemberSnapshotRequest
 {
   MemberTableId mTable = MemberTableId::Hosts;
+  HostId mFrom;
   /** The range asked for, both ends included. */
   HostId mFirst;
   HostId mLast{ UINT64_MAX };
@@ -104,6 +109,7 @@
 struct MemberSnapshot
 {
   MemberTableId mTable = MemberTableId::Hosts;
+  HostId mFrom;
   std::uint64_t mVersion = 0;
   /** The range that the records cover whole; shorter than asked for if the
    * limit was reached. */
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -37,7 +37,7 @@
   : mId(aId)
   , mCheck(aCheck)
   , mOptions(aOptions)
-  , mIsMonitor([](HostId) { return true; })
+  , mIsMonitor([](const Member&) { return true; })
 {
 }
 
@@ -228,7 +228,7 @@
 
 void MemberTable::Watch(MemberEntry& aEntry, Time aNow)
 {
-  if (mOptions.mJudgesSilence && mIsMonitor(aEntry.mRecord.mMember.mHost)) {
+  if (mOptions.mJudgesSilence && mIsMonitor(aEntry.mRecord.mMember)) {
     aEntry.mHeardAt = aNow;
     mHeard.push_back(aEntry);
   }
@@ -244,13 +244,13 @@
   aEntry.mOverdue = false;
 }
 
-void MemberTable::SetMonitored(const std::function<bool(HostId)>& aIsMonitor,
-                               Time aNow)
+void MemberTable::SetMonitored(
+  const std::function<bool(const Member&)>& aIsMonitor, Time aNow)
 {
   mIsMonitor = aIsMonitor;
   for (auto& [host, entry] : mEntries) {
     bool watched = entry.mSilenceHook.is_linked();
-    if (watched && !mIsMonitor(host)) {
+    if (watched && !mIsMonitor(entry.mRecord.mMember)) {
       Unwatch(entry);
     } else if (!watched && !entry.IsGone()) {
       Watch(entry, aNow);
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -121,7 +122,8 @@
   /** Names whose silence this table judges; all by default. A balancer that
    * is not among a host's monitors hears nothing from it and must not. Call
    * again when the balancers changed. */
-  void SetMonitored(const std::function<bool(HostId)>& aIsMonitor, Time aNow);
+  void SetMonitored(const std::function<bool(const Member&)>& aIsMonitor,
+                    Time aNow);
 
   /** Applies the inventory again after it changed: drops refused members. */
   void Recheck(Time aNow);
@@ -135,6 +137,10 @@
    * each host once with its latest record. */
   std::vector<MemberRecord> TakeChanges(std::size_t aLimit, Time aNow);
 
+  /** The records that changed in the view since the last call, from whatever
+   * source: what the agents that this balancer monitors are told. */
+  std::vector<MemberRecord> TakeNews(Time aNow);
+
   /** Hashes of equal ranges of host ids, about 16 members each. */
   MemberDigest Digest() const;
   /** The ranges in which a peer's digest differs, neighbours joined, at most
@@ -206,7 +212,7 @@
   const MemberTableOptions mOptions;
   std::uint64_t mVersion = 0;
   bool mIsolated = false;
-  std::function<bool(HostId)> mIsMonitor;
+  std::function<bool(const Member&)> mIsMonitor;
   std::array<std::uint64_t, static_cast<std::size_t>(MemberEvent::Last) + 1>
     mCounts{};
   std::map<HostId, MemberEntry> mEntries;
@@ -215,6 +221,8 @@
    * TakeChangedServices. */
   std::vector<ServiceId> mTouched;
   std::vector<ServiceId> mChangedServices;
+  /** Hosts changed since the last TakeNews. */
+  std::set<HostId> mNews;
   /** Watched members by the time they were heard, and those overdue. */
   SilenceList mHeard;
   SilenceList mSilent;
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -48,6 +48,7 @@
 void MemberTable::MarkChanged(MemberEntry& aEntry)
 {
   mTouched.push_back(aEntry.mRecord.mMember.mService);
+  mNews.insert(aEntry.mRecord.mMember.mHost);
 }
 
 void MemberTable::MarkForPeers(MemberEntry& aEntry)
@@ -134,10 +135,27 @@
   return out;
 }
 
+std::vector<MemberRecord> MemberTable::TakeNews(Time aNow)
+{
+  std::vector<MemberRecord> out;
+  for (HostId it : mNews) {
+    const MemberEntry* entry = Find(it);
+    if (entry != nullptr) {
+      out.push_back(Export(*entry, aNow));
+    }
+  }
+  mNews.clear();
+  return out;
+}
+
 MemberDigest MemberTable::Digest() const
 {
   std::size_t ranges = std::bit_ceil(1 + mEntries.size() / kMembersPerRange);
-  return { mId, mVersion, HashRanges(mEntries, std::min(ranges, kMaxRanges)) };
+  MemberDigest digest;
+  digest.mTable = mId;
+  digest.mVersion = mVersion;
+  digest.mHashes = HashRanges(mEntries, std::min(ranges, kMaxRanges));
+  return digest;
 }
 
 std::vector<MemberSnapshotRequest> MemberTable::Differences(
@@ -155,7 +173,7 @@
     if (joins) {
       out.back().mLast = LastOf(i, ranges);
     } else if (out.size() < aLimit) {
-      out.push_back({ mId, first, LastOf(i, ranges), 0 });
+      out.push_back({ mId, {}, first, LastOf(i, ranges), 0 });
     } else {
       break;
     }
@@ -169,7 +187,7 @@
   std::size_t limit =
     aRequest.mMaxRecords == 0 ? kDefaultRecords : aRequest.mMaxRecords;
   limit = std::max<std::size_t>(1, std::min(limit, aMaxRecords));
-  MemberSnapshot out{ mId, mVersion, aRequest.mFirst, aRequest.mLast, {} };
+  MemberSnapshot out{ mId, {}, mVersion, aRequest.mFirst, aRequest.mLast, {} };
   auto it = mEntries.lower_bound(aRequest.mFirst);
   for (; it != mEntries.end() && it->first <= aRequest.mLast; ++it) {
     if (out.mRecords.size() == limit) {
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -151,6 +151,7 @@
   return FinishPayload(builder,
                        wire::CreateMemberDigest(
                          builder, static_cast<std::uint8_t>(aMessage.mTable),
+                         aMessage.mFrom.mValue, aMessage.mIsReply,
                          aMessage.mVersion, hashes));
 }
 
@@ -160,19 +161,19 @@
   return FinishPayload(builder,
                        wire::CreateMemberSnapshotRequest(
                          builder, static_cast<std::uint8_t>(aMessage.mTable),
-                         aMessage.mFirst.mValue, aMessage.mLast.mValue,
-                         aMessage.mMaxRecords));
+                         aMessage.mFrom.mValue, aMessage.mFirst.mValue,
+                         aMessage.mLast.mValue, aMessage.mMaxRecords));
 }
 
 Bytes EncodePayload(const MemberSnapshot& aMessage)
 {
   flatbuffers::FlatBufferBuilder builder;
   auto records = PutRecords(builder, aMessage.mRecords);
-  return FinishPayload(builder,
-                       wire::CreateMemberSnapshot(
-                         builder, static_cast<std::uint8_t>(aMessage.mTable),
-                         aMessage.mVersion, aMessage.mFirst.mValue,
-                         aMessage.mLast.mValue, records));
+  return FinishPayload(
+    builder, wire::CreateMemberSnapshot(
+               builder, static_cast<std::uint8_t>(aMessage.mTable),
+               aMessage.mFrom.mValue, aMessage.mVersion, aMessage.mFirst.mValue,
+               aMessage.mLast.mValue, records));
 }
 
 Result<Heartbeat> DecodeHeartbeat(ByteView aPayload)
@@ -221,6 +222,8 @@
     return MalformedMessage("member digest");
   }
   return MemberDigest{ static_cast<MemberTableId>(from.table_id()),
+                       { from.from() },
+                       from.is_reply(),
                        from.version(),
                        { from.hashes()->begin(), from.hashes()->end() } };
 }
@@ -237,6 +240,7 @@
     return MalformedMessage("member snapshot request");
   }
   return MemberSnapshotRequest{ static_cast<MemberTableId>(from.table_id()),
+                                { from.from() },
                                 { from.first() },
                                 { from.last() },
                                 from.max_records() };
@@ -252,6 +256,7 @@
   MemberSnapshot out;
   out.mTable = static_cast<MemberTableId>(from.table_id());
   out.mVersion = from.version();
+  out.mFrom = { from.from() };
   out.mFirst = { from.first() };
   out.mLast = { from.last() };
   if (!IsPossibleTable(from.table_id()) || from.first() > from.last() ||
--- a/src/wire/membership_generated.h
+++ b/src/wire/membership_generated.h
@@ -327,12 +327,20 @@
   typedef MemberDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TABLE_ID = 4,
-    VT_VERSION = 6,
-    VT_HASHES = 8
+    VT_FROM = 6,
+    VT_IS_REPLY = 8,
+    VT_VERSION = 10,
+    VT_HASHES = 12
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
   }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  bool is_reply() const {
+    return GetField<uint8_t>(VT_IS_REPLY, 0) != 0;
+  }
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
@@ -342,6 +350,8 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REPLY, 1) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffsetRequired(verifier, VT_HASHES) &&
            verifier.VerifyVector(hashes()) &&
@@ -356,6 +366,12 @@
   void add_table_id(uint8_t table_id) {
     fbb_.AddElement<uint8_t>(MemberDigest::VT_TABLE_ID, table_id, 0);
   }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(MemberDigest::VT_FROM, from, 0);
+  }
+  void add_is_reply(bool is_reply) {
+    fbb_.AddElement<uint8_t>(MemberDigest::VT_IS_REPLY, static_cast<uint8_t>(is_reply), 0);
+  }
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(MemberDigest::VT_VERSION, version, 0);
   }
@@ -377,11 +393,15 @@
 inline flatbuffers::Offset<MemberDigest> CreateMemberDigest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t table_id = 0,
+    uint64_t from = 0,
+    bool is_reply = false,
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> hashes = 0) {
   MemberDigestBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_from(from);
   builder_.add_hashes(hashes);
+  builder_.add_is_reply(is_reply);
   builder_.add_table_id(table_id);
   return builder_.Finish();
 }
@@ -389,12 +409,16 @@
 inline flatbuffers::Offset<MemberDigest> CreateMemberDigestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t table_id = 0,
+    uint64_t from = 0,
+    bool is_reply = false,
     uint64_t version = 0,
     const std::vector<uint64_t> *hashes = nullptr) {
   auto hashes__ = hashes ? _fbb.CreateVector<uint64_t>(*hashes) : 0;
   return heatherplank::wire::CreateMemberDigest(
       _fbb,
       table_id,
+      from,
+      is_reply,
       version,
       hashes__);
 }
@@ -403,13 +427,17 @@
   typedef MemberSnapshotRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TABLE_ID = 4,
-    VT_FIRST = 6,
-    VT_LAST = 8,
-    VT_MAX_RECORDS = 10
+    VT_FROM = 6,
+    VT_FIRST = 8,
+    VT_LAST = 10,
+    VT_MAX_RECORDS = 12
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
   }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
   uint64_t first() const {
     return GetField<uint64_t>(VT_FIRST, 0);
   }
@@ -422,6 +450,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_FIRST, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST, 8) &&
            VerifyField<uint32_t>(verifier, VT_MAX_RECORDS, 4) &&
@@ -436,6 +465,9 @@
   void add_table_id(uint8_t table_id) {
     fbb_.AddElement<uint8_t>(MemberSnapshotRequest::VT_TABLE_ID, table_id, 0);
   }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(MemberSnapshotRequest::VT_FROM, from, 0);
+  }
   void add_first(uint64_t first) {
     fbb_.AddElement<uint64_t>(MemberSnapshotRequest::VT_FIRST, first, 0);
   }
@@ -459,12 +491,14 @@
 inline flatbuffers::Offset<MemberSnapshotRequest> CreateMemberSnapshotRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t table_id = 0,
+    uint64_t from = 0,
     uint64_t first = 0,
     uint64_t last = 0,
     uint32_t max_records = 0) {
   MemberSnapshotRequestBuilder builder_(_fbb);
   builder_.add_last(last);
   builder_.add_first(first);
+  builder_.add_from(from);
   builder_.add_max_records(max_records);
   builder_.add_table_id(table_id);
   return builder_.Finish();
@@ -474,14 +508,18 @@
   typedef MemberSnapshotBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TABLE_ID = 4,
-    VT_VERSION = 6,
-    VT_FIRST = 8,
-    VT_LAST = 10,
-    VT_RECORDS = 12
+    VT_FROM = 6,
+    VT_VERSION = 8,
+    VT_FIRST = 10,
+    VT_LAST = 12,
+    VT_RECORDS = 14
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
   }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
@@ -497,6 +535,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_FIRST, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST, 8) &&
@@ -513,6 +552,9 @@
   void add_table_id(uint8_t table_id) {
     fbb_.AddElement<uint8_t>(MemberSnapshot::VT_TABLE_ID, table_id, 0);
   }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(MemberSnapshot::VT_FROM, from, 0);
+  }
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(MemberSnapshot::VT_VERSION, version, 0);
   }
@@ -540,6 +582,7 @@
 inline flatbuffers::Offset<MemberSnapshot> CreateMemberSnapshot(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t table_id = 0,
+    uint64_t from = 0,
     uint64_t version = 0,
     uint64_t first = 0,
     uint64_t last = 0,
@@ -548,6 +591,7 @@
   builder_.add_last(last);
   builder_.add_first(first);
   builder_.add_version(version);
+  builder_.add_from(from);
   builder_.add_records(records);
   builder_.add_table_id(table_id);
   return builder_.Finish();
@@ -556,6 +600,7 @@
 inline flatbuffers::Offset<MemberSnapshot> CreateMemberSnapshotDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t table_id = 0,
+    uint64_t from = 0,
     uint64_t version = 0,
     uint64_t first = 0,
     uint64_t last = 0,
@@ -564,6 +609,7 @@
   return heatherplank::wire::CreateMemberSnapshot(
       _fbb,
       table_id,
+      from,
       version,
       first,
       last,
