--- /dev/null
+++ b/src/membership/AgentMembership.cpp
@@ -0,0 +1,168 @@
+#include "src/membership/AgentMembership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/membership/Monitors.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Each so many heartbeats one more goes to a balancer picked at random. */
+constexpr std::uint32_t kBeatsPerProbe = 2;
+
+} // namespace
+
+AgentMembership::AgentMembership(const Member& aSelf,
+                                 const InventoryCheck& aCheck,
+                                 const AgentMembershipOptions& aOptions,
+                                 std::uint64_t aSeed, Time aNow)
+  : mSelf(aSelf)
+  , mOptions(aOptions)
+  , mPeers(MemberTableId::Hosts, aCheck, TableOptions())
+  , mBalancers(MemberTableId::Balancers, mBalancerCheck, TableOptions())
+  , mRandom(aSeed)
+  , mServingSince(aNow)
+{
+}
+
+MemberTableOptions AgentMembership::TableOptions()
+{
+  MemberTableOptions options;
+  options.mJudgesSilence = false;
+  // The monitors have weighed a death before they tell of it.
+  options.mCapDeaths = false;
+  return options;
+}
+
+std::vector<SendMembership> AgentMembership::TakeActions()
+{
+  return std::exchange(mActions, {});
+}
+
+void AgentMembership::SetState(HostState aState, Time aNow)
+{
+  if (aState <= mSelf.mState) {
+    return;
+  }
+  mSelf.mState = aState;
+  mServingSince = aNow;
+  Beat(aNow);
+}
+
+void AgentMembership::SetSlots(std::uint16_t aSlots, Time aNow)
+{
+  if (aSlots == mSelf.mSlots) {
+    return;
+  }
+  mSelf.mSlots = aSlots;
+  ++mRevision;
+  Beat(aNow);
+}
+
+void AgentMembership::Restart(Incarnation aIncarnation, Time aNow)
+{
+  mSelf.mIncarnation = aIncarnation;
+  mSelf.mState = HostState::Cold;
+  mServingSince = aNow;
+  mBeat = 0;
+  Beat(aNow);
+}
+
+void AgentMembership::OnTick(Time aNow)
+{
+  mPeers.OnTick(aNow);
+  mBalancers.OnTick(aNow);
+  if (aNow - mBeatAt >= mOptions.mHeartbeatEvery) {
+    Beat(aNow);
+  }
+}
+
+void AgentMembership::Beat(Time aNow)
+{
+  mBeatAt = aNow;
+  Heartbeat beat;
+  beat.mRecord.mMember = mSelf;
+  beat.mRecord.mRevision = mRevision;
+  beat.mRecord.mBeat = ++mBeat;
+  beat.mRecord.mAge = aNow - mServingSince;
+  beat.mVersion = mPeers.Version();
+  mPeers.OnHeartbeat(beat, aNow);
+  beat.mServiceDigest = mPeers.ServiceDigest(mSelf.mService);
+  beat.mBalancerDigest = mBalancers.ServiceDigest(BalancerService());
+  std::vector<Address> to = Monitors();
+  bool probes = mBeat % kBeatsPerProbe == 0 && mOptions.mMonitors != 0;
+  if (probes && !to.empty()) {
+    to.push_back(AnyBalancer());
+  }
+  for (const Address& it : to) {
+    mActions.push_back({ it, beat });
+  }
+}
+
+/** Failure met: all monitors of a host die at once, nobody is left to tell its
+ * agent of new ones, and the host is held dead. It beats to a balancer picked
+ * at random now and then, which sees by the hashes that the agent's list is
+ * old and sends the new one. */
+Address AgentMembership::AnyBalancer()
+{
+  MemberViewPtr view = Balancers();
+  std::size_t known = view->mMembers.size();
+  std::size_t pick = mRandom() % (known + mOptions.mSeeds.size());
+  return pick < known ? view->mMembers[pick].mControl
+                      : mOptions.mSeeds[pick - known];
+}
+
+std::vector<Address> AgentMembership::Monitors() const
+{
+  MemberViewPtr view = Balancers();
+  if (view->mMembers.empty()) {
+    return mOptions.mSeeds;
+  }
+  std::size_t n =
+    mOptions.mMonitors == 0 ? view->mMembers.size() : mOptions.mMonitors;
+  std::vector<Address> out;
+  for (const Member& it :
+       ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers, n)) {
+    out.push_back(it.mControl);
+  }
+  return out;
+}
+
+void AgentMembership::OnMessage(const MembershipMessage& aMessage, Time aNow)
+{
+  const auto* delta = std::get_if<MemberDelta>(&aMessage);
+  if (delta == nullptr) {
+    return;
+  }
+  bool hosts = delta->mTable == MemberTableId::Hosts;
+  MemberTable& table = hosts ? mPeers : mBalancers;
+  ServiceId service = hosts ? mSelf.mService : BalancerService();
+  if (delta->mIsComplete) {
+    table.OnServiceDelta(service, *delta, mOptions.mDropUnlistedAfter, aNow);
+  } else {
+    table.OnDelta(*delta, aNow);
+  }
+  if (hosts) {
+    YieldToNewer(*delta, aNow);
+  }
+}
+
+/** Failure met: the host's clock stepped back over a restart, so that its new
+ * incarnation is lower than the old one and every heartbeat counts as stale.
+ * Shown by heartbeat_stale, and a host that never comes back. The agent sees
+ * its own record with a higher incarnation and takes the next above it. */
+void AgentMembership::YieldToNewer(const MemberDelta& aDelta, Time aNow)
+{
+  for (const MemberRecord& it : aDelta.mRecords) {
+    bool newer = it.mMember.mHost == mSelf.mHost &&
+                 it.mMember.mIncarnation > mSelf.mIncarnation;
+    if (newer) {
+      mSelf.mIncarnation = it.mMember.mIncarnation + 1;
+      Beat(aNow);
+    }
+  }
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/membership/AgentMembership.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <random>
+#include <vector>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Member.h"
+#include "src/membership/MemberTable.h"
+#include "src/membership/MembershipActions.h"
+
+namespace heatherplank {
+
+struct AgentMembershipOptions
+{
+  /** Control addresses of balancers to begin with, from the settings. */
+  std::vector<Address> mSeeds;
+  Duration mHeartbeatEvery = std::chrono::milliseconds(500);
+  /** Balancers that are sent heartbeats; 0 for all, as at today's size. */
+  std::size_t mMonitors = 0;
+  /** A member that a complete list lacks is dropped after this silence. */
+  Duration mDropUnlistedAfter = std::chrono::seconds(30);
+};
+
+/** Membership in an agent: announces its host, and holds the members of its
+ * service and the balancers as its monitors tell them. Pure; not thread safe.
+ */
+class AgentMembership
+{
+public:
+  /** aCheck must outlive it. */
+  AgentMembership(const Member& aSelf, const InventoryCheck& aCheck,
+                  const AgentMembershipOptions& aOptions, std::uint64_t aSeed,
+                  Time aNow);
+
+  /** The host's state or slots changed: announced at once, since a host that
+   * drains must get no new work. A state never goes back: for that the agent
+   * starts a new incarnation (Restart). */
+  void SetState(HostState aState, Time aNow);
+  void SetSlots(std::uint16_t aSlots, Time aNow);
+  /** Begins a new life of the host, Cold. Precondition: aIncarnation is above
+   * the present one. */
+  void Restart(Incarnation aIncarnation, Time aNow);
+
+  void OnMessage(const MembershipMessage& aMessage, Time aNow);
+  void OnTick(Time aNow);
+  void OnInventory(Time aNow) { mPeers.Recheck(aNow); }
+
+  std::vector<SendMembership> TakeActions();
+
+  const Member& Self() const { return mSelf; }
+  /** Members of the host's own service, this host too. */
+  MemberViewPtr Peers() const { return mPeers.View(mSelf.mService); }
+  MemberViewPtr Balancers() const { return mBalancers.View(BalancerService()); }
+
+private:
+  class BalancerCheck final : public InventoryCheck
+  {
+  public:
+    bool Allows(const Member& aMember) const override
+    {
+      return aMember.mService == BalancerService();
+    }
+  };
+
+  static MemberTableOptions TableOptions();
+  void Beat(Time aNow);
+  std::vector<Address> Monitors() const;
+  Address AnyBalancer();
+  void YieldToNewer(const MemberDelta& aDelta, Time aNow);
+
+  Member mSelf;
+  const AgentMembershipOptions mOptions;
+  BalancerCheck mBalancerCheck;
+  MemberTable mPeers;
+  MemberTable mBalancers;
+  std::vector<SendMembership> mActions;
+  std::mt19937_64 mRandom;
+  std::uint32_t mRevision = 0;
+  std::uint32_t mBeat = 0;
+  Time mBeatAt{};
+  Time mServingSince{};
+};
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/membership/BalancerMembership.cpp
@@ -0,0 +1,408 @@
+#include "src/membership/BalancerMembership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/membership/Monitors.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Bytes of a record in a message, and of a message around its records. */
+constexpr std::size_t kRecordBytes = 88;
+constexpr std::size_t kEnvelopeBytes = 96;
+/** An agent is told of changes for this long after its last heartbeat. */
+constexpr Duration kAgentHeardFor = std::chrono::seconds(3);
+/** Most snapshot requests that wait; more are dropped, and asked for again. */
+constexpr std::size_t kMaxToServe = 64;
+
+std::size_t BytesOf(const MemberDelta& aDelta)
+{
+  return kEnvelopeBytes + aDelta.mRecords.size() * kRecordBytes;
+}
+
+} // namespace
+
+std::string_view ToString(MembershipReadiness aReadiness)
+{
+  switch (aReadiness) {
+    case MembershipReadiness::Starting:
+      return "starting";
+    case MembershipReadiness::Ready:
+      return "ready";
+    case MembershipReadiness::Isolated:
+      return "isolated";
+  }
+  return "unknown";
+}
+
+BalancerMembership::BalancerMembership(
+  const Member& aSelf, const InventoryCheck& aCheck,
+  const BalancerMembershipOptions& aOptions, std::uint64_t aSeed, Time aNow)
+  : mSelf(aSelf)
+  , mOptions(aOptions)
+  , mSeeds(aOptions.mSeeds)
+  , mHosts(MemberTableId::Hosts, aCheck, aOptions.mTable)
+  , mBalancers(MemberTableId::Balancers, mBalancerCheck, aOptions.mTable)
+  , mRandom(aSeed)
+  , mBudget(aOptions.mBytesPerSecond, aOptions.mBytesPerSecond)
+  , mSnapshotBudget(aOptions.mSnapshotBytesPerSecond,
+                    aOptions.mSnapshotBytesPerSecond)
+  , mDigestAt(aNow + aOptions.mDigestEvery)
+  , mGrownAt(aNow)
+{
+  std::erase(mSeeds, mSelf.mControl);
+  mSelf.mService = BalancerService();
+  mSelf.mState = HostState::Serving;
+}
+
+std::vector<SendMembership> BalancerMembership::TakeActions()
+{
+  return std::exchange(mActions, {});
+}
+
+MembershipReadiness BalancerMembership::Readiness() const
+{
+  if (!mStarted) {
+    return MembershipReadiness::Starting;
+  }
+  return mHosts.IsIsolated() ? MembershipReadiness::Isolated
+                             : MembershipReadiness::Ready;
+}
+
+MemberTable& BalancerMembership::TableOf(MemberTableId aTable)
+{
+  return aTable == MemberTableId::Hosts ? mHosts : mBalancers;
+}
+
+const Member* BalancerMembership::FindBalancer(HostId aHost) const
+{
+  MemberViewPtr view = mBalancers.View(BalancerService());
+  auto it = std::ranges::find(view->mMembers, aHost, &Member::mHost);
+  return it == view->mMembers.end() ? nullptr : &*it;
+}
+
+void BalancerMembership::Send(const Address& aTo,
+                              const MembershipMessage& aMessage)
+{
+  mActions.push_back({ aTo, aMessage });
+}
+
+void BalancerMembership::OnMessage(const MembershipMessage& aMessage, Time aNow)
+{
+  std::visit([&](const auto& aIt) { On(aIt, aNow); }, aMessage);
+}
+
+void BalancerMembership::On(const Heartbeat& aBeat, Time aNow)
+{
+  bool taken = TableOf(aBeat.mTable).OnHeartbeat(aBeat, aNow);
+  if (!taken || aBeat.mTable != MemberTableId::Hosts) {
+    return;
+  }
+  const Member& member = aBeat.mRecord.mMember;
+  if (member.mState == HostState::Leaving) {
+    mAgents.erase(member.mHost);
+    return;
+  }
+  mAgents[member.mHost] = { member.mControl, member.mService, aNow };
+  RepairAgent(aBeat, aNow);
+}
+
+/** Failure met: a change on its way to an agent is lost, and the agent goes on
+ * handing flows to a host that left. Each heartbeat carries the hash of what
+ * its agent holds; where it differs the whole service is sent again. */
+void BalancerMembership::RepairAgent(const Heartbeat& aBeat, Time aNow)
+{
+  const Member& member = aBeat.mRecord.mMember;
+  // A balancer that is starting does not hold the whole service yet.
+  if (!mStarted || mBudget.Available(aNow) == 0) {
+    return;
+  }
+  if (aBeat.mServiceDigest != mHosts.ServiceDigest(member.mService)) {
+    SendService(member.mControl, mHosts, member.mService, aNow);
+  }
+  if (aBeat.mBalancerDigest != mBalancers.ServiceDigest(BalancerService())) {
+    SendService(member.mControl, mBalancers, BalancerService(), aNow);
+  }
+}
+
+void BalancerMembership::SendService(const Address& aTo,
+                                     const MemberTable& aTable,
+                                     ServiceId aService, Time aNow)
+{
+  MemberDelta delta = aTable.ServiceDelta(aService, aNow);
+  mBudget.Take(BytesOf(delta));
+  Send(aTo, delta);
+}
+
+void BalancerMembership::On(const MemberDelta& aDelta, Time aNow)
+{
+  std::vector<MemberRecord> news = TableOf(aDelta.mTable).OnDelta(aDelta, aNow);
+  if (aDelta.mTree == kNoTree || news.empty()) {
+    return;
+  }
+  MemberDelta onward{ aDelta.mTable, aDelta.mVersion, aDelta.mTree, false,
+                      std::move(news) };
+  for (const Address& it : mTree.NextHops(aDelta.mTree)) {
+    mBudget.Take(BytesOf(onward));
+    Send(it, onward);
+  }
+}
+
+void BalancerMembership::On(const MemberDigest& aDigest, Time aNow)
+{
+  const Member* peer = FindBalancer(aDigest.mFrom);
+  if (peer == nullptr || mBudget.Available(aNow) == 0) {
+    return;
+  }
+  MemberTable& table = TableOf(aDigest.mTable);
+  for (auto& it : table.Differences(aDigest, mOptions.mRepairRanges)) {
+    it.mFrom = mSelf.mHost;
+    Send(peer->mControl, it);
+  }
+  if (!aDigest.mIsReply) {
+    MemberDigest reply = table.Digest();
+    reply.mFrom = mSelf.mHost;
+    reply.mIsReply = true;
+    mBudget.Take(kEnvelopeBytes + reply.mHashes.size() * sizeof(std::uint64_t));
+    Send(peer->mControl, reply);
+  }
+}
+
+void BalancerMembership::On(const MemberSnapshotRequest& aRequest, Time)
+{
+  if (mToServe.size() < kMaxToServe) {
+    mToServe.push_back(aRequest);
+  }
+}
+
+void BalancerMembership::On(const MemberSnapshot& aSnapshot, Time aNow)
+{
+  TableOf(aSnapshot.mTable).OnSnapshot(aSnapshot, aNow);
+  bool expected = !mStarted && aSnapshot.mTable == MemberTableId::Hosts &&
+                  aSnapshot.mFirst <= mCursor && aSnapshot.mLast >= mCursor;
+  if (!expected) {
+    return;
+  }
+  if (aSnapshot.mLast.mValue == UINT64_MAX) {
+    mStarted = true;
+    return;
+  }
+  mCursor = { aSnapshot.mLast.mValue + 1 };
+  mSeedsTried = 0;
+  AskForSnapshot(aNow);
+}
+
+void BalancerMembership::OnTick(Time aNow)
+{
+  mHosts.OnTick(aNow);
+  mBalancers.OnTick(aNow);
+  if (aNow - mBeatAt >= mOptions.mHeartbeatEvery) {
+    Beat(aNow);
+  }
+  UpdateBalancers(aNow);
+  if (!mStarted) {
+    Bootstrap(aNow);
+  }
+  if (aNow - mFlushAt >= mOptions.mFlushEvery) {
+    mFlushAt = aNow;
+    Flush(mHosts, aNow);
+    Flush(mBalancers, aNow);
+    TellAgents(aNow);
+  }
+  ServeSnapshots(aNow);
+  MemberViewPtr view = mBalancers.View(BalancerService());
+  if (aNow >= mDigestAt && view->mMembers.size() > 1) {
+    // A little jitter, so that balancers started together don't stay in step.
+    mDigestAt = aNow + mOptions.mDigestEvery +
+                mOptions.mDigestEvery / 8 * (mRandom() % 3);
+    const Member& peer = view->mMembers[mRandom() % view->mMembers.size()];
+    if (peer.mHost != mSelf.mHost) {
+      SendDigests(peer.mControl, false);
+    }
+  }
+}
+
+void BalancerMembership::SendDigests(const Address& aTo, bool aIsReply)
+{
+  for (MemberTable* it : { &mHosts, &mBalancers }) {
+    MemberDigest digest = it->Digest();
+    digest.mFrom = mSelf.mHost;
+    digest.mIsReply = aIsReply;
+    mBudget.Take(kEnvelopeBytes +
+                 digest.mHashes.size() * sizeof(std::uint64_t));
+    Send(aTo, digest);
+  }
+}
+
+void BalancerMembership::Beat(Time aNow)
+{
+  mBeatAt = aNow;
+  Heartbeat beat;
+  beat.mTable = MemberTableId::Balancers;
+  beat.mRecord.mMember = mSelf;
+  beat.mRecord.mBeat = ++mBeat;
+  beat.mRecord.mAge = std::chrono::hours(1);
+  beat.mVersion = mHosts.Version();
+  mBalancers.OnHeartbeat(beat, aNow);
+  MemberViewPtr view = mBalancers.View(BalancerService());
+  std::size_t n =
+    mOptions.mMonitors == 0 ? view->mMembers.size() : mOptions.mMonitors + 1;
+  std::vector<Address> to;
+  for (const Member& it :
+       ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers, n)) {
+    to.push_back(it.mControl);
+  }
+  // Seeds that are not members yet have to be met by their addresses.
+  for (const Address& it : mSeeds) {
+    bool known = std::ranges::count(view->mMembers, it, &Member::mControl) > 0;
+    if (!known) {
+      to.push_back(it);
+    }
+  }
+  for (const Address& it : to) {
+    if (it != mSelf.mControl) {
+      Send(it, beat);
+    }
+  }
+}
+
+void BalancerMembership::Leave(Time aNow)
+{
+  mSelf.mState = HostState::Leaving;
+  Beat(aNow);
+}
+
+void BalancerMembership::UpdateBalancers(Time aNow)
+{
+  if (mBalancers.TakeChangedServices().empty()) {
+    return;
+  }
+  MemberViewPtr view = mBalancers.View(BalancerService());
+  mTree.SetBalancers(mSelf.mHost, view->mMembers);
+  if (mOptions.mMonitors == 0) {
+    return;
+  }
+  auto monitors = [this, view](const Member& aMember) {
+    return IsMonitor(mSelf.mHost, aMember.mHost, aMember.mDataCentre,
+                     view->mMembers, mOptions.mMonitors);
+  };
+  mHosts.SetMonitored(monitors, aNow);
+  mBalancers.SetMonitored(monitors, aNow);
+}
+
+void BalancerMembership::Flush(MemberTable& aTable, Time aNow)
+{
+  std::size_t limit = mBudget.Available(aNow) / kRecordBytes;
+  std::map<std::uint8_t, MemberDelta> byTree;
+  for (const MemberRecord& it : aTable.TakeChanges(limit, aNow)) {
+    std::uint8_t tree = mTree.TreeOf(it.mMember.mHost);
+    MemberDelta& delta = byTree[tree];
+    delta.mTable =
+      &aTable == &mHosts ? MemberTableId::Hosts : MemberTableId::Balancers;
+    delta.mVersion = aTable.Version();
+    delta.mTree = tree;
+    delta.mRecords.push_back(it);
+  }
+  SendChanges(byTree);
+}
+
+void BalancerMembership::SendChanges(
+  std::map<std::uint8_t, MemberDelta>& aByTree)
+{
+  for (const auto& [tree, delta] : aByTree) {
+    for (const Address& it : mTree.FirstHops(tree)) {
+      mBudget.Take(BytesOf(delta));
+      Send(it, delta);
+    }
+  }
+}
+
+void BalancerMembership::TellAgents(Time aNow)
+{
+  std::map<ServiceId, MemberDelta> byService;
+  for (const MemberRecord& it : mHosts.TakeNews(aNow)) {
+    MemberDelta& delta = byService[it.mMember.mService];
+    delta.mVersion = mHosts.Version();
+    delta.mRecords.push_back(it);
+  }
+  MemberDelta balancers;
+  balancers.mTable = MemberTableId::Balancers;
+  balancers.mVersion = mBalancers.Version();
+  balancers.mRecords = mBalancers.TakeNews(aNow);
+  for (auto it = mAgents.begin(); it != mAgents.end();) {
+    const Agent& agent = it->second;
+    if (aNow - agent.mHeardAt > kAgentHeardFor) {
+      it = mAgents.erase(it);
+      continue;
+    }
+    auto news = byService.find(agent.mService);
+    if (news != byService.end()) {
+      Send(agent.mControl, news->second);
+    }
+    if (!balancers.mRecords.empty()) {
+      Send(agent.mControl, balancers);
+    }
+    ++it;
+  }
+}
+
+/** Answers within the budget. A balancer that is itself starting answers
+ * nobody, or two new ones would take each other's gaps for whole views. */
+void BalancerMembership::ServeSnapshots(Time aNow)
+{
+  while (!mToServe.empty() && mSnapshotBudget.Available(aNow) > 0) {
+    MemberSnapshotRequest request = mToServe.front();
+    mToServe.pop_front();
+    const Member* peer = FindBalancer(request.mFrom);
+    if (peer == nullptr || !mStarted) {
+      continue;
+    }
+    MemberSnapshot part =
+      TableOf(request.mTable).Snapshot(request, mOptions.mChunkRecords, aNow);
+    part.mFrom = mSelf.mHost;
+    mSnapshotBudget.Take(kEnvelopeBytes + part.mRecords.size() * kRecordBytes);
+    Send(peer->mControl, part);
+  }
+}
+
+void BalancerMembership::AskForSnapshot(Time aNow)
+{
+  mAskedAt = aNow;
+  if (mSeeds.empty()) {
+    return;
+  }
+  const Address& seed = mSeeds[mSeed % mSeeds.size()];
+  MemberSnapshotRequest request;
+  request.mFrom = mSelf.mHost;
+  request.mMaxRecords = mOptions.mChunkRecords;
+  request.mTable = MemberTableId::Balancers;
+  Send(seed, request);
+  request.mTable = MemberTableId::Hosts;
+  request.mFirst = mCursor;
+  Send(seed, request);
+}
+
+/** Failure met: a new balancer routes by a view of the few hosts that it has
+ * heard so far, and flows are placed anew. It is ready once a peer has given
+ * it all, going on with the next peer where one died half-way; or, where no
+ * peer answers, once heartbeats bring no new member. */
+void BalancerMembership::Bootstrap(Time aNow)
+{
+  if (mHosts.Size() != mKnown) {
+    mKnown = mHosts.Size();
+    mGrownAt = aNow;
+  }
+  bool asked = mSeedsTried > 0;
+  if (!asked || aNow - mAskedAt >= mOptions.mChunkTimeout) {
+    ++mSeedsTried;
+    mSeed += asked ? 1 : 0;
+    AskForSnapshot(aNow);
+  }
+  bool noPeer = mSeedsTried > mSeeds.size();
+  bool settled = aNow - mGrownAt >= mOptions.mSettleFor;
+  mStarted = mStarted || (noPeer && settled && mKnown > 0);
+}
+
+} // namespace heatherplank
--- a/src/membership/MemberRecord.cpp
+++ b/src/membership/MemberRecord.cpp
@@ -61,13 +61,12 @@
 std::uint64_t HashRecord(const MemberRecord& aRecord)
 {
   const Member& member = aRecord.mMember;
-  auto gone = static_cast<std::uint64_t>(aRecord.mVerdict == Verdict::Dead);
   std::array<std::uint64_t, 9> words{
     member.mHost.mValue,
     member.mService.mValue,
     member.mDataCentre.mValue,
     member.mIncarnation,
-    static_cast<std::uint64_t>(member.mState) * 2 + gone,
+    static_cast<std::uint64_t>(member.mState),
     std::uint64_t{ member.mSlots } << 16 | member.mWeight,
     aRecord.mRevision,
     HashAddressOf(member.mTunnel),
--- a/src/membership/MemberRecord.h
+++ b/src/membership/MemberRecord.h
@@ -56,8 +56,8 @@
  */
 bool MergeRecord(MemberRecord& aInto, const MemberRecord& aFrom);
 
-/** Hash of what a view shows of a record: content, and whether it is dead. Left
- * out are beat, age and suspicion, which differ between tables at rest. */
+/** Hash of what a view shows of a record. Left out are beat, age and suspicion,
+ * which differ between tables at rest. */
 std::uint64_t HashRecord(const MemberRecord& aRecord);
 
 struct Heartbeat
@@ -81,6 +81,8 @@
   MemberTableId mTable = MemberTableId::Hosts;
   std::uint64_t mVersion = 0;
   std::uint8_t mTree = kNoTree;
+  /** The records are all that the sender holds of their service. */
+  bool mIsComplete = false;
   std::vector<MemberRecord> mRecords;
 };
 
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -91,7 +91,38 @@
 
 void MemberTable::OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow)
 {
-  MergeAll(aSnapshot.mRecords, aSnapshot.mVersion, aNow);
+  std::vector<MemberRecord> known = aSnapshot.mRecords;
+  std::erase_if(known, [this](const MemberRecord& aRecord) {
+    bool gone = aRecord.mVerdict == Verdict::Dead ||
+                aRecord.mMember.mState == HostState::Leaving;
+    return gone && Find(aRecord.mMember.mHost) == nullptr;
+  });
+  MergeAll(known, aSnapshot.mVersion, aNow);
+}
+
+void MemberTable::OnServiceDelta(ServiceId aService, const MemberDelta& aDelta,
+                                 Duration aSilent, Time aNow)
+{
+  OnDelta(aDelta, aNow);
+  auto state = mServices.find(aService);
+  if (state == mServices.end()) {
+    return;
+  }
+  std::vector<MemberEntry*> unconfirmed;
+  std::set<HostId> listed;
+  for (const MemberRecord& it : aDelta.mRecords) {
+    listed.insert(it.mMember.mHost);
+  }
+  for (const auto& [host, entry] : state->second.mEntries) {
+    bool silent = aNow - entry->mHeardAt >= aSilent;
+    if (!listed.contains(host) && !entry->IsGone() && silent) {
+      unconfirmed.push_back(entry);
+    }
+  }
+  for (MemberEntry* it : unconfirmed) {
+    Erase(*it);
+  }
+  CloseEvent(aDelta.mVersion);
 }
 
 std::vector<MemberRecord> MemberTable::MergeAll(
@@ -253,7 +284,9 @@
     if (watched && !mIsMonitor(entry.mRecord.mMember)) {
       Unwatch(entry);
     } else if (!watched && !entry.IsGone()) {
-      Watch(entry, aNow);
+      // Members heard meanwhile queue behind these and are judged a little
+      // late, which is harmless while the balancers themselves change.
+      Watch(entry, aNow + mOptions.mNewlyJudgedGrace);
     }
   }
 }
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -60,6 +60,9 @@
   Duration mSuspectAfter = std::chrono::milliseconds(1500);
   /** How long a suspicion stands open to refutation before death. */
   Duration mRefuteWithin = std::chrono::milliseconds(1500);
+  /** Silence that is forgiven to members that this table begins to judge, since
+   * they have yet to learn that they must beat to it. */
+  Duration mNewlyJudgedGrace = std::chrono::seconds(3);
   /** Greatest share of members that may be silent or freshly dead at once. */
   double mDeadShare = 0.5;
   /** A death counts against the cap for this long. */
@@ -113,7 +116,13 @@
    * tree passes on. A suspicion that newer evidence here meets is refuted by
    * what is to be spread (TakeChanges). */
   std::vector<MemberRecord> OnDelta(const MemberDelta& aDelta, Time aNow);
+  /** As OnDelta, but hosts unknown here that are gone there stay unknown:
+   * repair must not hand tombstones round for ever. */
   void OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow);
+  /** Takes a complete ServiceDelta; members of its service that it lacks, and
+   * that nothing was heard of for aSilent, are dropped. */
+  void OnServiceDelta(ServiceId aService, const MemberDelta& aDelta,
+                      Duration aSilent, Time aNow);
 
   /** Judges silence, moves slow starts on and forgets tombstones. Call it a
    * few times a second; cost is by what is due, not by members. */
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -15,6 +15,13 @@
 /** Records a message unless the request says otherwise. */
 constexpr std::size_t kDefaultRecords = 512;
 
+/** Tombstones count for nothing: each table forgets them at a time of its own,
+ * and repair would hand them round for ever. */
+std::uint64_t HashInView(const MemberEntry& aEntry)
+{
+  return aEntry.IsGone() ? 0 : HashRecord(aEntry.mRecord);
+}
+
 std::size_t RangeOf(HostId aHost, std::size_t aRanges)
 {
   int bits = std::countr_zero(aRanges);
@@ -38,7 +45,7 @@
 {
   std::vector<std::uint64_t> hashes(aRanges, 0);
   for (const auto& [host, entry] : aEntries) {
-    hashes[RangeOf(host, aRanges)] += HashRecord(entry.mRecord);
+    hashes[RangeOf(host, aRanges)] += HashInView(entry);
   }
   return hashes;
 }
@@ -201,7 +208,7 @@
 
 MemberDelta MemberTable::ServiceDelta(ServiceId aService, Time aNow) const
 {
-  MemberDelta out{ mId, mVersion, kNoTree, {} };
+  MemberDelta out{ mId, mVersion, kNoTree, true, {} };
   auto it = mServices.find(aService);
   if (it == mServices.end()) {
     return out;
@@ -220,7 +227,7 @@
     return sum;
   }
   for (const auto& [host, entry] : it->second.mEntries) {
-    sum += HashRecord(entry->mRecord);
+    sum += HashInView(*entry);
   }
   return sum;
 }
--- a/src/membership/Monitors.cpp
+++ b/src/membership/Monitors.cpp
@@ -11,9 +11,10 @@
   return MixHash(aHost.mValue, aBalancer.mHost.mValue);
 }
 
-bool IsNear(const Member& aBalancer, DataCentreId aDataCentre)
+/** A balancer is a host to the others, and can't judge its own silence. */
+bool IsNear(const Member& aBalancer, HostId aHost, DataCentreId aDataCentre)
 {
-  return aBalancer.mDataCentre == aDataCentre;
+  return aBalancer.mDataCentre == aDataCentre && aBalancer.mHost != aHost;
 }
 
 } // namespace
@@ -24,12 +25,14 @@
 {
   std::vector<Member> out;
   for (const Member& it : aBalancers) {
-    if (IsNear(it, aDataCentre)) {
+    if (IsNear(it, aHost, aDataCentre)) {
       out.push_back(it);
     }
   }
   if (out.empty()) {
     out.assign(aBalancers.begin(), aBalancers.end());
+    std::erase_if(out,
+                  [aHost](const Member& aIt) { return aIt.mHost == aHost; });
   }
   std::ranges::sort(out, [aHost](const Member& aLeft, const Member& aRight) {
     return ScoreOf(aHost, aLeft) > ScoreOf(aHost, aRight);
@@ -42,17 +45,19 @@
                std::span<const Member> aBalancers, std::size_t aCount)
 {
   auto self = std::ranges::find(aBalancers, aSelf, &Member::mHost);
-  if (self == aBalancers.end()) {
+  if (self == aBalancers.end() || aSelf == aHost) {
     return false;
   }
-  bool anyNear = std::ranges::any_of(
-    aBalancers, [&](const Member& aIt) { return IsNear(aIt, aDataCentre); });
-  if (anyNear && !IsNear(*self, aDataCentre)) {
+  bool anyNear = std::ranges::any_of(aBalancers, [&](const Member& aIt) {
+    return IsNear(aIt, aHost, aDataCentre);
+  });
+  if (anyNear && !IsNear(*self, aHost, aDataCentre)) {
     return false;
   }
   std::uint64_t mine = ScoreOf(aHost, *self);
   auto better = std::ranges::count_if(aBalancers, [&](const Member& aIt) {
-    bool counts = !anyNear || IsNear(aIt, aDataCentre);
+    bool counts =
+      anyNear ? IsNear(aIt, aHost, aDataCentre) : aIt.mHost != aHost;
     return counts && ScoreOf(aHost, aIt) > mine;
   });
   return static_cast<std::size_t>(better) < aCount;
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -141,7 +141,8 @@
   return FinishPayload(
     builder,
     wire::CreateMemberDelta(builder, static_cast<std::uint8_t>(aMessage.mTable),
-                            aMessage.mVersion, aMessage.mTree, records));
+                            aMessage.mVersion, aMessage.mTree,
+                            aMessage.mIsComplete, records));
 }
 
 Bytes EncodePayload(const MemberDigest& aMessage)
@@ -202,6 +203,7 @@
   out.mTable = static_cast<MemberTableId>(from.table_id());
   out.mVersion = from.version();
   out.mTree = from.tree();
+  out.mIsComplete = from.is_complete();
   if (!IsPossibleTable(from.table_id()) ||
       !TakeRecords(*from.records(), out.mRecords)) {
     return MalformedMessage("member delta");
--- a/src/wire/membership_generated.h
+++ b/src/wire/membership_generated.h
@@ -241,7 +241,8 @@
     VT_TABLE_ID = 4,
     VT_VERSION = 6,
     VT_TREE = 8,
-    VT_RECORDS = 10
+    VT_IS_COMPLETE = 10,
+    VT_RECORDS = 12
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
@@ -252,6 +253,9 @@
   uint8_t tree() const {
     return GetField<uint8_t>(VT_TREE, 255);
   }
+  bool is_complete() const {
+    return GetField<uint8_t>(VT_IS_COMPLETE, 0) != 0;
+  }
   const flatbuffers::Vector<const heatherplank::wire::MemberRecord *> *records() const {
     return GetPointer<const flatbuffers::Vector<const heatherplank::wire::MemberRecord *> *>(VT_RECORDS);
   }
@@ -260,6 +264,7 @@
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_TREE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_COMPLETE, 1) &&
            VerifyOffsetRequired(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.EndTable();
@@ -279,6 +284,9 @@
   void add_tree(uint8_t tree) {
     fbb_.AddElement<uint8_t>(MemberDelta::VT_TREE, tree, 255);
   }
+  void add_is_complete(bool is_complete) {
+    fbb_.AddElement<uint8_t>(MemberDelta::VT_IS_COMPLETE, static_cast<uint8_t>(is_complete), 0);
+  }
   void add_records(flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records) {
     fbb_.AddOffset(MemberDelta::VT_RECORDS, records);
   }
@@ -299,10 +307,12 @@
     uint8_t table_id = 0,
     uint64_t version = 0,
     uint8_t tree = 255,
+    bool is_complete = false,
     flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records = 0) {
   MemberDeltaBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_records(records);
+  builder_.add_is_complete(is_complete);
   builder_.add_tree(tree);
   builder_.add_table_id(table_id);
   return builder_.Finish();
@@ -313,6 +323,7 @@
     uint8_t table_id = 0,
     uint64_t version = 0,
     uint8_t tree = 255,
+    bool is_complete = false,
     const std::vector<heatherplank::wire::MemberRecord> *records = nullptr) {
   auto records__ = records ? _fbb.CreateVectorOfStructs<heatherplank::wire::MemberRecord>(*records) : 0;
   return heatherplank::wire::CreateMemberDelta(
@@ -320,6 +331,7 @@
       table_id,
       version,
       tree,
+      is_complete,
       records__);
 }
 
--- a/tests/MembershipCodecTest.cpp
+++ b/tests/MembershipCodecTest.cpp
@@ -55,7 +55,7 @@
   Heartbeat gotBeat = DecodeHeartbeat(EncodePayload(beat)).value();
   CHECK_TRUE(gotBeat.mRecord == beat.mRecord);
   CHECK_EQUAL(3, gotBeat.mBalancerDigest);
-  MemberDelta delta{ MemberTableId::Hosts, 9, 4, { MakeRecord() } };
+  MemberDelta delta{ MemberTableId::Hosts, 9, 4, true, { MakeRecord() } };
   MemberDelta gotDelta = DecodeMemberDelta(EncodePayload(delta)).value();
   CHECK_TRUE(gotDelta.mRecords == delta.mRecords);
   CHECK_EQUAL(4, gotDelta.mTree);
@@ -104,8 +104,8 @@
   MemberSnapshotRequest asked{ hosts, { 1 }, { 1 }, { 9 }, 5 };
   MemberSnapshot part{ hosts, { 1 }, 1, { 1 }, { 9 }, three };
   CHECK_TRUE(Damage(EncodePayload(beat), heartbeat) > 1000);
-  CHECK_TRUE(Damage(EncodePayload(MemberDelta{ hosts, 1, 2, three }), delta) >
-             1000);
+  CHECK_TRUE(Damage(EncodePayload(MemberDelta{ hosts, 1, 2, true, three }),
+                    delta) > 1000);
   CHECK_TRUE(Damage(EncodePayload(digests), digest) > 1000);
   CHECK_TRUE(Damage(EncodePayload(asked), request) > 1000);
   CHECK_TRUE(Damage(EncodePayload(part), snapshot) > 1000);
