--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -59,6 +60,9 @@
   Duration mSuspectAfter = std::chrono::milliseconds(1500);
   /** How long a suspicion stands open to refutation before death. */
   Duration mRefuteWithin = std::chrono::milliseconds(1500);
+  /** Silence that is forgiven to members that this table begins to judge, since
+   * they have yet to learn that they must beat to it. */
+  Duration mNewlyJudgedGrace = std::chrono::seconds(3);
   /** Greatest share of members that may be silent or freshly dead at once. */
   double mDeadShare = 0.5;
   /** A death counts against the cap for this long. */
@@ -76,22 +80,17 @@
   std::size_t mTombstoneLimit = 8192;
 };
 
-/** A member as a view shows it. */
-struct ViewMember
-{
-  Member mMember;
-  /** The member's weight, reduced while it starts slowly; never 0. */
-  std::uint16_t mWeight = 0;
-  bool mSuspect = false;
-};
-
-/** The members of a service, ordered by host id. Immutable. */
+/** The members of a service in view. Immutable. */
 struct MemberView
 {
   /** Orders views without agreement: a Lamport clock. A view made with the
    * knowledge of another has no lower version; two made apart may tie. */
   std::uint64_t mVersion = 0;
-  std::vector<ViewMember> mMembers;
+  /** Ordered by host id; the weight is reduced while a host starts slowly, and
+   * never 0. */
+  std::vector<Member> mMembers;
+  /** Those of them that were not heard for a while. */
+  std::vector<HostId> mSuspects;
 };
 
 using MemberViewPtr = std::shared_ptr<const MemberView>;
@@ -117,7 +116,13 @@
    * tree passes on. A suspicion that newer evidence here meets is refuted by
    * what is to be spread (TakeChanges). */
   std::vector<MemberRecord> OnDelta(const MemberDelta& aDelta, Time aNow);
+  /** As OnDelta, but hosts unknown here that are gone there stay unknown:
+   * repair must not hand tombstones round for ever. */
   void OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow);
+  /** Takes a complete ServiceDelta; members of its service that it lacks, and
+   * that nothing was heard of for aSilent, are dropped. */
+  void OnServiceDelta(ServiceId aService, const MemberDelta& aDelta,
+                      Duration aSilent, Time aNow);
 
   /** Judges silence, moves slow starts on and forgets tombstones. Call it a
    * few times a second; cost is by what is due, not by members. */
@@ -126,7 +131,8 @@
   /** Names whose silence this table judges; all by default. A balancer that
    * is not among a host's monitors hears nothing from it and must not. Call
    * again when the balancers changed. */
-  void SetMonitored(const std::function<bool(HostId)>& aIsMonitor, Time aNow);
+  void SetMonitored(const std::function<bool(const Member&)>& aIsMonitor,
+                    Time aNow);
 
   /** Applies the inventory again after it changed: drops refused members. */
   void Recheck(Time aNow);
@@ -140,6 +146,10 @@
    * each host once with its latest record. */
   std::vector<MemberRecord> TakeChanges(std::size_t aLimit, Time aNow);
 
+  /** The records that changed in the view since the last call, from whatever
+   * source: what the agents that this balancer monitors are told. */
+  std::vector<MemberRecord> TakeNews(Time aNow);
+
   /** Hashes of equal ranges of host ids, about 16 members each. */
   MemberDigest Digest() const;
   /** The ranges in which a peer's digest differs, neighbours joined, at most
@@ -211,7 +221,7 @@
   const MemberTableOptions mOptions;
   std::uint64_t mVersion = 0;
   bool mIsolated = false;
-  std::function<bool(HostId)> mIsMonitor;
+  std::function<bool(const Member&)> mIsMonitor;
   std::array<std::uint64_t, static_cast<std::size_t>(MemberEvent::Last) + 1>
     mCounts{};
   std::map<HostId, MemberEntry> mEntries;
@@ -220,6 +230,8 @@
    * TakeChangedServices. */
   std::vector<ServiceId> mTouched;
   std::vector<ServiceId> mChangedServices;
+  /** Hosts changed since the last TakeNews. */
+  std::set<HostId> mNews;
   /** Watched members by the time they were heard, and those overdue. */
   SilenceList mHeard;
   SilenceList mSilent;
