--- /dev/null
+++ b/src/agent/Agent.cpp
@@ -0,0 +1,435 @@
+#include "src/agent/Agent.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <random>
+#include <utility>
+
+#include "src/agent/FlowFront.h"
+#include "src/agent/MemberFeed.h"
+#include "src/agent/PeerLoads.h"
+#include "src/agent/RequestPipeline.h"
+#include "src/agent/RunOnceRecorder.h"
+#include "src/agent/SlowStarts.h"
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+#include "src/net/ControlClient.h"
+#include "src/net/ControlServer.h"
+#include "src/net/CutList.h"
+#include "src/net/DatagramSocket.h"
+#include "src/platform/HttpObjectStore.h"
+#include "src/process/AdminServer.h"
+#include "src/process/ConfigPlane.h"
+#include "src/process/ProcessRuntime.h"
+#include "src/wire/LoadCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr auto kOwnershipTick = std::chrono::milliseconds(25);
+constexpr auto kPipelineTick = std::chrono::milliseconds(5);
+constexpr auto kConfigTick = std::chrono::milliseconds(100);
+/** Five figures a second keep a choice among loads well within the second that
+ * picks count for at most. */
+constexpr auto kLoadPeriod = std::chrono::milliseconds(200);
+/** Most hosts that load is told in a turn: at 96 bytes a datagram that is
+ * 7.7 KB a second, whatever the size of the service. */
+constexpr std::size_t kLoadFanOut = 16;
+/** Connections to the backend server beyond its slots, for what was given up
+ * and is still closing. */
+constexpr std::size_t kSpareConnections = 2;
+
+Incarnation WallClockMicroseconds()
+{
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(duration_cast<microseconds>(now).count());
+}
+
+Member MakeSelf(const AgentSettings& aSettings)
+{
+  Member self;
+  self.mHost = MakeHostId(aSettings.mName);
+  self.mService = MakeServiceId(aSettings.mService);
+  self.mDataCentre = MakeDataCentreId(aSettings.mDataCentre);
+  self.mIncarnation = WallClockMicroseconds();
+  self.mSlots = aSettings.mSlots;
+  self.mWeight = aSettings.mWeight;
+  self.mTunnel = aSettings.mTunnel;
+  self.mControl = aSettings.mControl;
+  return self;
+}
+
+} // namespace
+
+struct Agent::Impl
+{
+  Impl(const AgentSettings& aSettings)
+    : mSettings(aSettings)
+    , mSelf(MakeSelf(aSettings))
+    , mMalformed(
+        mMetrics.GetCounter("packets_refused_total", "reason=\"malformed\""))
+    , mMembers(mClock, mMetrics, mSelf,
+               [this](const ServiceViewPtr& aView, Time aConfirmedAt) {
+                 OnView(aView, aConfirmedAt);
+               })
+    , mAdmin(mMetrics, [this] { return Ready(); })
+    , mRandom(mSelf.mIncarnation)
+  {
+  }
+
+  const AgentSettings mSettings;
+  SteadyClock mClock;
+  MetricsRegistry mMetrics;
+  CutList mCuts;
+  ProcessRuntime mRuntime;
+  const Member mSelf;
+  Counter& mMalformed;
+  MemberFeed mMembers;
+  PeerLoads mLoads;
+  SlowStarts mSlowStarts;
+  AdminServer mAdmin;
+  std::mt19937_64 mRandom;
+  std::shared_ptr<DatagramSocket> mTunnel;
+  std::shared_ptr<ControlServer> mControl;
+  std::unique_ptr<ConfigPlane> mConfig;
+  std::shared_ptr<ObjectStore> mStore;
+  std::unique_ptr<BackendClient> mBackend;
+  std::unique_ptr<RunOnceRecorder> mGrants;
+  std::unique_ptr<FlowFront> mFront;
+  std::unique_ptr<RequestPipeline> mPipeline;
+  std::vector<std::shared_ptr<ControlClient>> mBalancers;
+  std::mutex mLinksLock;
+  /** Control connections to other agents, made when first needed. */
+  std::map<Address, std::shared_ptr<ControlClient>> mLinks;
+  std::mutex mViewLock;
+  ServiceViewPtr mView;
+  std::atomic<std::uint64_t> mLoadSequence{ 0 };
+  std::atomic<bool> mStopping{ false };
+  Time mStopBegan{};
+  Time mLeavingSince{};
+
+  Result<void> Ready()
+  {
+    if (mStopping) {
+      return Fail(ErrorKind::Unavailable, "stopping", "use another host");
+    }
+    if (!mConfig->Current()) {
+      return Fail(ErrorKind::Unavailable, "no configuration yet",
+                  "apply one, or look at the platform and the balancers");
+    }
+    if (!mMembers.IsInView()) {
+      return Fail(ErrorKind::Unavailable, "no balancer has taken this host in",
+                  "check the inventory and the balancers' addresses");
+    }
+    return {};
+  }
+
+  Result<void> Open(bool aFaultInjection)
+  {
+    auto executor = mRuntime.Executor();
+    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+    if (!tunnel) {
+      return tl::unexpected(tunnel.error());
+    }
+    mTunnel = *tunnel;
+    ControlConnection::Events events;
+    events.mFrame = [this](const auto&, const Frame& aFrame) {
+      OnAgentFrame(aFrame);
+    };
+    auto control =
+      ControlServer::Make(executor, mSettings.mControl, std::move(events));
+    if (!control) {
+      return tl::unexpected(control.error());
+    }
+    mControl = *control;
+    if (aFaultInjection) {
+      mAdmin.MountFaults(mCuts);
+    }
+    return mAdmin.Start(executor, mSettings.mAdmin);
+  }
+
+  void Start()
+  {
+    MakeParts();
+    for (const auto& it : mSettings.mBalancers) {
+      mBalancers.push_back(MakeBalancer(it));
+    }
+    mMembers.SetBalancers(mBalancers);
+    mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
+      OnDatagram(aDatagram, aFrom);
+    });
+    StartTimers();
+    mRuntime.OnStop([this] { BeginStop(); });
+    LogEvent(LogLevel::Info, "started",
+             { { "service", mSettings.mService },
+               { "incarnation", mSelf.mIncarnation },
+               { "tunnel", mSettings.mTunnel.ToString() },
+               { "admin", mSettings.mAdmin.ToString() } });
+  }
+
+  void MakeParts()
+  {
+    mBackend =
+      std::make_unique<BackendClient>(mRuntime.Executor(), mSettings.mBackend,
+                                      mSettings.mSlots + kSpareConnections);
+    FlowFront::Options options;
+    options.mSelf = mSelf;
+    options.mServiceName = mSettings.mService;
+    options.mMaxFlows = mSettings.mMaxFlows;
+    options.mMaxAnswerBytes = mSettings.mMaxAnswerBytes;
+    mFront = std::make_unique<FlowFront>(
+      FlowFront::Parts{ mClock, mMetrics, *mTunnel,
+                        [this](const Member& aMember, Time aNow) {
+                          return Observe(aMember, aNow);
+                        },
+                        [this](const Address& aTo, const Bytes& aPayload) {
+                          SendByControl(aTo, aPayload);
+                        } },
+      options);
+    mStore = std::make_shared<HttpObjectStore>(
+      mRuntime.Executor(), mSettings.mPlatform, HttpObjectStore::Options{});
+    RunOnceOptions recording;
+    recording.mPrefix = "grants/" + mSettings.mService;
+    mGrants = std::make_unique<RunOnceRecorder>(
+      RunOnceRecorder::Parts{ mClock, mMetrics, mStore, *mTunnel,
+                              [this] { return View(); } },
+      mSelf, recording);
+    mPipeline = std::make_unique<RequestPipeline>(
+      RequestPipeline::Parts{ mClock, mMetrics, *mBackend, *mGrants, *mFront },
+      mSettings.mName, mSettings.mSlots);
+    mFront->SetPipeline(*mPipeline);
+    mConfig = std::make_unique<ConfigPlane>(
+      mRuntime.Executor(), mSettings, mClock, mMetrics,
+      [this](const ConfigurationPtr& aConfiguration) {
+        OnConfiguration(*aConfiguration);
+      });
+  }
+
+  void StartTimers()
+  {
+    mRuntime.Every(MemberFeed::kHeartbeatPeriod, [this] { mMembers.Beat(); });
+    mRuntime.Every(kOwnershipTick, [this] {
+      mFront->Tick();
+      AdvanceStop();
+    });
+    mRuntime.Every(kPipelineTick, [this] {
+      mPipeline->Tick();
+      mGrants->Tick();
+    });
+    mRuntime.Every(kConfigTick, [this] { mConfig->Tick(); });
+    mRuntime.Every(kLoadPeriod, [this] { TellLoad(); });
+  }
+
+  std::shared_ptr<ControlClient> MakeBalancer(const Address& aAddress)
+  {
+    ControlClient::Events events;
+    events.mConnected = [this](const auto&) { mMembers.Beat(); };
+    events.mFrame = [this](const auto& aConnection, const Frame& aFrame) {
+      if (!mMembers.OnFrame(aFrame)) {
+        mConfig->OnFrame(aConnection, aFrame);
+      }
+    };
+    return ControlClient::Make(mRuntime.Executor(), aAddress, &mCuts,
+                               std::move(events));
+  }
+
+  void OnConfiguration(const Configuration& aConfiguration)
+  {
+    const Service* service = aConfiguration.Find(mSelf.mService);
+    if (service == nullptr) {
+      LogEvent(LogLevel::Warning, "service_unknown",
+               { { "service", mSettings.mService },
+                 { "version", aConfiguration.mVersion } });
+      return;
+    }
+    mFront->SetService(*service, aConfiguration.mPolicy.mName);
+    mPipeline->SetService(*service);
+    if (mMembers.State() == HostState::Cold) {
+      mMembers.SetState(HostState::Serving);
+    }
+    const auto& drained = aConfiguration.mDrainedHosts;
+    if (std::find(drained.begin(), drained.end(), mSettings.mName) !=
+        drained.end()) {
+      Drain();
+    }
+  }
+
+  void OnView(const ServiceViewPtr& aView, Time aConfirmedAt)
+  {
+    mSlowStarts.OnView(*aView, mClock.Now());
+    {
+      std::lock_guard lock(mViewLock);
+      mView = aView;
+    }
+    if (mFront) {
+      mFront->OnView(aView, aConfirmedAt);
+    }
+  }
+
+  ServiceViewPtr View()
+  {
+    std::lock_guard lock(mViewLock);
+    return mView;
+  }
+
+  Candidate Observe(const Member& aMember, Time aNow)
+  {
+    Candidate candidate;
+    candidate.mHost = aMember.mHost;
+    candidate.mLoad = aMember.mHost == mSelf.mHost
+                        ? mPipeline->Load()
+                        : mLoads.Find(aMember.mHost, aNow);
+    candidate.mWeight = mSlowStarts.Share(aMember.mHost, aNow);
+    return candidate;
+  }
+
+  void OnDatagram(ByteView aDatagram, const Address& aFrom)
+  {
+    auto frame = DecodeDatagram(aDatagram);
+    if (!frame) {
+      mMalformed.Add();
+      return;
+    }
+    if (frame->mKind == MessageKind::Load) {
+      auto load = DecodeLoad(frame->mPayload);
+      if (load) {
+        mLoads.OnLoad(*load, mClock.Now());
+      } else {
+        mMalformed.Add();
+      }
+      return;
+    }
+    if (!mFront->OnDatagram(*frame) && !mGrants->OnDatagram(*frame, aFrom)) {
+      mMalformed.Add();
+    }
+  }
+
+  void OnAgentFrame(const Frame& aFrame)
+  {
+    if (aFrame.mKind == MessageKind::HandOff) {
+      mFront->OnHandOffFrame(aFrame.mPayload);
+      return;
+    }
+    mMetrics.GetCounter("messages_refused_total", "reason=\"unknown_kind\"")
+      .Add();
+  }
+
+  void SendByControl(const Address& aTo, const Bytes& aPayload)
+  {
+    std::shared_ptr<ControlClient> link;
+    {
+      std::lock_guard lock(mLinksLock);
+      auto& slot = mLinks[aTo];
+      if (!slot) {
+        slot = ControlClient::Make(mRuntime.Executor(), aTo, &mCuts, {});
+      }
+      link = slot;
+    }
+    // The first attempt may find the connection still opening; ownership
+    // sends the hand-off again until it is answered.
+    link->Send(MessageKind::HandOff, aPayload);
+  }
+
+  void TellLoad()
+  {
+    ServiceViewPtr view = View();
+    if (!view) {
+      return;
+    }
+    LoadMessage message;
+    message.mHost = mSelf.mHost;
+    message.mIncarnation = mSelf.mIncarnation;
+    message.mSequence = ++mLoadSequence;
+    message.mLoad = mPipeline->Load();
+    Bytes datagram = EncodeLoad(message);
+    std::vector<Member> others;
+    std::vector<Candidate> peers;
+    Time now = mClock.Now();
+    for (const auto& it : view->Members()) {
+      if (it.mHost != mSelf.mHost && CanAdopt(it)) {
+        others.push_back(it);
+        peers.push_back(Observe(it, now));
+      }
+    }
+    std::shuffle(others.begin(), others.end(), mRandom);
+    others.resize(std::min(others.size(), kLoadFanOut));
+    for (const auto& it : others) {
+      mTunnel->Send(datagram, it.mTunnel);
+    }
+    mLoads.Retain(view->Members());
+    mPipeline->SetPeers(peers);
+  }
+
+  /** Takes no new flow from now on, and hands over those it has. */
+  void Drain()
+  {
+    mMembers.SetState(HostState::Draining);
+    mFront->Drain();
+    mPipeline->Drain();
+  }
+
+  void BeginStop()
+  {
+    mStopBegan = mClock.Now();
+    Drain();
+    mStopping = true;
+  }
+
+  /** A planned stop: first nothing may be left here, then this host forwards
+   * for as long as others may still send packets to it. */
+  void AdvanceStop()
+  {
+    if (!mStopping) {
+      return;
+    }
+    Time now = mClock.Now();
+    bool empty = mFront->FlowCount() == 0 && mPipeline->Active() == 0;
+    bool late =
+      now - mStopBegan >= std::chrono::milliseconds(mSettings.mDrainTimeoutMs);
+    if (mLeavingSince == Time{}) {
+      if (empty || late) {
+        LogEvent(LogLevel::Info, "drained",
+                 { { "flows_left", mFront->FlowCount() },
+                   { "requests_left", mPipeline->Active() } });
+        mLeavingSince = now;
+        mMembers.SetState(HostState::Leaving);
+      }
+      return;
+    }
+    if (now - mLeavingSince >= OwnershipOptions{}.mSettle) {
+      LogEvent(LogLevel::Info, "stopped", {});
+      mRuntime.Quit();
+    }
+  }
+};
+
+Agent::Agent(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Agent::~Agent() = default;
+
+Result<std::unique_ptr<Agent>> Agent::Make(const AgentSettings& aSettings,
+                                           bool aFaultInjection)
+{
+  auto impl = std::make_unique<Impl>(aSettings);
+  auto opened = impl->Open(aFaultInjection);
+  if (!opened) {
+    return tl::unexpected(opened.error());
+  }
+  return std::unique_ptr<Agent>(new Agent(std::move(impl)));
+}
+
+void Agent::Run()
+{
+  mImpl->Start();
+  mImpl->mRuntime.Run(mImpl->mSettings.mThreads);
+}
+
+} // namespace heatherplank
--- a/src/agent/AnswerStore.cpp
+++ b/src/agent/AnswerStore.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/caller/AnswerCodec.h"
 #include "src/wire/WireAddress.h"
-#include "src/wire/answers_generated.h"
 
 namespace heatherplank {
 
@@ -13,41 +13,6 @@
 /** Maps, list and header fields around an entry's strings, roughly. */
 constexpr std::size_t kEntryOverhead = 400;
 
-std::string Text(const flatbuffers::String* aText)
-{
-  return aText == nullptr ? std::string() : aText->str();
-}
-
-Answer FromWire(const wire::KeptAnswer& aFrom)
-{
-  Answer answer;
-  answer.mStatus = aFrom.status();
-  answer.mOutcome = static_cast<Outcome>(aFrom.outcome());
-  answer.mReason = Text(aFrom.reason());
-  answer.mRetryAfter = std::chrono::nanoseconds(aFrom.retry_after_ns());
-  answer.mContentType = Text(aFrom.content_type());
-  answer.mBody = Text(aFrom.body());
-  answer.mServedBy = Text(aFrom.served_by());
-  answer.mService = Text(aFrom.service());
-  return answer;
-}
-
-flatbuffers::Offset<wire::KeptAnswer> ToWire(
-  flatbuffers::FlatBufferBuilder& aBuilder, const std::string& aRequestId,
-  const Answer& aAnswer)
-{
-  auto retryAfter = std::chrono::nanoseconds(aAnswer.mRetryAfter).count();
-  return wire::CreateKeptAnswer(aBuilder, aBuilder.CreateString(aRequestId),
-                                static_cast<std::uint16_t>(aAnswer.mStatus),
-                                static_cast<std::uint8_t>(aAnswer.mOutcome),
-                                aBuilder.CreateString(aAnswer.mReason),
-                                retryAfter,
-                                aBuilder.CreateString(aAnswer.mContentType),
-                                aBuilder.CreateString(aAnswer.mBody),
-                                aBuilder.CreateString(aAnswer.mServedBy),
-                                aBuilder.CreateString(aAnswer.mService));
-}
-
 } // namespace
 
 AnswerStore::AnswerStore(std::size_t aMaxBytes)
@@ -100,6 +65,24 @@
   MakeRoom();
 }
 
+void AnswerStore::Release(const FlowKey& aFlow, const std::string& aRequestId)
+{
+  auto flow = mFlows.find(aFlow);
+  if (flow == mFlows.end()) {
+    return;
+  }
+  auto it = flow->second.mById.find(aRequestId);
+  if (it == flow->second.mById.end() || it->second->mAnswer) {
+    return;
+  }
+  mBytes -= Size(*it->second);
+  --flow->second.mInProgress;
+  flow->second.mById.erase(it);
+  if (flow->second.mById.empty()) {
+    mFlows.erase(flow);
+  }
+}
+
 const Answer* AnswerStore::Find(const FlowKey& aFlow,
                                 const std::string& aRequestId) const
 {
@@ -151,10 +134,11 @@
     return {};
   }
   for (const auto* it : *answers) {
-    if (it->outcome() > static_cast<std::uint8_t>(Outcome::Unknown)) {
-      return MalformedMessage("outcome of a kept answer");
+    auto answer = FromWire(*it);
+    if (!answer) {
+      return tl::unexpected(answer.error());
     }
-    Finish(aFlow, it->request_id()->str(), FromWire(*it), aNow);
+    Finish(aFlow, it->request_id()->str(), std::move(*answer), aNow);
   }
   return {};
 }
--- a/src/agent/AnswerStore.h
+++ b/src/agent/AnswerStore.h
@@ -11,7 +11,7 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
-#include "src/agent/Answer.h"
+#include "src/caller/Answer.h"
 #include "src/wire/Frame.h"
 
 namespace heatherplank {
@@ -50,6 +50,9 @@
   void Finish(const FlowKey& aFlow, const std::string& aRequestId,
               Answer aAnswer, Time aNow);
 
+  /** Forgets a request in progress that another host runs now. */
+  void Release(const FlowKey& aFlow, const std::string& aRequestId);
+
   /** The kept answer of a request, or null; valid until the next call that
    * changes the store. */
   const Answer* Find(const FlowKey& aFlow, const std::string& aRequestId) const;
--- a/src/agent/BackendClient.h
+++ b/src/agent/BackendClient.h
@@ -8,8 +8,8 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
-#include "src/agent/Answer.h"
-#include "src/agent/CallerRequest.h"
+#include "src/caller/Answer.h"
+#include "src/caller/CallerRequest.h"
 
 namespace heatherplank {
 
--- /dev/null
+++ b/src/agent/FlowFront.cpp
@@ -0,0 +1,594 @@
+#include "src/agent/FlowFront.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "src/caller/Answer.h"
+#include "src/metrics/Metrics.h"
+#include "src/net/DatagramSocket.h"
+#include "src/wire/SteerCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** A hand-off above this goes over TCP: with headers it would not fit into an
+ * Ethernet frame. */
+constexpr std::size_t kMaxHandOffDatagram = 1200;
+constexpr auto kWrongServiceRetry = std::chrono::seconds(1);
+/** Ticks between two looks at old answers and counters: half a second. */
+constexpr std::uint64_t kTicksPerSweep = 20;
+/** The bounds of one shard leave room for an uneven spread of flows. */
+constexpr std::size_t kShardSlack = 2;
+
+ByteView View(std::string_view aText)
+{
+  return { reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size() };
+}
+
+HeldPacket Hold(const Packet& aPacket)
+{
+  return { aPacket.mFlow,
+           aPacket.mReturnTo,
+           aPacket.mHintTo,
+           aPacket.mHops,
+           { aPacket.mPayload.begin(), aPacket.mPayload.end() } };
+}
+
+Packet ToPacket(const HeldPacket& aHeld, ServiceId aService)
+{
+  Packet packet;
+  packet.mFlow = aHeld.mFlow;
+  packet.mService = aService;
+  packet.mReturnTo = aHeld.mReturnTo;
+  packet.mHintTo = aHeld.mHintTo;
+  packet.mHops = aHeld.mHops;
+  packet.mPayload = aHeld.mPayload;
+  return packet;
+}
+
+} // namespace
+
+/** What is left to do once the shard's lock is free. */
+struct FlowFront::Effects
+{
+  struct Datagram
+  {
+    Address mTo;
+    Bytes mBytes;
+  };
+  std::vector<Datagram> mDatagrams;
+  std::vector<PendingRequestPtr> mStarts;
+  std::vector<std::pair<FlowKey, std::string>> mCancels;
+  std::vector<Datagram> mByControl;
+};
+
+FlowFront::FlowFront(Parts aParts, const Options& aOptions)
+  : mParts(std::move(aParts))
+  , mOptions(aOptions)
+  , mMalformed(mParts.mMetrics.GetCounter("packets_refused_total",
+                                          "reason=\"malformed\""))
+  , mWrongService(mParts.mMetrics.GetCounter("packets_refused_total",
+                                             "reason=\"wrong_service\""))
+  , mRepeats(mParts.mMetrics.GetCounter("requests_repeated_total",
+                                        "state=\"in_progress\""))
+  , mResent(mParts.mMetrics.GetCounter("requests_repeated_total",
+                                       "state=\"answered\""))
+  , mExported(kOwnershipCounts + kOwnershipRefusals)
+{
+  OwnershipOptions ownership = mOptions.mOwnership;
+  ownership.mMaxFlows = mOptions.mMaxFlows / kShards * kShardSlack;
+  ownership.mMaxDirectory = ownership.mMaxFlows;
+  Peer self = ToPeer(mOptions.mSelf);
+  for (std::size_t i = 0; i < kShards; ++i) {
+    mShards.push_back(std::make_unique<FlowShard>(
+      self, mOptions.mSelf.mService, mParts.mObserve,
+      MixHash(self.mHost.mValue, i), ownership,
+      mOptions.mMaxAnswerBytes / kShards, mParts.mClock.Now()));
+  }
+}
+
+FlowFront::~FlowFront() = default;
+
+void FlowFront::SetPipeline(RequestPipeline& aPipeline)
+{
+  mPipeline = &aPipeline;
+}
+
+void FlowFront::SetService(const Service& aService, std::string_view aPolicy)
+{
+  {
+    std::lock_guard lock(mServiceLock);
+    mAddresses = { aService.mAddresses.begin(), aService.mAddresses.end() };
+  }
+  for (auto& it : mShards) {
+    std::lock_guard lock(it->mLock);
+    it->mPicker.SetPolicy(aPolicy);
+  }
+}
+
+FlowShard& FlowFront::ShardOf(const FlowKey& aFlow)
+{
+  return *mShards[(HashFlow(aFlow) >> 56) % kShards];
+}
+
+bool FlowFront::OnDatagram(const Frame& aFrame)
+{
+  if (aFrame.mKind == MessageKind::Packet) {
+    auto packet = DecodePacket(aFrame.mPayload);
+    if (!packet || packet->mDirective == PacketDirective::Answer) {
+      mMalformed.Add();
+      return true;
+    }
+    OnPacket(*packet);
+    return true;
+  }
+  if (!IsOwnershipMessage(aFrame.mKind)) {
+    return false;
+  }
+  auto message = DecodeOwnershipMessage(aFrame.mKind, aFrame.mPayload);
+  if (!message) {
+    mMalformed.Add();
+    return true;
+  }
+  OnMessage(*message);
+  return true;
+}
+
+void FlowFront::OnHandOffFrame(ByteView aPayload)
+{
+  OnDatagram({ MessageKind::HandOff, aPayload });
+}
+
+bool FlowFront::IsForThisService(const Packet& aPacket) const
+{
+  // Checked a second time, after the balancer: an address may have moved to
+  // another service while the packet was on its way, and a claim must not be
+  // shown to the catalogue.
+  if (aPacket.mService != mOptions.mSelf.mService) {
+    return false;
+  }
+  std::lock_guard lock(mServiceLock);
+  return mAddresses.contains(aPacket.mFlow.mService);
+}
+
+void FlowFront::OnPacket(const Packet& aPacket)
+{
+  Effects effects;
+  if (!IsForThisService(aPacket)) {
+    mWrongService.Add();
+    RefusePayload(Hold(aPacket), "wrong_service", kWrongServiceRetry, effects);
+    Perform(effects);
+    return;
+  }
+  if (aPacket.mDirective == PacketDirective::Lend) {
+    RunLent(aPacket);
+    return;
+  }
+  FlowShard& shard = ShardOf(aPacket.mFlow);
+  {
+    std::lock_guard lock(shard.mLock);
+    PacketToken token = mNextToken++;
+    shard.mHeld[token] = Hold(aPacket);
+    PacketEvent event{
+      token,         aPacket.mFlow,      aPacket.mService, aPacket.mHintTo,
+      aPacket.mHops, aPacket.mDirective, aPacket.mArbiter, aPacket.mEpoch
+    };
+    OwnershipActions actions;
+    shard.mOwnership.OnPacket(event, mParts.mClock.Now(), actions);
+    Carry(shard, actions, {}, effects);
+  }
+  Perform(effects);
+}
+
+void FlowFront::OnMessage(const OwnershipMessage& aMessage)
+{
+  FlowShard& shard = ShardOf(FlowOf(aMessage));
+  const auto* handOff = std::get_if<HandOff>(&aMessage);
+  Effects effects;
+  {
+    std::lock_guard lock(shard.mLock);
+    OwnershipActions actions;
+    shard.mOwnership.OnMessage(aMessage, mParts.mClock.Now(), actions);
+    Carry(shard, actions, handOff ? handOff->mState : ByteView{}, effects);
+  }
+  Perform(effects);
+}
+
+void FlowFront::OnView(const ServiceViewPtr& aView, Time aConfirmedAt)
+{
+  {
+    std::lock_guard lock(mServiceLock);
+    if (!mView || mView->Version() <= aView->Version()) {
+      mView = aView;
+    }
+  }
+  for (auto& it : mShards) {
+    Effects effects;
+    {
+      std::lock_guard lock(it->mLock);
+      // Two answers may be taken in by two threads; the older view must not
+      // replace the newer one.
+      if (aView->Version() < it->mViewVersion) {
+        continue;
+      }
+      it->mViewVersion = aView->Version();
+      OwnershipActions actions;
+      it->mOwnership.OnView(aView, aConfirmedAt, mParts.mClock.Now(), actions);
+      Carry(*it, actions, {}, effects);
+    }
+    Perform(effects);
+  }
+}
+
+void FlowFront::Drain()
+{
+  for (auto& it : mShards) {
+    Effects effects;
+    {
+      std::lock_guard lock(it->mLock);
+      OwnershipActions actions;
+      it->mOwnership.Drain(mParts.mClock.Now(), actions);
+      Carry(*it, actions, {}, effects);
+    }
+    Perform(effects);
+  }
+}
+
+void FlowFront::Tick()
+{
+  bool sweep = ++mTicks % kTicksPerSweep == 0;
+  for (auto& it : mShards) {
+    Effects effects;
+    {
+      std::lock_guard lock(it->mLock);
+      Time now = mParts.mClock.Now();
+      OwnershipActions actions;
+      it->mOwnership.Tick(now, actions);
+      Carry(*it, actions, {}, effects);
+      if (sweep) {
+        it->mAnswers.Expire(now);
+        ExpireLent(*it, now);
+      }
+    }
+    Perform(effects);
+  }
+  if (sweep) {
+    ExportCounters();
+  }
+}
+
+void FlowFront::ExpireLent(FlowShard& aShard, Time aNow)
+{
+  for (auto flow = aShard.mLent.begin(); flow != aShard.mLent.end();) {
+    std::erase_if(flow->second, [&](const auto& aRequest) {
+      return aRequest.second.mUntil <= aNow;
+    });
+    flow = flow->second.empty() ? aShard.mLent.erase(flow) : std::next(flow);
+  }
+}
+
+std::size_t FlowFront::FlowCount()
+{
+  std::size_t count = 0;
+  for (auto& it : mShards) {
+    std::lock_guard lock(it->mLock);
+    count += it->mOwnership.FlowCount();
+  }
+  return count;
+}
+
+void FlowFront::Carry(FlowShard& aShard, const OwnershipActions& aActions,
+                      ByteView aHandOffState, Effects& aEffects)
+{
+  for (const auto& it : aActions) {
+    if (const auto* dispatch = std::get_if<DispatchPacket>(&it)) {
+      TakeOwned(aShard, *dispatch, aEffects);
+    } else if (const auto* forward = std::get_if<ForwardPacket>(&it)) {
+      Forward(aShard, *forward, aEffects);
+    } else if (const auto* refuse = std::get_if<RefusePacket>(&it)) {
+      RefuseHeld(aShard, *refuse, aEffects);
+    } else if (const auto* send = std::get_if<SendMessage>(&it)) {
+      aEffects.mDatagrams.push_back(
+        { send->mTo, EncodeOwnershipMessage(send->mMessage) });
+    } else if (const auto* exported = std::get_if<ExportFlow>(&it)) {
+      SendHandOff(*exported, aShard.mAnswers.Export(exported->mHandOff.mFlow),
+                  aEffects);
+    } else if (const auto* imported = std::get_if<ImportFlow>(&it)) {
+      auto taken = aShard.mAnswers.Import(imported->mFlow, aHandOffState,
+                                          mParts.mClock.Now());
+      if (!taken) {
+        mMalformed.Add();
+      }
+    } else if (const auto* drop = std::get_if<DropFlow>(&it)) {
+      aShard.mAnswers.Forget(drop->mFlow);
+    }
+  }
+}
+
+void FlowFront::TakeOwned(FlowShard& aShard, const DispatchPacket& aDispatch,
+                          Effects& aEffects)
+{
+  auto held = aShard.mHeld.extract(aDispatch.mToken);
+  if (!held.empty()) {
+    TakeRequest(aShard, held.mapped(), aDispatch.mEpoch, false, aEffects);
+  }
+}
+
+void FlowFront::RunLent(const Packet& aPacket)
+{
+  FlowShard& shard = ShardOf(aPacket.mFlow);
+  Effects effects;
+  {
+    std::lock_guard lock(shard.mLock);
+    TakeRequest(shard, Hold(aPacket), aPacket.mEpoch, true, effects);
+  }
+  Perform(effects);
+}
+
+void FlowFront::TakeRequest(FlowShard& aShard, const HeldPacket& aPacket,
+                            FlowEpoch aEpoch, bool aLent, Effects& aEffects)
+{
+  auto parsed = ParseCallerRequest(aPacket.mPayload);
+  if (!parsed) {
+    mMalformed.Add();
+    return;
+  }
+  const std::string& id = parsed->mRequestId;
+  if (!aLent && PassToLender(aShard, aPacket, aEpoch, id, aEffects)) {
+    return;
+  }
+  if (parsed->mCancel) {
+    aEffects.mCancels.emplace_back(aPacket.mFlow, id);
+    return;
+  }
+  RequestState state = aShard.mAnswers.Begin(aPacket.mFlow, id);
+  if (state == RequestState::InProgress) {
+    mRepeats.Add();
+    return;
+  }
+  if (state == RequestState::Answered) {
+    mResent.Add();
+    PutAnswer(aPacket, *aShard.mAnswers.Find(aPacket.mFlow, id), id, aEpoch,
+              parsed->mRange, aEffects);
+    return;
+  }
+  PendingRequestPtr request(new PendingRequest);
+  request->mFlow = aPacket.mFlow;
+  request->mEpoch = aEpoch;
+  request->mReturnTo = aPacket.mReturnTo;
+  request->mHintTo = aPacket.mHintTo;
+  request->mHops = aLent ? 1 : 0;
+  request->mLent = aLent;
+  request->mRequest = std::move(*parsed);
+  request->mArrival = mParts.mClock.Now();
+  if (!aLent) {
+    aShard.mOwnership.OnRequestStarted(aPacket.mFlow);
+  }
+  aEffects.mStarts.push_back(std::move(request));
+}
+
+bool FlowFront::PassToLender(FlowShard& aShard, const HeldPacket& aPacket,
+                             FlowEpoch aEpoch, const std::string& aRequestId,
+                             Effects& aEffects)
+{
+  auto flow = aShard.mLent.find(aPacket.mFlow);
+  if (flow == aShard.mLent.end()) {
+    return false;
+  }
+  auto lent = flow->second.find(aRequestId);
+  ServiceViewPtr view = CurrentView();
+  const Member* member = lent == flow->second.end() || !view
+                           ? nullptr
+                           : view->Find(lent->second.mTo);
+  if (member == nullptr) {
+    return false;
+  }
+  Packet packet = ToPacket(aPacket, mOptions.mSelf.mService);
+  packet.mDirective = PacketDirective::Lend;
+  packet.mEpoch = aEpoch;
+  aEffects.mDatagrams.push_back({ member->mTunnel, EncodePacket(packet) });
+  return true;
+}
+
+void FlowFront::Forward(FlowShard& aShard, const ForwardPacket& aForward,
+                        Effects& aEffects)
+{
+  auto held = aShard.mHeld.extract(aForward.mToken);
+  if (held.empty()) {
+    return;
+  }
+  Packet packet = ToPacket(held.mapped(), mOptions.mSelf.mService);
+  packet.mDirective = aForward.mDirective;
+  packet.mHops = aForward.mHops;
+  packet.mArbiter = aForward.mArbiter;
+  packet.mEpoch = aForward.mEpoch;
+  aEffects.mDatagrams.push_back({ aForward.mTo.mTunnel, EncodePacket(packet) });
+}
+
+void FlowFront::RefuseHeld(FlowShard& aShard, const RefusePacket& aRefuse,
+                           Effects& aEffects)
+{
+  auto held = aShard.mHeld.extract(aRefuse.mToken);
+  if (!held.empty()) {
+    RefusePayload(held.mapped(), ToString(aRefuse.mReason), aRefuse.mRetryAfter,
+                  aEffects);
+  }
+}
+
+void FlowFront::RefusePayload(const HeldPacket& aPacket,
+                              std::string_view aReason, Duration aRetryAfter,
+                              Effects& aEffects)
+{
+  auto parsed = ParseCallerRequest(aPacket.mPayload);
+  if (!parsed) {
+    mMalformed.Add();
+    return;
+  }
+  PutAnswer(aPacket, MakeNotRun(503, aReason, aRetryAfter), parsed->mRequestId,
+            0, {}, aEffects);
+}
+
+void FlowFront::PutAnswer(const HeldPacket& aPacket, const Answer& aAnswer,
+                          const std::string& aRequestId, FlowEpoch aEpoch,
+                          const std::optional<ByteRange>& aRange,
+                          Effects& aEffects)
+{
+  Packet packet = ToPacket(aPacket, mOptions.mSelf.mService);
+  packet.mDirective = PacketDirective::Answer;
+  for (const auto& it : WriteAnswer(aAnswer, aRequestId, aEpoch, aRange)) {
+    packet.mPayload = View(it);
+    aEffects.mDatagrams.push_back({ packet.mReturnTo, EncodePacket(packet) });
+  }
+}
+
+void FlowFront::SendHandOff(const ExportFlow& aExport, Bytes aState,
+                            Effects& aEffects)
+{
+  HandOff handOff = aExport.mHandOff;
+  handOff.mState = aState;
+  Bytes payload = EncodeOwnershipPayload(handOff);
+  Address control = ControlOf(aExport.mTo);
+  if (payload.size() <= kMaxHandOffDatagram || control.IsNone()) {
+    aEffects.mDatagrams.push_back(
+      { aExport.mTo, EncodeDatagram(MessageKind::HandOff, payload) });
+    return;
+  }
+  aEffects.mByControl.push_back({ control, std::move(payload) });
+}
+
+void FlowFront::OnAnswer(const PendingRequestPtr& aRequest, Answer aAnswer)
+{
+  aAnswer.mService = mOptions.mServiceName;
+  const std::string& id = aRequest->mRequest.mRequestId;
+  FlowShard& shard = ShardOf(aRequest->mFlow);
+  HeldPacket packet{
+    aRequest->mFlow, aRequest->mReturnTo, aRequest->mHintTo, 0, {}
+  };
+  Effects effects;
+  PutAnswer(packet, aAnswer, id, aRequest->mEpoch, aRequest->mRequest.mRange,
+            effects);
+  {
+    std::lock_guard lock(shard.mLock);
+    Time now = mParts.mClock.Now();
+    bool ran = aAnswer.mOutcome != Outcome::NotRun;
+    shard.mAnswers.Finish(aRequest->mFlow, id, std::move(aAnswer), now);
+    if (!aRequest->mLent) {
+      OwnershipActions actions;
+      shard.mOwnership.OnRequestEnded(aRequest->mFlow, ran, now, actions);
+      Carry(shard, actions, {}, effects);
+    }
+  }
+  Perform(effects);
+}
+
+bool FlowFront::OnHandOn(const PendingRequestPtr& aRequest, HostId aTarget)
+{
+  ServiceViewPtr view = CurrentView();
+  const Member* member = view ? view->Find(aTarget) : nullptr;
+  if (member == nullptr || aRequest->mLent) {
+    return false;
+  }
+  Packet packet;
+  packet.mFlow = aRequest->mFlow;
+  packet.mService = mOptions.mSelf.mService;
+  packet.mReturnTo = aRequest->mReturnTo;
+  packet.mHintTo = aRequest->mHintTo;
+  packet.mDirective = PacketDirective::Lend;
+  packet.mEpoch = aRequest->mEpoch;
+  CallerRequest lent = aRequest->mRequest;
+  lent.mTimeout = aRequest->mDeadline - mParts.mClock.Now();
+  std::string text = WriteCallerRequest(lent);
+  packet.mPayload = View(text);
+  Effects effects;
+  effects.mDatagrams.push_back({ member->mTunnel, EncodePacket(packet) });
+  FlowShard& shard = ShardOf(aRequest->mFlow);
+  {
+    std::lock_guard lock(shard.mLock);
+    shard.mAnswers.Release(aRequest->mFlow, lent.mRequestId);
+    shard.mLent[aRequest->mFlow][lent.mRequestId] = {
+      aTarget, aRequest->mDeadline + AnswerStore::kRetention
+    };
+    OwnershipActions actions;
+    shard.mOwnership.OnRequestEnded(aRequest->mFlow, true, mParts.mClock.Now(),
+                                    actions);
+    Carry(shard, actions, {}, effects);
+  }
+  Perform(effects);
+  return true;
+}
+
+void FlowFront::Perform(const Effects& aEffects)
+{
+  for (const auto& it : aEffects.mDatagrams) {
+    mParts.mTunnel.Send(it.mBytes, it.mTo);
+  }
+  for (const auto& it : aEffects.mByControl) {
+    mParts.mSendByControl(it.mTo, it.mBytes);
+  }
+  for (const auto& [flow, id] : aEffects.mCancels) {
+    mPipeline->Cancel(flow, id);
+  }
+  for (const auto& it : aEffects.mStarts) {
+    if (mPipeline->Classify(*it)) {
+      mPipeline->Start(it);
+    } else {
+      OnAnswer(it,
+               MakeNotRun(503, "no_configuration", std::chrono::seconds(1)));
+    }
+  }
+}
+
+ServiceViewPtr FlowFront::CurrentView() const
+{
+  std::lock_guard lock(mServiceLock);
+  return mView;
+}
+
+Address FlowFront::ControlOf(const Address& aTunnel) const
+{
+  ServiceViewPtr view = CurrentView();
+  if (!view) {
+    return {};
+  }
+  for (const auto& it : view->Members()) {
+    if (it.mTunnel == aTunnel) {
+      return it.mControl;
+    }
+  }
+  return {};
+}
+
+void FlowFront::ExportCounters()
+{
+  std::vector<std::uint64_t> totals(mExported.size());
+  std::size_t flows = 0;
+  for (auto& shard : mShards) {
+    std::lock_guard lock(shard->mLock);
+    const OwnershipCounters& counters = shard->mOwnership.Counters();
+    for (std::size_t i = 0; i < kOwnershipCounts; ++i) {
+      totals[i] += counters.mCounts[i];
+    }
+    for (std::size_t i = 0; i < kOwnershipRefusals; ++i) {
+      totals[kOwnershipCounts + i] += counters.mRefusals[i];
+    }
+    flows += shard->mOwnership.FlowCount();
+  }
+  for (std::size_t i = 0; i < totals.size(); ++i) {
+    bool isRefusal = i >= kOwnershipCounts;
+    std::string_view name =
+      isRefusal ? ToString(static_cast<OwnershipRefusal>(i - kOwnershipCounts))
+                : ToString(static_cast<OwnershipCount>(i));
+    std::string label = isRefusal ? "reason=\"" : "event=\"";
+    label.append(name).append("\"");
+    mParts.mMetrics
+      .GetCounter(
+        isRefusal ? "packets_refused_total" : "ownership_events_total", label)
+      .Add(totals[i] - mExported[i]);
+  }
+  mExported = std::move(totals);
+  mParts.mMetrics.GetGauge("flows_owned").Set(static_cast<double>(flows));
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/agent/PendingRequest.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "include/heatherplank/Configuration.h"
+#include "src/agent/BackendClient.h"
+#include "src/caller/CallerRequest.h"
+#include "src/decide/Request.h"
+#include "src/wire/PacketCodec.h"
+
+namespace heatherplank {
+
+/** A request on its way through the agent. What stands above the line is set
+ * once; the rest belongs to the pipeline, under its lock.
+ */
+struct PendingRequest : boost::intrusive_ref_counter<PendingRequest>
+{
+  FlowKey mFlow;
+  FlowEpoch mEpoch = 0;
+  Address mReturnTo;
+  Address mHintTo;
+  /** Another host owns the flow and keeps the answer; this one only runs it.
+   */
+  bool mLent = false;
+  std::uint8_t mHops = 0;
+  CallerRequest mRequest;
+  Rule mRule;
+  std::uint16_t mClass = 0;
+  Time mArrival;
+  Time mDeadline;
+
+  // ---- Owned by the pipeline.
+  RequestId mId = 0;
+  std::uint64_t mNonce = 0;
+  BackendClient::Ticket mTicket = 0;
+  Time mDispatchedAt;
+  bool mSent = false;
+  bool mCancelled = false;
+};
+
+using PendingRequestPtr = boost::intrusive_ptr<PendingRequest>;
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/agent/RequestPipeline.cpp
@@ -0,0 +1,479 @@
+#include "src/agent/RequestPipeline.h"
+
+#include <algorithm>
+
+#include "src/agent/GrantRecorder.h"
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr std::string_view kAdmission = "reservation";
+constexpr std::string_view kFallbackAdmission = "priority";
+
+bool Matches(const Rule& aRule, const CallerRequest& aRequest)
+{
+  bool method = aRule.mMethod.empty() || aRule.mMethod == aRequest.mMethod;
+  return method && aRequest.mTarget.starts_with(aRule.mPathPrefix);
+}
+
+std::unique_ptr<AdmissionPolicy> MakeAdmission(const Service& aService,
+                                               std::uint32_t aSlots,
+                                               std::uint64_t aSeed)
+{
+  AdmissionOptions options = MakeAdmissionOptions(aService, aSeed);
+  options.mSlots = aSlots;
+  auto policy = MakeAdmissionPolicy(kAdmission, options);
+  if (!policy) {
+    policy = MakeAdmissionPolicy(kFallbackAdmission, options);
+  }
+  return std::move(*policy);
+}
+
+unsigned StatusOf(RefusalReason aReason)
+{
+  return aReason == RefusalReason::OverShare ? 429 : 503;
+}
+
+} // namespace
+
+/** The admission's actions with the requests that they speak of, to be carried
+ * out once the lock is free. */
+struct RequestPipeline::Decisions
+{
+  struct Step
+  {
+    Action mAction;
+    PendingRequestPtr mRequest;
+  };
+  std::vector<Step> mSteps;
+};
+
+RequestPipeline::RequestPipeline(const Parts& aParts, std::string aHost,
+                                 std::uint32_t aSlots)
+  : mParts(aParts)
+  , mHost(std::move(aHost))
+  , mSlots(aSlots)
+  , mAnswered(aParts.mMetrics.GetCounter("requests_answered_total"))
+  , mUnknown(aParts.mMetrics.GetCounter("requests_unknown_total"))
+  , mDispatched(aParts.mMetrics.GetCounter("requests_dispatched_total"))
+  , mHandedOn(aParts.mMetrics.GetCounter("requests_retried_total",
+                                         "reason=\"lighter_host\""))
+  , mLatency(aParts.mMetrics.GetHistogram("request_milliseconds"))
+{
+  for (std::size_t i = 0; i < kRefusalReasons; ++i) {
+    std::string name(ToString(static_cast<RefusalReason>(i)));
+    mRefusals[i] = &aParts.mMetrics.GetCounter("requests_refused_total",
+                                               "reason=\"" + name + "\"");
+  }
+}
+
+RequestPipeline::~RequestPipeline() = default;
+
+void RequestPipeline::SetService(const Service& aService)
+{
+  Time now = mParts.mClock.Now();
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    mService = aService;
+    ++mRulesGeneration;
+    decisions = MoveToNewRules(now);
+  }
+  CarryOut(decisions);
+}
+
+RequestPipeline::Decisions RequestPipeline::MoveToNewRules(Time aNow)
+{
+  Actions actions;
+  std::vector<PendingRequestPtr> waiting;
+  for (auto it = mRequests.begin(); it != mRequests.end();) {
+    if (mAdmission && mAdmission->OnCancel(it->first, aNow, actions)) {
+      waiting.push_back(it->second);
+      it = mRequests.erase(it);
+      continue;
+    }
+    mRunningUnderOldRules.insert(*it);
+    ++it;
+  }
+  // What OnCancel let the old policy dispatch is now among those that wait in
+  // neither; they go on as running.
+  Decisions decisions;
+  for (const auto& it : actions) {
+    if (auto request = Find(it.mId)) {
+      decisions.mSteps.push_back({ it, request });
+    }
+  }
+  mAdmission = MakeAdmission(mService, mSlots, mRulesGeneration);
+  actions.clear();
+  auto busy = static_cast<std::uint32_t>(mRunningUnderOldRules.size());
+  mAdmission->OnSlots(mSlots - std::min(mSlots, busy), aNow, actions);
+  mAdmission->OnPeers(mPeers, aNow, actions);
+  if (mDraining) {
+    mAdmission->OnDrain(aNow, actions);
+  }
+  for (const auto& it : waiting) {
+    mRequests[it->mId] = it;
+    it->mClass = static_cast<std::uint16_t>(mService.mRules.size());
+    for (std::size_t i = 0; i < mService.mRules.size(); ++i) {
+      if (mService.mRules[i].mName == it->mRule.mName) {
+        it->mClass = static_cast<std::uint16_t>(i);
+      }
+    }
+    mAdmission->OnRequest({ it->mId, it->mClass, it->mHops, 0,
+                            HashFlow(it->mFlow), it->mArrival, it->mDeadline },
+                          aNow, actions);
+  }
+  for (const auto& it : actions) {
+    if (auto request = Find(it.mId)) {
+      decisions.mSteps.push_back({ it, request });
+    }
+  }
+  return decisions;
+}
+
+bool RequestPipeline::Classify(PendingRequest& aRequest) const
+{
+  std::lock_guard lock(mLock);
+  if (!mAdmission) {
+    return false;
+  }
+  aRequest.mClass = static_cast<std::uint16_t>(mService.mRules.size());
+  for (std::size_t i = 0; i < mService.mRules.size(); ++i) {
+    if (Matches(mService.mRules[i], aRequest.mRequest)) {
+      aRequest.mRule = mService.mRules[i];
+      aRequest.mClass = static_cast<std::uint16_t>(i);
+      break;
+    }
+  }
+  Duration timeout =
+    aRequest.mRequest.mTimeout.value_or(aRequest.mRule.mDeadline);
+  aRequest.mDeadline = aRequest.mArrival + timeout;
+  return true;
+}
+
+void RequestPipeline::Start(const PendingRequestPtr& aRequest)
+{
+  Time now = mParts.mClock.Now();
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    aRequest->mId = mNextId++;
+    mRequests[aRequest->mId] = aRequest;
+    Actions actions;
+    mAdmission->OnRequest(
+      { aRequest->mId, aRequest->mClass, aRequest->mHops,
+        static_cast<std::uint32_t>(aRequest->mRequest.mBody.size()),
+        std::hash<Address>{}(aRequest->mFlow.mCaller), aRequest->mArrival,
+        aRequest->mDeadline },
+      now, actions);
+    for (const auto& it : actions) {
+      decisions.mSteps.push_back({ it, Find(it.mId) });
+    }
+  }
+  CarryOut(decisions);
+}
+
+void RequestPipeline::Cancel(const FlowKey& aFlow,
+                             const std::string& aRequestId)
+{
+  Time now = mParts.mClock.Now();
+  PendingRequestPtr waiting;
+  BackendClient::Ticket ticket = 0;
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    auto it =
+      std::find_if(mRequests.begin(), mRequests.end(), [&](const auto& aIt) {
+        return aIt.second->mFlow == aFlow &&
+               aIt.second->mRequest.mRequestId == aRequestId;
+      });
+    if (it == mRequests.end()) {
+      return;
+    }
+    PendingRequestPtr request = it->second;
+    request->mCancelled = true;
+    Actions actions;
+    if (mAdmission->OnCancel(request->mId, now, actions)) {
+      waiting = request;
+      mRequests.erase(request->mId);
+    } else if (request->mSent) {
+      ticket = request->mTicket;
+    }
+    for (const auto& action : actions) {
+      decisions.mSteps.push_back({ action, Find(action.mId) });
+    }
+  }
+  CarryOut(decisions);
+  if (waiting) {
+    Refuse(waiting, RefusalReason::Cancelled, Duration::zero());
+  }
+  if (ticket != 0) {
+    mParts.mBackend.Cancel(ticket);
+  }
+}
+
+void RequestPipeline::SetPeers(std::span<const Candidate> aPeers)
+{
+  Time now = mParts.mClock.Now();
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    mPeers.assign(aPeers.begin(), aPeers.end());
+    if (!mAdmission) {
+      return;
+    }
+    Actions actions;
+    mAdmission->OnPeers(mPeers, now, actions);
+    for (const auto& it : actions) {
+      decisions.mSteps.push_back({ it, Find(it.mId) });
+    }
+  }
+  CarryOut(decisions);
+}
+
+void RequestPipeline::Drain()
+{
+  Time now = mParts.mClock.Now();
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    mDraining = true;
+    if (!mAdmission) {
+      return;
+    }
+    Actions actions;
+    mAdmission->OnDrain(now, actions);
+    for (const auto& it : actions) {
+      decisions.mSteps.push_back({ it, Find(it.mId) });
+    }
+  }
+  CarryOut(decisions);
+}
+
+void RequestPipeline::Tick()
+{
+  Time now = mParts.mClock.Now();
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    if (!mAdmission) {
+      return;
+    }
+    Actions actions;
+    mAdmission->OnTick(now, actions);
+    for (const auto& it : actions) {
+      decisions.mSteps.push_back({ it, Find(it.mId) });
+    }
+  }
+  CarryOut(decisions);
+}
+
+HostLoad RequestPipeline::Load() const
+{
+  std::lock_guard lock(mLock);
+  return mAdmission ? mAdmission->Load() : HostLoad{};
+}
+
+std::size_t RequestPipeline::Active() const
+{
+  std::lock_guard lock(mLock);
+  return mRequests.size();
+}
+
+PendingRequestPtr RequestPipeline::Take(RequestId aId)
+{
+  std::lock_guard lock(mLock);
+  auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return nullptr;
+  }
+  PendingRequestPtr request = it->second;
+  mRequests.erase(it);
+  return request;
+}
+
+PendingRequestPtr RequestPipeline::Find(RequestId aId) const
+{
+  auto it = mRequests.find(aId);
+  return it == mRequests.end() ? nullptr : it->second;
+}
+
+void RequestPipeline::CarryOut(const Decisions& aDecisions)
+{
+  for (const auto& [action, request] : aDecisions.mSteps) {
+    if (!request) {
+      continue;
+    }
+    switch (action.mKind) {
+      case ActionKind::Dispatch:
+        Dispatch(request);
+        break;
+      case ActionKind::Refuse:
+      case ActionKind::Expire:
+        Take(request->mId);
+        Refuse(request, action.mReason, action.mRetryAfter);
+        break;
+      case ActionKind::HandOn:
+        Take(request->mId);
+        if (mParts.mOutput.OnHandOn(request, action.mTarget)) {
+          mHandedOn.Add();
+        } else {
+          Refuse(request, RefusalReason::NoHost, action.mRetryAfter);
+        }
+        break;
+    }
+  }
+}
+
+void RequestPipeline::Dispatch(const PendingRequestPtr& aRequest)
+{
+  aRequest->mDispatchedAt = mParts.mClock.Now();
+  if (!aRequest->mRule.mNeverRepeat) {
+    SendToBackend(aRequest);
+    return;
+  }
+  if (aRequest->mRequest.mIdempotencyKey.empty()) {
+    Finish(aRequest, RunResult::Abandoned,
+           MakeNotRun(400, "idempotency_key_missing", Duration::zero()));
+    return;
+  }
+  mParts.mGrants.Request(aRequest->mRequest.mIdempotencyKey,
+                         aRequest->mRequest.mRequestId, aRequest->mDeadline,
+                         [this, aRequest](GrantDecision aDecision) {
+                           OnGrant(aRequest, std::move(aDecision));
+                         });
+}
+
+void RequestPipeline::OnGrant(const PendingRequestPtr& aRequest,
+                              GrantDecision aDecision)
+{
+  if (aDecision.mKind == GrantDecision::Kind::Settled) {
+    Finish(aRequest, RunResult::Abandoned, std::move(aDecision.mAnswer));
+    return;
+  }
+  aRequest->mNonce = aDecision.mNonce;
+  SendToBackend(aRequest);
+}
+
+void RequestPipeline::SendToBackend(const PendingRequestPtr& aRequest)
+{
+  Duration left = aRequest->mDeadline - mParts.mClock.Now();
+  bool late = left <= Duration::zero();
+  // The process may have been paused since the grant was given; what the grant
+  // allowed then may be another host's now.
+  bool fenced = aRequest->mRule.mNeverRepeat &&
+                !mParts.mGrants.MayDispatch(aRequest->mNonce);
+  bool cancelled = false;
+  {
+    std::lock_guard lock(mLock);
+    cancelled = aRequest->mCancelled;
+  }
+  if (late || fenced || cancelled) {
+    auto reason =
+      cancelled ? RefusalReason::Cancelled : RefusalReason::DeadlinePassed;
+    mRefusals[static_cast<std::size_t>(reason)]->Add();
+    SettleNotRun(aRequest, RunResult::Abandoned,
+                 MakeNotRun(503, ToString(reason), Duration::zero()));
+    return;
+  }
+  mDispatched.Add();
+  std::lock_guard lock(mLock);
+  aRequest->mSent = true;
+  aRequest->mTicket = mParts.mBackend.Send(
+    aRequest->mRequest, left, [this, aRequest](BackendAnswer aAnswer) {
+      OnBackend(aRequest, std::move(aAnswer));
+    });
+}
+
+void RequestPipeline::OnBackend(const PendingRequestPtr& aRequest,
+                                BackendAnswer aAnswer)
+{
+  bool recorded = aRequest->mRule.mNeverRepeat;
+  switch (aAnswer.mResult) {
+    case BackendResult::Answered: {
+      aAnswer.mAnswer.mServedBy = mHost;
+      bool failed = aAnswer.mAnswer.mStatus >= 500;
+      if (recorded) {
+        mParts.mGrants.OnAnswered(aRequest->mNonce, aAnswer.mAnswer);
+      }
+      Finish(aRequest, failed ? RunResult::Failed : RunResult::Answered,
+             std::move(aAnswer.mAnswer));
+      return;
+    }
+    case BackendResult::Refused:
+    case BackendResult::NotSent:
+      mRefusals[static_cast<std::size_t>(RefusalReason::BackendShed)]->Add();
+      SettleNotRun(aRequest, RunResult::Shed, std::move(aAnswer.mAnswer));
+      return;
+    case BackendResult::Lost:
+      if (recorded) {
+        mParts.mGrants.OnUnknown(aRequest->mNonce);
+      }
+      Finish(aRequest, RunResult::TimedOut, std::move(aAnswer.mAnswer));
+      return;
+  }
+}
+
+void RequestPipeline::SettleNotRun(const PendingRequestPtr& aRequest,
+                                   RunResult aResult, Answer aAnswer)
+{
+  if (!aRequest->mRule.mNeverRepeat) {
+    Finish(aRequest, aResult, std::move(aAnswer));
+    return;
+  }
+  mParts.mGrants.OnNotRun(aRequest->mNonce, aAnswer,
+                          [this, aRequest, aResult](Answer aTold) {
+                            Finish(aRequest, aResult, std::move(aTold));
+                          });
+}
+
+void RequestPipeline::Finish(const PendingRequestPtr& aRequest,
+                             RunResult aResult, Answer aAnswer)
+{
+  Time now = mParts.mClock.Now();
+  Decisions decisions;
+  {
+    std::lock_guard lock(mLock);
+    mRequests.erase(aRequest->mId);
+    Actions actions;
+    if (mRunningUnderOldRules.erase(aRequest->mId) > 0) {
+      auto busy = static_cast<std::uint32_t>(mRunningUnderOldRules.size());
+      mAdmission->OnSlots(mSlots - std::min(mSlots, busy), now, actions);
+    } else {
+      Duration took =
+        aRequest->mSent ? now - aRequest->mDispatchedAt : Duration::zero();
+      mAdmission->OnDone(aRequest->mId, aResult, took, now, actions);
+    }
+    for (const auto& it : actions) {
+      decisions.mSteps.push_back({ it, Find(it.mId) });
+    }
+  }
+  Send(aRequest, std::move(aAnswer));
+  CarryOut(decisions);
+}
+
+void RequestPipeline::Refuse(const PendingRequestPtr& aRequest,
+                             RefusalReason aReason, Duration aRetryAfter)
+{
+  mRefusals[static_cast<std::size_t>(aReason)]->Add();
+  Send(aRequest, MakeNotRun(StatusOf(aReason), ToString(aReason), aRetryAfter));
+}
+
+void RequestPipeline::Send(const PendingRequestPtr& aRequest, Answer aAnswer)
+{
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  Duration took = mParts.mClock.Now() - aRequest->mArrival;
+  if (aAnswer.mOutcome == Outcome::Run) {
+    mAnswered.Add();
+    mLatency.Record(Milliseconds(took).count());
+  }
+  if (aAnswer.mOutcome == Outcome::Unknown) {
+    mUnknown.Add();
+  }
+  mParts.mOutput.OnAnswer(aRequest, std::move(aAnswer));
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/balancer/PacketRouter.cpp
@@ -0,0 +1,124 @@
+#include "src/balancer/PacketRouter.h"
+
+#include "src/caller/Answer.h"
+#include "src/metrics/Metrics.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** More than the threads of a balancer, so that two seldom meet at a lock. */
+constexpr std::size_t kShards = 16;
+
+/** Membership settles within a few heartbeats; an unknown address needs an
+ * operator. */
+constexpr auto kNoMemberRetry = std::chrono::seconds(1);
+constexpr auto kUnknownServiceRetry = std::chrono::seconds(30);
+
+Answer MakeRefusal(SteerRefusal aReason)
+{
+  if (aReason == SteerRefusal::UnknownService) {
+    return MakeNotRun(404, ToString(aReason), kUnknownServiceRetry);
+  }
+  return MakeNotRun(503, ToString(aReason), kNoMemberRetry);
+}
+
+} // namespace
+
+PacketRouter::PacketRouter(MetricsRegistry& aMetrics, const Address& aTunnel,
+                           std::size_t aMaxHints)
+  : mTunnel(aTunnel)
+  , mForwarded(aMetrics.GetCounter("packets_forwarded_total"))
+  , mMalformed(aMetrics.GetCounter("packets_refused_total",
+                                   "reason=\"malformed_request\""))
+  , mRoutes(std::make_shared<Routes>())
+{
+  for (std::size_t i = 0; i < mRefused.size(); ++i) {
+    std::string name(ToString(static_cast<SteerRefusal>(i)));
+    mRefused[i] =
+      &aMetrics.GetCounter("packets_refused_total", "reason=\"" + name + "\"");
+  }
+  for (std::size_t i = 0; i < kShards; ++i) {
+    mShards.push_back(std::make_unique<Shard>(aMaxHints / kShards + 1));
+  }
+}
+
+PacketRouter::~PacketRouter() = default;
+
+void PacketRouter::SetRoutes(RoutesPtr aRoutes)
+{
+  std::lock_guard lock(mRoutesLock);
+  mRoutes = std::move(aRoutes);
+}
+
+RoutesPtr PacketRouter::CurrentRoutes() const
+{
+  std::lock_guard lock(mRoutesLock);
+  return mRoutes;
+}
+
+PacketRouter::Shard& PacketRouter::ShardOf(std::uint64_t aFlowHash)
+{
+  return *mShards[(aFlowHash >> 48) % kShards];
+}
+
+std::optional<Outgoing> PacketRouter::OnPacket(const Packet& aPacket)
+{
+  RoutesPtr routes = CurrentRoutes();
+  auto route = routes->mByAddress.find(aPacket.mFlow.mService);
+  if (route == routes->mByAddress.end()) {
+    return Refuse(aPacket, SteerRefusal::UnknownService);
+  }
+  const ServiceView* view = route->second.mView.get();
+  if (view == nullptr) {
+    return Refuse(aPacket, SteerRefusal::NoMember);
+  }
+  std::uint64_t hash = HashFlow(aPacket.mFlow);
+  Shard& shard = ShardOf(hash);
+  SteerDecision decision = [&] {
+    std::lock_guard lock(shard.mLock);
+    return Steer(hash, view, shard.mHints);
+  }();
+  if (const auto* refusal = std::get_if<SteerRefusal>(&decision)) {
+    return Refuse(aPacket, *refusal);
+  }
+  const auto& target = std::get<SteerTarget>(decision);
+  Packet packet = aPacket;
+  packet.mService = route->second.mService;
+  packet.mDirective = target.mDirective;
+  packet.mHintTo = mTunnel;
+  mForwarded.Add();
+  return Outgoing{ target.mMember->mTunnel, EncodePacket(packet) };
+}
+
+void PacketRouter::OnHint(const FlowKey& aFlow, const OwnerHint& aOwner)
+{
+  std::uint64_t hash = HashFlow(aFlow);
+  Shard& shard = ShardOf(hash);
+  std::lock_guard lock(shard.mLock);
+  if (aOwner.mHost.IsNone()) {
+    shard.mHints.Erase(hash);
+    return;
+  }
+  shard.mHints.Put(hash, aOwner);
+}
+
+std::optional<Outgoing> PacketRouter::Refuse(const Packet& aPacket,
+                                             SteerRefusal aReason)
+{
+  mRefused[static_cast<std::size_t>(aReason)]->Add();
+  auto request = ParseCallerRequest(aPacket.mPayload);
+  if (!request) {
+    mMalformed.Add();
+    return std::nullopt;
+  }
+  std::string text =
+    WriteAnswer(MakeRefusal(aReason), request->mRequestId, 0, {}).front();
+  Packet answer = aPacket;
+  answer.mDirective = PacketDirective::Answer;
+  answer.mPayload =
+    ByteView(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+  return Outgoing{ aPacket.mReturnTo, EncodePacket(answer) };
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/balancer/Routes.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+
+#include "include/heatherplank/Configuration.h"
+#include "src/steer/ServiceView.h"
+
+namespace heatherplank {
+
+/** A service as packets meet it. */
+struct Route
+{
+  ServiceId mService;
+  /** Null until a member was heard of. */
+  ServiceViewPtr mView;
+};
+
+/** What the data path needs to know, by service address. Immutable; replaced
+ * whole when configuration or membership change, so that a packet is steered
+ * by one consistent state.
+ */
+struct Routes
+{
+  ConfigurationPtr mConfiguration;
+  std::unordered_map<Address, Route> mByAddress;
+};
+
+using RoutesPtr = std::shared_ptr<const Routes>;
+
+} // namespace heatherplank
--- a/src/agent/Answer.cpp
+++ b/src/caller/Answer.cpp
@@ -1,4 +1,4 @@
-#include "src/agent/Answer.h"
+#include "src/caller/Answer.h"
 
 #include <algorithm>
 #include <sstream>
@@ -28,7 +28,9 @@
   head.result(aAnswer.mStatus);
   head.set("Request-Id", View(aRequestId));
   head.set("Outcome", View(ToString(aAnswer.mOutcome)));
-  head.set("Flow-Epoch", std::to_string(aEpoch));
+  if (aEpoch != 0) {
+    head.set("Flow-Epoch", std::to_string(aEpoch));
+  }
   if (!aAnswer.mServedBy.empty()) {
     head.set("Served-By", aAnswer.mServedBy);
   }
--- a/src/agent/Answer.h
+++ b/src/caller/Answer.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
-#include "src/agent/CallerRequest.h"
+#include "src/caller/CallerRequest.h"
 #include "src/wire/PacketCodec.h"
 
 namespace heatherplank {
@@ -52,7 +52,8 @@
 Answer MakeUnknown(std::string_view aReason);
 
 /** The datagrams of an answer: one, or one a range if the body is too large.
- * With aRange, only those that cover it. Thread safe.
+ * With aRange, only those that cover it. An epoch of 0, where nobody owns the
+ * flow, is left out. Thread safe.
  */
 std::vector<std::string> WriteAnswer(const Answer& aAnswer,
                                      std::string_view aRequestId,
--- a/src/agent/CallerRequest.cpp
+++ b/src/caller/CallerRequest.cpp
@@ -1,10 +1,12 @@
-#include "src/agent/CallerRequest.h"
+#include "src/caller/CallerRequest.h"
 
 #include <charconv>
+#include <sstream>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include "src/net/Http.h"
 
@@ -114,4 +116,37 @@
   return request;
 }
 
+std::string WriteCallerRequest(const CallerRequest& aRequest)
+{
+  HttpRequest out;
+  out.version(11);
+  out.method_string(aRequest.mMethod);
+  out.target(aRequest.mTarget);
+  out.set("Request-Id", aRequest.mRequestId);
+  if (!aRequest.mIdempotencyKey.empty()) {
+    out.set("Idempotency-Key", aRequest.mIdempotencyKey);
+  }
+  if (!aRequest.mContentType.empty()) {
+    out.set(http::field::content_type, aRequest.mContentType);
+  }
+  if (aRequest.mTimeout) {
+    auto ms =
+      std::chrono::ceil<std::chrono::milliseconds>(*aRequest.mTimeout).count();
+    out.set("Request-Timeout-Ms", std::to_string(ms));
+  }
+  if (aRequest.mRange) {
+    out.set(http::field::range,
+            "bytes=" + std::to_string(aRequest.mRange->mFirst) + "-" +
+              std::to_string(aRequest.mRange->mLast));
+  }
+  if (aRequest.mCancel) {
+    out.set("X-Cancel", "1");
+  }
+  out.body() = aRequest.mBody;
+  out.prepare_payload();
+  std::ostringstream text;
+  text << out;
+  return text.str();
+}
+
 } // namespace heatherplank
--- a/src/agent/CallerRequest.h
+++ b/src/caller/CallerRequest.h
@@ -42,4 +42,8 @@
  */
 Result<CallerRequest> ParseCallerRequest(ByteView aDatagram);
 
+/** The datagram of a request; ParseCallerRequest reads it back. Thread safe.
+ */
+std::string WriteCallerRequest(const CallerRequest& aRequest);
+
 } // namespace heatherplank
--- /dev/null
+++ b/src/cli/CommandLine.cpp
@@ -0,0 +1,236 @@
+#include "src/cli/CommandLine.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "src/agent/AgentProcess.h"
+#include "src/balancer/BalancerProcess.h"
+#include "src/cli/Commands.h"
+
+DEFINE_string(settings, "", "file with the process's settings (JSON)");
+DEFINE_bool(fault_injection, false,
+            "mount /fault/* on the admin port, for experiments with "
+            "partitions; never in production");
+
+namespace heatherplank {
+
+namespace {
+
+using Words = std::span<const std::string>;
+
+ExitCode RunBalancer(Words)
+{
+  return RunBalancerProcess({ FLAGS_settings, FLAGS_fault_injection });
+}
+
+ExitCode RunAgent(Words)
+{
+  return RunAgentProcess({ FLAGS_settings, FLAGS_fault_injection });
+}
+
+struct Command
+{
+  std::string_view mName;
+  std::string_view mSummary;
+  ExitCode (*mRun)(Words);
+  /** Flags that it takes. */
+  std::vector<std::string_view> mFlags;
+};
+
+const std::vector<Command>& AllCommands()
+{
+  static const std::vector<Command> kCommands{
+    { "balancer",
+      "runs a balancer",
+      RunBalancer,
+      { "settings", "fault_injection" } },
+    { "agent",
+      "runs the agent beside a backend server",
+      RunAgent,
+      { "settings", "fault_injection" } },
+    { "check", "checks a configuration file", RunCheck, { "json" } },
+    { "apply",
+      "puts a configuration in force",
+      RunApply,
+      { "platform", "yes", "if_version", "json", "author" } },
+    { "get",
+      "prints the configuration in force",
+      RunGet,
+      { "platform", "json" } },
+    { "policy",
+      "shows or sets the balancing policy",
+      RunPolicy,
+      { "platform", "yes", "if_version", "json", "author" } },
+    { "status",
+      "shows what is in force where",
+      RunStatus,
+      { "platform", "json" } },
+    { "report",
+      "shows how each policy fared",
+      RunReport,
+      { "platform", "json" } },
+    { "drain",
+      "drains a host, or takes it back",
+      RunDrain,
+      { "platform", "yes", "undo", "json", "author" } },
+  };
+  return kCommands;
+}
+
+void PrintOverview(std::FILE* aOut)
+{
+  std::fputs("heatherplank, a layer-4 load balancer\n\n"
+             "usage: heatherplank COMMAND [--flag=value ...] [WORD ...]\n\n",
+             aOut);
+  for (const auto& it : AllCommands()) {
+    std::fprintf(aOut, "  %-10s %s\n", std::string(it.mName).c_str(),
+                 std::string(it.mSummary).c_str());
+  }
+  std::fputs("\nheatherplank COMMAND --help shows its flags; "
+             "heatherplank --version the release.\n",
+             aOut);
+}
+
+void PrintHelp(const Command& aCommand)
+{
+  std::string name(aCommand.mName);
+  std::printf("heatherplank %s: %s\n", name.c_str(),
+              std::string(aCommand.mSummary).c_str());
+  std::string usage(CommandUsage(aCommand.mName));
+  if (!usage.empty()) {
+    std::printf("\n%s\n", usage.c_str());
+  }
+  std::puts("\nflags:");
+  for (const auto& it : aCommand.mFlags) {
+    gflags::CommandLineFlagInfo info;
+    std::string flag(it);
+    if (gflags::GetCommandLineFlagInfo(flag.c_str(), &info)) {
+      std::printf("  --%-16s %s (%s)\n", flag.c_str(), info.description.c_str(),
+                  info.type.c_str());
+    }
+  }
+}
+
+const Command* FindCommand(std::string_view aName)
+{
+  const auto& all = AllCommands();
+  auto it = std::find_if(all.begin(), all.end(), [&](const Command& aIt) {
+    return aIt.mName == aName;
+  });
+  return it == all.end() ? nullptr : &*it;
+}
+
+/** The name of a word that is a flag ("--yes=true" gives "yes"), or "". */
+std::string FlagName(std::string_view aWord)
+{
+  if (!aWord.starts_with("-") || aWord.size() < 2) {
+    return {};
+  }
+  aWord.remove_prefix(aWord.starts_with("--") ? 2 : 1);
+  std::string name(aWord.substr(0, aWord.find('=')));
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+}
+
+bool Takes(const Command& aCommand, const std::string& aFlag)
+{
+  auto has = [&](std::string_view aName) {
+    return std::find(aCommand.mFlags.begin(), aCommand.mFlags.end(), aName) !=
+           aCommand.mFlags.end();
+  };
+  return has(aFlag) || (aFlag.starts_with("no") && has(aFlag.substr(2)));
+}
+
+ExitCode Refuse(const std::string& aWhat, const std::string& aRemedy)
+{
+  std::fprintf(stderr, "heatherplank: %s; %s\n", aWhat.c_str(),
+               aRemedy.c_str());
+  return ExitCode::Usage;
+}
+
+/** Sets the flags and collects the other words. gflags' own parser would end
+ * the process on an unknown flag, with a code of its own. */
+ExitCode Parse(const Command& aCommand, std::span<char*> aArguments,
+               std::vector<std::string>& aWords)
+{
+  std::string name(aCommand.mName);
+  std::string help = "see heatherplank " + name + " --help";
+  for (std::size_t i = 0; i < aArguments.size(); ++i) {
+    std::string word = aArguments[i];
+    std::string flag = FlagName(word);
+    if (flag.empty()) {
+      aWords.push_back(word);
+      continue;
+    }
+    if (!Takes(aCommand, flag)) {
+      return Refuse(name.append(" has no flag ").append(word), help);
+    }
+    auto equals = word.find('=');
+    std::string value;
+    gflags::CommandLineFlagInfo info;
+    if (flag.starts_with("no") &&
+        !gflags::GetCommandLineFlagInfo(flag.c_str(), &info)) {
+      flag = flag.substr(2);
+      value = "false";
+    } else if (equals != std::string::npos) {
+      value = word.substr(equals + 1);
+    } else if (gflags::GetCommandLineFlagInfo(flag.c_str(), &info) &&
+               info.type == "bool") {
+      value = "true";
+    } else if (i + 1 < aArguments.size()) {
+      value = aArguments[++i];
+    } else {
+      return Refuse("flag " + word + " has no value", help);
+    }
+    if (gflags::SetCommandLineOption(flag.c_str(), value.c_str()).empty()) {
+      std::string what = "flag --";
+      what.append(flag).append(" can't be \"").append(value).append("\"");
+      return Refuse(what, help);
+    }
+  }
+  return ExitCode::Ok;
+}
+
+ExitCode RunCommandLine(std::span<char*> aWords)
+{
+  std::string first = aWords.size() > 1 ? aWords[1] : "--help";
+  if (first == "--version") {
+    std::puts("heatherplank " HEATHERPLANK_VERSION);
+    return ExitCode::Ok;
+  }
+  if (first == "--help" || first == "-h" || first == "help") {
+    PrintOverview(aWords.size() > 1 ? stdout : stderr);
+    return aWords.size() > 1 ? ExitCode::Ok : ExitCode::Usage;
+  }
+  const Command* command = FindCommand(first);
+  if (command == nullptr) {
+    return Refuse("there is no command \"" + first + "\"",
+                  "see heatherplank --help");
+  }
+  auto rest = aWords.subspan(2);
+  for (const char* it : rest) {
+    if (std::string_view(it) == "--help" || std::string_view(it) == "-h") {
+      PrintHelp(*command);
+      return ExitCode::Ok;
+    }
+  }
+  std::vector<std::string> left;
+  ExitCode parsed = Parse(*command, rest, left);
+  return parsed != ExitCode::Ok ? parsed : command->mRun(left);
+}
+
+} // namespace
+
+int RunCommandLine(int aCount, char** aArguments)
+{
+  std::span<char*> words(aArguments, static_cast<std::size_t>(aCount));
+  return static_cast<int>(RunCommandLine(words));
+}
+
+} // namespace heatherplank
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,6 @@
-#include <cstdio>
+#include "src/cli/CommandLine.h"
 
-int main()
+int main(int aCount, char** aArguments)
 {
-  std::puts("heatherplank " HEATHERPLANK_VERSION);
-  return 0;
+  return heatherplank::RunCommandLine(aCount, aArguments);
 }
--- a/src/membership/MemberRecord.h
+++ b/src/membership/MemberRecord.h
@@ -84,6 +84,9 @@
   /** The records are all that the sender holds of their service. */
   bool mIsComplete = false;
   std::vector<MemberRecord> mRecords;
+  /** In the answer to a heartbeat: its beat, by which the sender knows when it
+   * was sent; 0 in what was not asked for. */
+  std::uint32_t mAnswersBeat = 0;
 };
 
 struct MemberDigest
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -208,7 +208,10 @@
 
 MemberDelta MemberTable::ServiceDelta(ServiceId aService, Time aNow) const
 {
-  MemberDelta out{ mId, mVersion, kNoTree, true, {} };
+  MemberDelta out;
+  out.mTable = mId;
+  out.mVersion = mVersion;
+  out.mIsComplete = true;
   auto it = mServices.find(aService);
   if (it == mServices.end()) {
     return out;
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -24,6 +24,8 @@
   Load = 7,
   HandOff = 8,
   HandOffAck = 9,
+  KeyQuestion = 10,
+  KeyAnswer = 11,
   Heartbeat = 20,
   MemberDelta = 21,
   MemberDigest = 22,
--- /dev/null
+++ b/src/wire/LoadCodec.cpp
@@ -0,0 +1,51 @@
+#include "src/wire/LoadCodec.h"
+
+#include "src/wire/WireAddress.h"
+#include "src/wire/load_generated.h"
+
+namespace heatherplank {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+/** A latency above an hour is damage, and would overflow a duration. */
+constexpr std::uint64_t kMostMicroseconds = 3600000000;
+
+} // namespace
+
+Bytes EncodeLoad(const LoadMessage& aMessage)
+{
+  flatbuffers::FlatBufferBuilder builder(128);
+  const HostLoad& load = aMessage.mLoad;
+  auto latency = duration_cast<microseconds>(load.mLatency).count();
+  builder.Finish(
+    wire::CreateLoad(builder, aMessage.mHost.mValue, aMessage.mIncarnation,
+                     load.mQueued, load.mBusy, load.mSlots,
+                     static_cast<std::uint64_t>(latency), aMessage.mSequence));
+  return EncodeDatagram(MessageKind::Load, Finished(builder));
+}
+
+Result<LoadMessage> DecodeLoad(ByteView aPayload)
+{
+  auto read = ReadRoot<wire::Load>(aPayload, "load");
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  const wire::Load& from = **read;
+  if (from.host() == 0 || from.latency_us() > kMostMicroseconds) {
+    return MalformedMessage("load");
+  }
+  LoadMessage message;
+  message.mHost = { from.host() };
+  message.mIncarnation = from.incarnation();
+  message.mSequence = from.sequence();
+  message.mLoad.mQueued = from.queued();
+  message.mLoad.mBusy = from.busy();
+  message.mLoad.mSlots = from.slots();
+  message.mLoad.mLatency = microseconds(from.latency_us());
+  return message;
+}
+
+} // namespace heatherplank
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -138,11 +138,11 @@
 {
   flatbuffers::FlatBufferBuilder builder;
   auto records = PutRecords(builder, aMessage.mRecords);
-  return FinishPayload(
-    builder,
-    wire::CreateMemberDelta(builder, static_cast<std::uint8_t>(aMessage.mTable),
-                            aMessage.mVersion, aMessage.mTree,
-                            aMessage.mIsComplete, records));
+  return FinishPayload(builder,
+                       wire::CreateMemberDelta(
+                         builder, static_cast<std::uint8_t>(aMessage.mTable),
+                         aMessage.mVersion, aMessage.mTree,
+                         aMessage.mIsComplete, aMessage.mAnswersBeat, records));
 }
 
 Bytes EncodePayload(const MemberDigest& aMessage)
@@ -204,6 +204,7 @@
   out.mVersion = from.version();
   out.mTree = from.tree();
   out.mIsComplete = from.is_complete();
+  out.mAnswersBeat = from.answers_beat();
   if (!IsPossibleTable(from.table_id()) ||
       !TakeRecords(*from.records(), out.mRecords)) {
     return MalformedMessage("member delta");
--- a/src/wire/PacketCodec.h
+++ b/src/wire/PacketCodec.h
@@ -12,6 +12,7 @@
   Deliver = 1,
   Adopt = 2,
   Answer = 3,
+  Lend = 4,
 };
 
 /** Which life of a flow: given at its first adoption, kept by hand-offs. A
--- a/src/wire/membership_generated.h
+++ b/src/wire/membership_generated.h
@@ -242,7 +242,8 @@
     VT_VERSION = 6,
     VT_TREE = 8,
     VT_IS_COMPLETE = 10,
-    VT_RECORDS = 12
+    VT_ANSWERS_BEAT = 12,
+    VT_RECORDS = 14
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
@@ -256,6 +257,9 @@
   bool is_complete() const {
     return GetField<uint8_t>(VT_IS_COMPLETE, 0) != 0;
   }
+  uint32_t answers_beat() const {
+    return GetField<uint32_t>(VT_ANSWERS_BEAT, 0);
+  }
   const flatbuffers::Vector<const heatherplank::wire::MemberRecord *> *records() const {
     return GetPointer<const flatbuffers::Vector<const heatherplank::wire::MemberRecord *> *>(VT_RECORDS);
   }
@@ -265,6 +269,7 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_TREE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_COMPLETE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERS_BEAT, 4) &&
            VerifyOffsetRequired(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.EndTable();
@@ -287,6 +292,9 @@
   void add_is_complete(bool is_complete) {
     fbb_.AddElement<uint8_t>(MemberDelta::VT_IS_COMPLETE, static_cast<uint8_t>(is_complete), 0);
   }
+  void add_answers_beat(uint32_t answers_beat) {
+    fbb_.AddElement<uint32_t>(MemberDelta::VT_ANSWERS_BEAT, answers_beat, 0);
+  }
   void add_records(flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records) {
     fbb_.AddOffset(MemberDelta::VT_RECORDS, records);
   }
@@ -308,10 +316,12 @@
     uint64_t version = 0,
     uint8_t tree = 255,
     bool is_complete = false,
+    uint32_t answers_beat = 0,
     flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records = 0) {
   MemberDeltaBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_records(records);
+  builder_.add_answers_beat(answers_beat);
   builder_.add_is_complete(is_complete);
   builder_.add_tree(tree);
   builder_.add_table_id(table_id);
@@ -324,6 +334,7 @@
     uint64_t version = 0,
     uint8_t tree = 255,
     bool is_complete = false,
+    uint32_t answers_beat = 0,
     const std::vector<heatherplank::wire::MemberRecord> *records = nullptr) {
   auto records__ = records ? _fbb.CreateVectorOfStructs<heatherplank::wire::MemberRecord>(*records) : 0;
   return heatherplank::wire::CreateMemberDelta(
@@ -332,6 +343,7 @@
       version,
       tree,
       is_complete,
+      answers_beat,
       records__);
 }
 
--- a/src/wire/packet_generated.h
+++ b/src/wire/packet_generated.h
@@ -28,33 +28,36 @@
   Directive_Deliver = 1,
   Directive_Adopt = 2,
   Directive_Answer = 3,
+  Directive_Lend = 4,
   Directive_MIN = Directive_Route,
-  Directive_MAX = Directive_Answer
+  Directive_MAX = Directive_Lend
 };
 
-inline const Directive (&EnumValuesDirective())[4] {
+inline const Directive (&EnumValuesDirective())[5] {
   static const Directive values[] = {
     Directive_Route,
     Directive_Deliver,
     Directive_Adopt,
-    Directive_Answer
+    Directive_Answer,
+    Directive_Lend
   };
   return values;
 }
 
 inline const char * const *EnumNamesDirective() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "Route",
     "Deliver",
     "Adopt",
     "Answer",
+    "Lend",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameDirective(Directive e) {
-  if (flatbuffers::IsOutRange(e, Directive_Route, Directive_Answer)) return "";
+  if (flatbuffers::IsOutRange(e, Directive_Route, Directive_Lend)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesDirective()[index];
 }
--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -2,7 +2,7 @@
 #include <string>
 #include <vector>
 
-#include "src/agent/CallerRequest.h"
+#include "src/caller/CallerRequest.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/ProcessSettingsTest.cpp
+++ b/tests/ProcessSettingsTest.cpp
@@ -57,8 +57,9 @@
     std::string text = settings.error().Describe();
     CHECK_TRUE(text.find("a.json") != std::string::npos);
     for (const auto& expected : it.mExpected) {
-      CHECK_TEXT(text.find(expected) != std::string::npos,
-                 (expected + " not in: " + text).c_str());
+      std::string missing = expected;
+      missing.append(" not in: ").append(text);
+      CHECK_TEXT(text.find(expected) != std::string::npos, missing.c_str());
     }
   }
 }
