--- a/src/steer/FlowAsker.cpp
+++ b/src/steer/FlowAsker.cpp
@@ -38,7 +38,8 @@
 }
 
 std::optional<AskResult> FlowAsker::Start(const ClaimedFlow& aLife,
-                                          AskPurpose aPurpose, Time aNow,
+                                          AskPurpose aPurpose,
+                                          const Peer* aAlso, Time aNow,
                                           OwnershipActions& aOut)
 {
   Rounds::Entry& entry = *mRounds.Insert(aLife.mFlow, aNow);
@@ -53,6 +54,9 @@
     round.mAsked.push_back({ it, false });
     AskPeer(entry, it, aOut);
   }
+  if (aAlso != nullptr) {
+    AddPeer(entry, *aAlso, aOut);
+  }
   return EndIfAnswered(entry, aNow);
 }
 
@@ -100,19 +104,23 @@
   return End(aEntry, AskOutcome::Nobody, {});
 }
 
-void FlowAsker::AddPeer(Rounds::Entry& aEntry, const Peer& aPeer,
+bool FlowAsker::AddPeer(Rounds::Entry& aEntry, const Peer& aPeer,
                         OwnershipActions& aOut)
 {
   auto& asked = aEntry.mValue.mAsked;
   auto isSame = [&](const Asked& aIt) {
     return aIt.mPeer.mHost == aPeer.mHost;
   };
-  if (aPeer.mHost == mSelf.mHost || asked.size() == asked.capacity() ||
+  if (aPeer.mHost == mSelf.mHost ||
       std::any_of(asked.begin(), asked.end(), isSame)) {
-    return;
+    return true;
+  }
+  if (asked.size() == asked.capacity()) {
+    return false;
   }
   asked.push_back({ aPeer, false });
   AskPeer(aEntry, aPeer, aOut);
+  return true;
 }
 
 std::optional<AskResult> FlowAsker::OnReply(const AskReply& aReply, Time aNow,
@@ -134,35 +142,62 @@
   return std::nullopt;
 }
 
+bool FlowAsker::IsUsable(const Round& aRound, const AskReply& aReply,
+                         Time aNow) const
+{
+  if (aReply.mOwner.mHost == mSelf.mHost) {
+    // An entry that names this host is of use only if it is new: an older one
+    // is what was left of a life that expired here, or of an earlier start.
+    return aReply.mJustPlaced &&
+           aReply.mOwner.mIncarnation == mSelf.mIncarnation;
+  }
+  // Whoever still tells of the life that is to be confirmed, but with fewer
+  // moves, tells of the time before this host took it over.
+  bool isOutdated = aRound.mPurpose == AskPurpose::Reconfirm &&
+                    aReply.mEpoch == aRound.mEpoch &&
+                    aReply.mMoves <= aRound.mMoves;
+  return !isOutdated &&
+         mViews.StatusOf(aReply.mOwner, aNow, aNow) != PeerStatus::Gone;
+}
+
+std::optional<AskResult> FlowAsker::TakeOwner(Rounds::Entry& aEntry,
+                                              const AskReply& aReply, Time aNow,
+                                              OwnershipActions& aOut)
+{
+  Round& round = aEntry.mValue;
+  bool mayBeUnaware = aReply.mJustPlaced && round.mPurpose == AskPurpose::Place;
+  bool isHearsay = aReply.mOwner.mHost != aReply.mFrom.mHost && !mayBeUnaware;
+  // Entries may be old. The host that one names is asked itself; believing the
+  // entry would send the flow round between the two until it expires.
+  if (isHearsay && AddPeer(aEntry, aReply.mOwner, aOut)) {
+    return EndIfAnswered(aEntry, aNow);
+  }
+  bool isSelf = aReply.mOwner.mHost == mSelf.mHost;
+  if (isSelf && !round.mUnconfirmed.mHost.IsNone()) {
+    // An owner that lives goes before an order that was not carried out.
+    return EndIfAnswered(aEntry, aNow);
+  }
+  round.mEpoch = aReply.mEpoch;
+  round.mMoves = aReply.mMoves;
+  round.mJustPlaced = aReply.mJustPlaced;
+  if (!isSelf && aReply.mVerdict == AskVerdict::Owner) {
+    return End(aEntry, AskOutcome::Owner, aReply.mOwner);
+  }
+  if (!isSelf) {
+    round.mUnconfirmed = aReply.mOwner;
+  }
+  return EndIfAnswered(aEntry, aNow);
+}
+
 std::optional<AskResult> FlowAsker::TakeVerdict(Rounds::Entry& aEntry,
                                                 const AskReply& aReply,
                                                 Time aNow,
                                                 OwnershipActions& aOut)
 {
-  Round& round = aEntry.mValue;
-  bool isSelf = aReply.mOwner.mHost == mSelf.mHost;
-  // An entry that names this host is of use only if it is new: an older one is
-  // what was left of a life that expired here, or of an earlier start.
-  bool isFormerSelf =
-    isSelf &&
-    (aReply.mOwner.mIncarnation != mSelf.mIncarnation || !aReply.mJustPlaced);
-  bool isGone =
-    !isSelf && mViews.StatusOf(aReply.mOwner, aNow, aNow) == PeerStatus::Gone;
   bool knowsOwner = aReply.mVerdict == AskVerdict::Owner ||
                     aReply.mVerdict == AskVerdict::Unconfirmed;
-  // Whoever still tells of the life that is to be confirmed, but with fewer
-  // moves, tells of the time before this host took it over.
-  bool isOutdated = round.mPurpose == AskPurpose::Reconfirm &&
-                    aReply.mEpoch == round.mEpoch &&
-                    aReply.mMoves <= round.mMoves;
-  if (knowsOwner && !isFormerSelf && !isGone && !isOutdated) {
-    round.mEpoch = aReply.mEpoch;
-    round.mMoves = aReply.mMoves;
-    round.mJustPlaced = aReply.mJustPlaced;
-    if (!isSelf && aReply.mVerdict == AskVerdict::Owner) {
-      return End(aEntry, AskOutcome::Owner, aReply.mOwner);
-    }
-    round.mUnconfirmed = isSelf ? Peer{} : aReply.mOwner;
+  if (knowsOwner && IsUsable(aEntry.mValue, aReply, aNow)) {
+    return TakeOwner(aEntry, aReply, aNow, aOut);
   }
   if (aReply.mVerdict == AskVerdict::Asking) {
     if (aReply.mOwner.mHost == aReply.mFrom.mHost) {
--- a/src/steer/FlowAsker.h
+++ b/src/steer/FlowAsker.h
@@ -61,10 +61,12 @@
 
   /** Begins a round; ended at once if there is nobody to ask. aLife: the flow
    * and the life that it is to have if nobody owns it, epoch 0 for a new one.
+   * aAlso: whom to ask besides those that the views name, or null.
    * Preconditions: not asking about the flow, not full.
    */
   std::optional<AskResult> Start(const ClaimedFlow& aLife, AskPurpose aPurpose,
-                                 Time aNow, OwnershipActions& aOut);
+                                 const Peer* aAlso, Time aNow,
+                                 OwnershipActions& aOut);
 
   /** True if the flow may be owned by a host that is alive in the view but left
    * the last question unanswered: such a flow is never placed unasked, since
@@ -134,7 +136,13 @@
                                        OwnershipActions& aOut);
   AskResult EndSilent(Rounds::Entry& aEntry, Time aNow);
   std::optional<AskResult> EndIfAnswered(Rounds::Entry& aEntry, Time aNow);
-  void AddPeer(Rounds::Entry& aEntry, const Peer& aPeer,
+  bool IsUsable(const Round& aRound, const AskReply& aReply, Time aNow) const;
+  std::optional<AskResult> TakeOwner(Rounds::Entry& aEntry,
+                                     const AskReply& aReply, Time aNow,
+                                     OwnershipActions& aOut);
+  /** Asks a host too; true if it was asked before, false if there is no room.
+   */
+  bool AddPeer(Rounds::Entry& aEntry, const Peer& aPeer,
                OwnershipActions& aOut);
   bool IsOpen(const Asked& aAsked, const Round& aRound, Time aNow) const;
   std::optional<AskResult> TickRound(Rounds::Entry& aEntry, Time aNow,
--- a/src/steer/FlowClaimer.cpp
+++ b/src/steer/FlowClaimer.cpp
@@ -2,6 +2,13 @@
 
 namespace heatherplank {
 
+namespace {
+
+/** An owner's word holds until its rival's claim has come this many times. */
+constexpr int kClaimsToSee = 6;
+
+} // namespace
+
 void FlowClaimer::Consider(FlowTable::Entry& aFlow, Time aNow,
                            OwnershipActions& aOut)
 {
@@ -53,7 +60,8 @@
   mBatches.clear();
 }
 
-bool FlowClaimer::Take(const Peer& aFrom, ClaimedFlow& aClaimed, Time aNow)
+bool FlowClaimer::Take(const Peer& aFrom, ClaimedFlow& aClaimed, Time aNow,
+                       OwnershipActions& aOut)
 {
   OwnerTable::Entry* known = mState.mDirectory.Put(aClaimed.mFlow, aNow);
   if (known == nullptr) {
@@ -66,20 +74,58 @@
   KnownOwner& entry = known->mValue;
   bool isNew = entry.mEpoch == 0;
   bool isSameLife = entry.mEpoch == aClaimed.mEpoch;
-  bool isGone = !isNew && mState.mViews.StatusOf(entry.mOwner, entry.mLearned,
-                                                 aNow) == PeerStatus::Gone;
-  // A later life began after the earlier one was looked for in vain: an entry
-  // for it is what was left when it expired.
-  bool isLater = aClaimed.mEpoch > entry.mEpoch;
-  aClaimed.mAccepted = isNew || isSameLife || isLater || isGone;
-  if (!aClaimed.mAccepted) {
+  // Of two starts of one host the later one alone exists.
+  bool isSameOwner = entry.mOwner.mHost == aFrom.mHost &&
+                     entry.mOwner.mIncarnation <= aFrom.mIncarnation;
+  bool isDead = !isNew && mState.mViews.StatusOf(entry.mOwner, entry.mLearned,
+                                                 aNow) != PeerStatus::Live;
+  if (!isNew && !isSameLife && !isSameOwner && !isDead) {
+    return Dispute(*known, aNow, aOut);
+  }
+  // What an owner says of itself holds, whatever it was meant to adopt.
+  bool isOutdated = isSameLife && aClaimed.mMoves < entry.mMoves;
+  if (!isOutdated) {
+    entry = { aFrom, aClaimed.mEpoch, aNow, {}, {}, aClaimed.mMoves };
+  }
+  aClaimed.mAccepted = true;
+  return true;
+}
+
+bool FlowClaimer::Dispute(OwnerTable::Entry& aKnown, Time aNow,
+                          OwnershipActions& aOut)
+{
+  // The entry may be what is left of a life that has ended, or was never begun.
+  // Were the claim turned down on its word, an established flow would be let
+  // go; so its owner has to say first that it owns the flow. The claim comes
+  // again meanwhile.
+  bool isSure =
+    aNow - aKnown.mValue.mVerifiedAt < mState.mOptions.mRetry * kClaimsToSee;
+  if (isSure) {
     ++mState.mCounters[OwnershipCount::ClaimConflicts];
     return true;
   }
-  if (!isSameLife || aClaimed.mMoves >= entry.mMoves) {
-    entry = { aFrom, aClaimed.mEpoch, aNow, {}, aClaimed.mMoves };
+  Ask ask{ aKnown.mFlow, mState.mSelf, kVerifyRound, AskPurpose::Place };
+  aOut.push_back(SendMessage{ aKnown.mValue.mOwner.mTunnel, ask });
+  return false;
+}
+
+void FlowClaimer::OnVerified(const AskReply& aReply, Time aNow)
+{
+  OwnerTable::Entry* known = mState.mDirectory.Find(aReply.mFlow);
+  if (known == nullptr || known->mValue.mOwner.mHost != aReply.mFrom.mHost) {
+    return;
+  }
+  bool owns = aReply.mVerdict == AskVerdict::Owner &&
+              aReply.mOwner.mHost == aReply.mFrom.mHost;
+  if (owns) {
+    KnownOwner& entry = known->mValue;
+    entry.mOwner = aReply.mOwner;
+    entry.mEpoch = aReply.mEpoch;
+    entry.mMoves = aReply.mMoves;
+    entry.mVerifiedAt = aNow;
+  } else {
+    mState.mDirectory.Erase(*known);
   }
-  return true;
 }
 
 } // namespace heatherplank
--- a/src/steer/FlowClaimer.h
+++ b/src/steer/FlowClaimer.h
@@ -31,12 +31,21 @@
   /** Sends the claims that Consider collected. */
   void Flush(OwnershipActions& aOut);
 
+  /** The round of asks that only find out if an entry is still true. */
+  static constexpr std::uint64_t kVerifyRound = 0;
+
   /** As arbiter: takes a claim of a flow that this host does not own. Gives
-   * the answer, and false if there is no room, so that none is to be sent.
+   * the answer, and false if none is to be sent yet: there is no room, or
+   * another owner is known that has to confirm it first.
    */
-  bool Take(const Peer& aFrom, ClaimedFlow& aClaimed, Time aNow);
+  bool Take(const Peer& aFrom, ClaimedFlow& aClaimed, Time aNow,
+            OwnershipActions& aOut);
+
+  /** Takes the answer to an ask of kVerifyRound. */
+  void OnVerified(const AskReply& aReply, Time aNow);
 
 private:
+  bool Dispute(OwnerTable::Entry& aKnown, Time aNow, OwnershipActions& aOut);
   void Send(Claim& aClaim, const Address& aTo, OwnershipActions& aOut);
 
   struct Batch
--- a/src/steer/Ownership.cpp
+++ b/src/steer/Ownership.cpp
@@ -12,12 +12,6 @@
  */
 constexpr std::uint8_t kActAfterHops = 2;
 
-/** The microseconds in an epoch; see OwnershipState::NextEpoch. */
-Incarnation StampOf(FlowEpoch aEpoch)
-{
-  return aEpoch >> 12;
-}
-
 } // namespace
 
 Ownership::Ownership(const Peer& aSelf, ServiceId aService,
@@ -37,8 +31,8 @@
   // dispatch for one flow. Others wait for longer than the trust in a view
   // lasts, so whoever finds its own view still trusted has lost nothing, and
   // whoever does not asks before it dispatches again.
-  bool lapses = mState.mOptions.mGuards.mLease && mState.mViews.HasView() &&
-                !mHasLapsed && !mState.mViews.IsFresh(aNow);
+  bool lapses = mState.mOptions.mGuards.mLease && mWasFresh && !mHasLapsed &&
+                !mState.mViews.IsFresh(aNow);
   if (!lapses) {
     return;
   }
@@ -63,6 +57,7 @@
 {
   CheckLease(aNow, aOut);
   mState.mViews.OnView(std::move(aView), aConfirmedAt, aNow);
+  mWasFresh = mWasFresh || mState.mViews.IsFresh(aNow);
   if (mHasLapsed && mState.mViews.IsFresh(aNow)) {
     mHasLapsed = false;
     ++mState.mLapses;
@@ -133,22 +128,39 @@
 bool Ownership::OnKnownPacket(const PacketEvent& aPacket, Time aNow,
                               OwnershipActions& aOut)
 {
-  if (OnMovedPacket(aPacket, aNow, aOut) ||
-      OnDirectoryPacket(aPacket, aNow, aOut)) {
+  if (OnMovedPacket(aPacket, aNow, aOut)) {
+    return true;
+  }
+  if (aPacket.mDirective == PacketDirective::Deliver) {
+    TellArbiter(aPacket, false, aOut);
+  }
+  if (OnDirectoryPacket(aPacket, aNow, aOut)) {
+    return true;
+  }
+  if (aPacket.mDirective == PacketDirective::Adopt) {
+    OnAdoptOrder(aPacket, aNow, aOut);
     return true;
   }
-  bool isOrder = aPacket.mDirective == PacketDirective::Adopt;
   PromiseTable::Entry* promise = FindPromise(aPacket.mFlow, aNow);
-  if (promise != nullptr &&
-      !(isOrder && promise->mValue.mTo.mHost == aPacket.mArbiter)) {
+  if (promise != nullptr && IsToBeKept(*promise, aPacket)) {
     mState.Forward(aPacket, promise->mValue.mTo, PacketDirective::Route, 0,
                    aOut);
     return true;
   }
-  if (isOrder) {
-    OnAdoptOrder(aPacket, aNow, aOut);
-  }
-  return isOrder;
+  return false;
+}
+
+bool Ownership::IsToBeKept(const PromiseTable::Entry& aPromise,
+                           const PacketEvent& aPacket) const
+{
+  // Who drains since, or sends the packet here itself, does not place the flow;
+  // it would go back and forth. It is still asked about, since that host may
+  // have adopted it before.
+  const Peer& to = aPromise.mValue.mTo;
+  const Member* member = mState.mViews.Find(to.mHost);
+  bool canAdopt = member == nullptr || CanAdopt(*member);
+  bool isRound = aPacket.mHops > kActAfterHops;
+  return canAdopt && to.mHost != aPacket.mArbiter && !isRound;
 }
 
 bool Ownership::OnMovedPacket(const PacketEvent& aPacket, Time aNow,
@@ -159,6 +171,12 @@
     return false;
   }
   const KnownOwner& known = moved->mValue;
+  if (known.mOwner.mHost == aPacket.mArbiter) {
+    // That host would not send the packet here if it owned the flow. Both would
+    // send it to each other for as long as their entries last.
+    mState.mMoved.Erase(*moved);
+    return false;
+  }
   mState.mMoved.Touch(*moved, aNow);
   mState.Forward(aPacket, known.mOwner, PacketDirective::Deliver, known.mEpoch,
                  aOut);
@@ -201,17 +219,17 @@
                              OwnershipActions& aOut)
 {
   ClaimedFlow life{ aPacket.mFlow, aPacket.mEpoch, 0, false };
-  // A start before this one was meant; that host's state is gone, so the life
-  // of the flow is too.
-  bool isForFormerSelf = mState.mOptions.mGuards.mIncarnation &&
-                         StampOf(aPacket.mEpoch) < mState.mSelf.mIncarnation;
-  if (mState.mDraining || isForFormerSelf) {
+  mState.Observe(aPacket.mEpoch);
+  PromiseTable::Entry* promise = FindPromise(aPacket.mFlow, aNow);
+  bool isForeign =
+    promise != nullptr && promise->mValue.mTo.mHost != aPacket.mArbiter;
+  if (mState.mDraining || !mState.IsForThisStart(aPacket.mEpoch)) {
     ++mState.mCounters[OwnershipCount::AdoptDeclined];
     TellArbiter(aPacket, mState.mDraining, aOut);
     OnUnknownPacket(aPacket, aNow, aOut);
   } else if (!MayDispatch(aNow)) {
     mState.Refuse(aPacket, OwnershipRefusal::ViewStale, aOut);
-  } else if (mState.mViews.HadLapsed(aNow)) {
+  } else if (mState.mViews.HadLapsed(aNow) || isForeign) {
     StartAsking(aPacket, life, AskPurpose::Place, aNow, aOut);
   } else {
     AdoptHere(life, aPacket.mArbiter, { &aPacket, 1 }, aNow, aOut);
@@ -223,7 +241,9 @@
 {
   const Member* arbiter = mState.mViews.Find(aPacket.mArbiter);
   if (arbiter != nullptr && arbiter->mHost != mState.mSelf.mHost) {
-    Hint hint{ aPacket.mFlow, mState.mSelf.mHost, {}, aDeclines };
+    Hint hint{
+      aPacket.mFlow, mState.mSelf.mHost, {}, aPacket.mEpoch, aDeclines
+    };
     aOut.push_back(SendMessage{ arbiter->mTunnel, hint });
   }
 }
@@ -231,9 +251,6 @@
 void Ownership::OnUnknownPacket(const PacketEvent& aPacket, Time aNow,
                                 OwnershipActions& aOut)
 {
-  if (aPacket.mDirective == PacketDirective::Deliver) {
-    TellArbiter(aPacket, false, aOut);
-  }
   if (!MayDispatch(aNow)) {
     mState.Refuse(aPacket, OwnershipRefusal::ViewStale, aOut);
     return;
@@ -250,11 +267,15 @@
     mState.Forward(aPacket, ToPeer(*arbiter), PacketDirective::Route, 0, aOut);
     return;
   }
-  bool isSettled =
-    mState.mViews.IsSettled(hash, aNow) && !mAsker.HasSilentPeer(hash);
+  // The entry names a host that left or died, but that may have handed the flow
+  // on before.
+  bool hadOwner = mState.mDirectory.Find(aPacket.mFlow) != nullptr;
+  bool isSettled = !hadOwner && mState.mViews.IsSettled(hash, aNow) &&
+                   !mAsker.HasSilentPeer(hash) &&
+                   FindPromise(aPacket.mFlow, aNow) == nullptr;
   if (isSettled || !mState.mOptions.mGuards.mAsk) {
     ++mState.mCounters[OwnershipCount::PlacedAtOnce];
-    Place({ aPacket.mFlow }, { &aPacket, 1 }, aNow, aOut);
+    Place(aPacket.mFlow, { &aPacket, 1 }, aNow, aOut);
   } else {
     StartAsking(aPacket, { aPacket.mFlow }, AskPurpose::Place, aNow, aOut);
   }
@@ -269,7 +290,9 @@
     return;
   }
   ++mState.mCounters[OwnershipCount::RoundsAsked];
-  auto ended = mAsker.Start(aLife, aPurpose, aNow, aOut);
+  PromiseTable::Entry* promise = FindPromise(aPacket.mFlow, aNow);
+  const Peer* also = promise != nullptr ? &promise->mValue.mTo : nullptr;
+  auto ended = mAsker.Start(aLife, aPurpose, also, aNow, aOut);
   if (!ended) {
     Hold(aPacket, aOut);
     return;
@@ -285,8 +308,8 @@
     return;
   }
   ++mState.mCounters[OwnershipCount::RoundsAsked];
-  auto ended =
-    mAsker.Start(mState.Describe(aFlow), AskPurpose::Reconfirm, aNow, aOut);
+  auto ended = mAsker.Start(mState.Describe(aFlow), AskPurpose::Reconfirm,
+                            nullptr, aNow, aOut);
   if (ended) {
     Settle(std::move(*ended), aNow, aOut);
   }
@@ -294,6 +317,7 @@
 
 void Ownership::Settle(AskResult aResult, Time aNow, OwnershipActions& aOut)
 {
+  mState.Observe(aResult.mEpoch);
   if (!mState.mOptions.mGuards.mSilentPeer &&
       aResult.mOutcome == AskOutcome::Silent) {
     aResult.mOutcome = AskOutcome::Nobody;
@@ -314,6 +338,11 @@
     }
     return;
   }
+  if (aResult.mPurpose == AskPurpose::Reconfirm) {
+    RefuseHeld(aResult, OwnershipRefusal::Moving, mState.mOptions.mRetryAfter,
+               aOut);
+    return;
+  }
   if (aResult.mOutcome == AskOutcome::Nobody) {
     SettleNobody(aResult, aNow, aOut);
     return;
@@ -329,7 +358,7 @@
   Time placedUntil =
     aResult.mJustPlaced ? aNow + mState.mOptions.mSettle : Time{};
   if (OwnerTable::Entry* entry = mState.mDirectory.Put(aResult.mFlow, aNow)) {
-    entry->mValue = { aResult.mOwner, aResult.mEpoch, aNow, placedUntil,
+    entry->mValue = { aResult.mOwner, aResult.mEpoch, aNow, placedUntil, {},
                       aResult.mMoves };
   }
   PacketDirective directive =
@@ -352,7 +381,7 @@
   if (life.mEpoch != 0 && !mState.mDraining) {
     AdoptHere(life, mState.mSelf.mHost, aResult.mHeld, aNow, aOut);
   } else {
-    Place(life, aResult.mHeld, aNow, aOut);
+    Place(aResult.mFlow, aResult.mHeld, aNow, aOut);
   }
 }
 
@@ -378,6 +407,9 @@
                       Time aNow, OwnershipActions& aOut)
 {
   ++mState.mCounters[OwnershipCount::FlowsLetGo];
+  // A round that goes on to confirm the flow would revive it.
+  auto ended = mAsker.EndWithOwner(aResult.mFlow, aResult.mOwner,
+                                   aResult.mEpoch, aResult.mMoves);
   mState.RememberMove(aResult.mFlow, aResult.mOwner, aResult.mEpoch,
                       aResult.mMoves, aNow);
   mMover.Cancel(aResult.mFlow, aResult.mOwner, aResult.mEpoch, aOut);
@@ -386,6 +418,10 @@
     mState.Forward(it, aResult.mOwner, PacketDirective::Deliver, aResult.mEpoch,
                    aOut);
   }
+  if (ended) {
+    RefuseHeld(*ended, OwnershipRefusal::Moving, mState.mOptions.mRetryAfter,
+               aOut);
+  }
 }
 
 void Ownership::RefuseHeld(const AskResult& aResult, OwnershipRefusal aReason,
@@ -414,24 +450,22 @@
   return from[pick < from.size() ? pick : 0];
 }
 
-void Ownership::Place(const ClaimedFlow& aLife,
+void Ownership::Place(const FlowKey& aFlow,
                       std::span<const PacketEvent> aPackets, Time aNow,
                       OwnershipActions& aOut)
 {
-  ClaimedFlow life = aLife;
-  life.mEpoch = life.mEpoch == 0 ? mState.NextEpoch(aNow) : life.mEpoch;
-  const Member* owner = PickOwner(HashFlow(life.mFlow), aNow);
+  const Member* owner = PickOwner(HashFlow(aFlow), aNow);
   bool isSelf = owner != nullptr && owner->mHost == mState.mSelf.mHost;
   OwnerTable::Entry* entry = nullptr;
   if (owner != nullptr && !isSelf) {
-    entry = mState.mDirectory.Put(life.mFlow, aNow);
+    entry = mState.mDirectory.Put(aFlow, aNow);
   }
   if (entry != nullptr) {
-    entry->mValue = { ToPeer(*owner), life.mEpoch, aNow,
-                      aNow + mState.mOptions.mSettle, life.mMoves };
+    Peer to = ToPeer(*owner);
+    FlowEpoch epoch = mState.NextEpoch(to, aNow);
+    entry->mValue = { to, epoch, aNow, aNow + mState.mOptions.mSettle, {}, 0 };
     for (const PacketEvent& it : aPackets) {
-      mState.Forward(it, ToPeer(*owner), PacketDirective::Adopt, life.mEpoch,
-                     aOut);
+      mState.Forward(it, to, PacketDirective::Adopt, epoch, aOut);
     }
     return;
   }
@@ -439,7 +473,8 @@
   mState.mCounters[OwnershipCount::DirectoryFull] += hasNoRoom ? 1 : 0;
   if (owner != nullptr && !mState.mDraining) {
     // A flow that the arbiter owns itself needs no entry.
-    AdoptHere(life, mState.mSelf.mHost, aPackets, aNow, aOut);
+    FlowEpoch epoch = mState.NextEpoch(mState.mSelf, aNow);
+    AdoptHere({ aFlow, epoch }, mState.mSelf.mHost, aPackets, aNow, aOut);
     return;
   }
   for (const PacketEvent& it : aPackets) {
--- a/src/steer/Ownership.h
+++ b/src/steer/Ownership.h
@@ -98,8 +98,8 @@
                      OwnershipActions& aOut);
   bool OnDirectoryPacket(const PacketEvent& aPacket, Time aNow,
                          OwnershipActions& aOut);
-  bool OnPromisedPacket(const PacketEvent& aPacket, Time aNow,
-                        OwnershipActions& aOut);
+  bool IsToBeKept(const PromiseTable::Entry& aPromise,
+                  const PacketEvent& aPacket) const;
   void OnUnknownPacket(const PacketEvent& aPacket, Time aNow,
                        OwnershipActions& aOut);
   void OnAdoptOrder(const PacketEvent& aPacket, Time aNow,
@@ -123,7 +123,7 @@
                   Duration aRetryAfter, OwnershipActions& aOut);
 
   /** Chooses the owner of a flow that has none, and gives it the packets. */
-  void Place(const ClaimedFlow& aLife, std::span<const PacketEvent> aPackets,
+  void Place(const FlowKey& aFlow, std::span<const PacketEvent> aPackets,
              Time aNow, OwnershipActions& aOut);
   const Member* PickOwner(std::uint64_t aFlowHash, Time aNow);
   void AdoptHere(const ClaimedFlow& aLife, HostId aArbiter,
@@ -131,19 +131,22 @@
                  OwnershipActions& aOut);
 
   void OnAsk(const Ask& aAsk, Time aNow, OwnershipActions& aOut);
-  bool AnswerFromKnowledge(const Ask& aAsk, AskReply& aReply, Time aNow,
-                           OwnershipActions& aOut);
+  bool IsLive(const Peer& aPeer, Time aNow) const;
+  bool AnswerAsOwner(const Ask& aAsk, AskReply& aReply, Time aNow,
+                     OwnershipActions& aOut);
+  bool AnswerFromEntries(const Ask& aAsk, AskReply& aReply, Time aNow);
   bool AnswerAsRival(const Ask& aAsk, AskReply& aReply, Time aNow,
                      OwnershipActions& aOut);
   bool Promise(const FlowKey& aFlow, const Peer& aTo, Time aNow);
   void OnClaim(const Claim& aClaim, Time aNow, OwnershipActions& aOut);
   bool TakeClaim(const Peer& aFrom, ClaimedFlow& aClaimed, Time aNow,
                  OwnershipActions& aOut);
-  void OnClaimAck(const ClaimAck& aAck, Time aNow, OwnershipActions& aOut);
+  void OnClaimAck(const ClaimAck& aAck, OwnershipActions& aOut);
   void OnHint(const Hint& aHint, Time aNow);
   void OnHandOff(const HandOff& aHandOff, Time aNow, OwnershipActions& aOut);
   bool TakeOver(const HandOff& aHandOff, Time aNow, OwnershipActions& aOut);
 
+  /** The entry of a flow, unless its owner is gone. */
   OwnerTable::Entry* FindOwner(OwnerTable& aTable, const FlowKey& aFlow,
                                Time aNow);
   PromiseTable::Entry* FindPromise(const FlowKey& aFlow, Time aNow);
@@ -164,6 +167,7 @@
   /** Hosts that lately turned an order to adopt down. */
   std::vector<Decliner> mDecliners;
   std::size_t mSweepAt = 0;
+  bool mWasFresh = false;
   bool mHasLapsed = false;
 };
 
--- a/src/steer/OwnershipMessageHandlers.cpp
+++ b/src/steer/OwnershipMessageHandlers.cpp
@@ -30,13 +30,16 @@
   std::visit(Overloaded{
                [&](const Ask& aIt) { OnAsk(aIt, aNow, aOut); },
                [&](const AskReply& aIt) {
+                 mState.Observe(aIt.mEpoch);
                  mAsker.HeardFrom(aIt.mFrom.mHost);
-                 if (auto ended = mAsker.OnReply(aIt, aNow, aOut)) {
+                 if (aIt.mRound == FlowClaimer::kVerifyRound) {
+                   mClaimer.OnVerified(aIt, aNow);
+                 } else if (auto ended = mAsker.OnReply(aIt, aNow, aOut)) {
                    Settle(std::move(*ended), aNow, aOut);
                  }
                },
                [&](const Claim& aIt) { OnClaim(aIt, aNow, aOut); },
-               [&](const ClaimAck& aIt) { OnClaimAck(aIt, aNow, aOut); },
+               [&](const ClaimAck& aIt) { OnClaimAck(aIt, aOut); },
                [&](const Hint& aIt) { OnHint(aIt, aNow); },
                [&](const HandOff& aIt) { OnHandOff(aIt, aNow, aOut); },
                [&](const HandOffAck& aIt) { mMover.OnAck(aIt, aNow, aOut); },
@@ -44,17 +47,26 @@
              aMessage);
 }
 
+bool Ownership::IsLive(const Peer& aPeer, Time aNow) const
+{
+  return mState.mViews.StatusOf(aPeer, aNow, aNow) == PeerStatus::Live;
+}
+
 void Ownership::OnAsk(const Ask& aAsk, Time aNow, OwnershipActions& aOut)
 {
-  if (aAsk.mFrom.mHost == mState.mSelf.mHost) {
+  // Who is held dead here gets no answer: this host would not keep a promise to
+  // it. Once the views show it again, it asks again.
+  bool isSelf = aAsk.mFrom.mHost == mState.mSelf.mHost;
+  if (isSelf || !IsLive(aAsk.mFrom, aNow)) {
     return;
   }
   AskReply reply;
   reply.mFlow = aAsk.mFlow;
   reply.mFrom = mState.mSelf;
   reply.mRound = aAsk.mRound;
-  bool isAnswered = AnswerFromKnowledge(aAsk, reply, aNow, aOut) ||
+  bool isAnswered = AnswerAsOwner(aAsk, reply, aNow, aOut) ||
                     AnswerAsRival(aAsk, reply, aNow, aOut) ||
+                    AnswerFromEntries(aAsk, reply, aNow) ||
                     Promise(aAsk.mFlow, aAsk.mFrom, aNow);
   if (isAnswered) {
     ++mState.mCounters[OwnershipCount::AsksAnswered];
@@ -62,22 +74,28 @@
   }
 }
 
-bool Ownership::AnswerFromKnowledge(const Ask& aAsk, AskReply& aReply,
-                                    Time aNow, OwnershipActions& aOut)
+bool Ownership::AnswerAsOwner(const Ask& aAsk, AskReply& aReply, Time aNow,
+                              OwnershipActions& aOut)
 {
-  if (FlowTable::Entry* flow = mState.mFlows.Find(aAsk.mFlow)) {
-    bool isSure = !mHasLapsed && mState.IsConfirmed(flow->mValue);
-    bool isRival = !isSure && aAsk.mPurpose == AskPurpose::Reconfirm &&
-                   mAsker.IsAsking(aAsk.mFlow);
-    if (isRival) {
-      return AnswerAsRival(aAsk, aReply, aNow, aOut);
-    }
-    aReply.mVerdict = isSure ? AskVerdict::Owner : AskVerdict::Unconfirmed;
-    aReply.mOwner = mState.mSelf;
-    aReply.mEpoch = flow->mValue.mEpoch;
-    aReply.mMoves = flow->mValue.mMoves;
-    return true;
+  FlowTable::Entry* flow = mState.mFlows.Find(aAsk.mFlow);
+  if (flow == nullptr) {
+    return false;
+  }
+  bool isSure = !mHasLapsed && mState.IsConfirmed(flow->mValue);
+  bool isRival = !isSure && aAsk.mPurpose == AskPurpose::Reconfirm &&
+                 mAsker.IsAsking(aAsk.mFlow);
+  if (isRival) {
+    return AnswerAsRival(aAsk, aReply, aNow, aOut);
   }
+  aReply.mVerdict = isSure ? AskVerdict::Owner : AskVerdict::Unconfirmed;
+  aReply.mOwner = mState.mSelf;
+  aReply.mEpoch = flow->mValue.mEpoch;
+  aReply.mMoves = flow->mValue.mMoves;
+  return true;
+}
+
+bool Ownership::AnswerFromEntries(const Ask& aAsk, AskReply& aReply, Time aNow)
+{
   OwnerTable::Entry* known = FindOwner(mState.mMoved, aAsk.mFlow, aNow);
   known = known ? known : FindOwner(mState.mDirectory, aAsk.mFlow, aNow);
   if (known != nullptr) {
@@ -86,15 +104,25 @@
     aReply.mEpoch = known->mValue.mEpoch;
     aReply.mMoves = known->mValue.mMoves;
     aReply.mJustPlaced = aNow < known->mValue.mJustPlacedUntil;
-    return true;
   }
   PromiseTable::Entry* promise = FindPromise(aAsk.mFlow, aNow);
-  if (promise != nullptr && promise->mValue.mTo.mHost != aAsk.mFrom.mHost) {
-    aReply.mVerdict = AskVerdict::Asking;
-    aReply.mOwner = promise->mValue.mTo;
+  bool isPromised =
+    promise != nullptr && promise->mValue.mTo.mHost != aAsk.mFrom.mHost;
+  if (isPromised) {
+    // Whoever it was promised to is asked too, and may pass the flow on.
+    Peer first = promise->mValue.mTo;
+    mState.mPromises.Touch(*promise, aNow);
+    if (aAsk.mPurpose == AskPurpose::Reconfirm) {
+      // Who owned the flow goes before who wants to place it: an order to adopt
+      // from the latter must not be carried out unasked now.
+      Promise(aAsk.mFlow, aAsk.mFrom, aNow);
+    }
+    aReply.mVerdict = known ? aReply.mVerdict : AskVerdict::Asking;
+    aReply.mOwner = known ? aReply.mOwner : first;
     return true;
   }
-  return false;
+  // The asker may find that the entry is out of date, and place the flow.
+  return known != nullptr && Promise(aAsk.mFlow, aAsk.mFrom, aNow);
 }
 
 bool Ownership::AnswerAsRival(const Ask& aAsk, AskReply& aReply, Time aNow,
@@ -132,6 +160,9 @@
 
 void Ownership::OnClaim(const Claim& aClaim, Time aNow, OwnershipActions& aOut)
 {
+  if (!IsLive(aClaim.mFrom, aNow)) {
+    return;
+  }
   ClaimAck ack{ mState.mSelf, {} };
   for (ClaimedFlow flow : aClaim.mFlows) {
     if (TakeClaim(aClaim.mFrom, flow, aNow, aOut)) {
@@ -144,22 +175,26 @@
 bool Ownership::TakeClaim(const Peer& aFrom, ClaimedFlow& aClaimed, Time aNow,
                           OwnershipActions& aOut)
 {
+  mState.Observe(aClaimed.mEpoch);
   FlowTable::Entry* flow = mState.mFlows.Find(aClaimed.mFlow);
   if (flow == nullptr) {
     auto ended = mAsker.EndWithOwner(aClaimed.mFlow, aFrom, aClaimed.mEpoch,
                                      aClaimed.mMoves);
-    bool isTaken = mClaimer.Take(aFrom, aClaimed, aNow);
+    bool isTaken = mClaimer.Take(aFrom, aClaimed, aNow, aOut);
     if (ended) {
       Settle(std::move(*ended), aNow, aOut);
     }
     return isTaken;
   }
-  // The new owner of a flow that is on its way there has claimed it before its
-  // answer to the hand-off came.
-  bool hasMoved = flow->mValue.mEpoch == aClaimed.mEpoch &&
-                  flow->mValue.mMoves < aClaimed.mMoves;
-  aClaimed.mAccepted = hasMoved;
-  if (hasMoved) {
+  // Either the new owner of a flow that is on its way there claims it before
+  // its answer to the hand-off came, or the flow was taken over during a lapse
+  // of this host: who claims a flow has confirmed it.
+  bool isSameLife = flow->mValue.mEpoch == aClaimed.mEpoch;
+  bool hasMoved = isSameLife && flow->mValue.mMoves < aClaimed.mMoves;
+  bool isUnsure =
+    !isSameLife && (mHasLapsed || !mState.IsConfirmed(flow->mValue));
+  aClaimed.mAccepted = hasMoved || isUnsure;
+  if (aClaimed.mAccepted) {
     AskResult owner;
     owner.mFlow = aClaimed.mFlow;
     owner.mOwner = aFrom;
@@ -172,8 +207,7 @@
   return true;
 }
 
-void Ownership::OnClaimAck(const ClaimAck& aAck, Time aNow,
-                           OwnershipActions& aOut)
+void Ownership::OnClaimAck(const ClaimAck& aAck, OwnershipActions& aOut)
 {
   for (const ClaimedFlow& it : aAck.mFlows) {
     FlowTable::Entry* flow = mState.mFlows.Find(it.mFlow);
@@ -183,10 +217,14 @@
       continue;
     }
     if (!it.mAccepted) {
-      AskResult owner;
-      owner.mFlow = it.mFlow;
-      owner.mOwner = aAck.mFrom;
-      LetGo(*flow, owner, aNow, aOut);
+      ++mState.mCounters[OwnershipCount::FlowsLetGo];
+      auto ended = mAsker.EndWithOwner(it.mFlow, aAck.mFrom, 0, 0);
+      if (ended) {
+        RefuseHeld(*ended, OwnershipRefusal::Moving,
+                   mState.mOptions.mRetryAfter, aOut);
+      }
+      mMover.Cancel(it.mFlow, aAck.mFrom, 0, aOut);
+      mState.Drop(*flow, aOut);
       continue;
     }
     const Member* arbiter = mState.mViews.Arbiter(HashFlow(it.mFlow));
@@ -205,7 +243,8 @@
   }
   for (OwnerTable* table : { &mState.mDirectory, &mState.mMoved }) {
     OwnerTable::Entry* entry = table->Find(aHint.mFlow);
-    if (entry != nullptr && entry->mValue.mOwner.mHost == aHint.mFrom) {
+    if (entry != nullptr && entry->mValue.mOwner.mHost == aHint.mFrom &&
+        entry->mValue.mEpoch == aHint.mEpoch) {
       table->Erase(*entry);
     }
   }
@@ -218,11 +257,10 @@
 void Ownership::OnHandOff(const HandOff& aHandOff, Time aNow,
                           OwnershipActions& aOut)
 {
-  // A restart has none of what the sender counts on, and an offer from before a
-  // lapse may have been made to another host since. Without an answer the
+  // A restart has none of what the sender counts on. Without an answer the
   // sender keeps the flow until it knows.
   bool isForThisStart = aHandOff.mToIncarnation == mState.mSelf.mIncarnation;
-  if (!isForThisStart || !MayDispatch(aNow) || mState.mViews.HadLapsed(aNow)) {
+  if (!isForThisStart || !IsLive(aHandOff.mFrom, aNow)) {
     return;
   }
   HandOffAck ack{ aHandOff.mFlow, mState.mSelf, aHandOff.mEpoch,
@@ -258,7 +296,9 @@
   bool wasRefused = promise != nullptr &&
                     promise->mValue.mTo.mHost == aHandOff.mFrom.mHost &&
                     promise->mValue.mAttempt >= aHandOff.mAttempt;
-  if (mState.mDraining || wasRefused) {
+  // An offer from before a lapse may have been made to another host since.
+  bool isUnsure = !MayDispatch(aNow) || mState.mViews.HadLapsed(aNow);
+  if (mState.mDraining || wasRefused || isUnsure) {
     return false;
   }
   FlowTable::Entry* flow =
@@ -289,11 +329,7 @@
   const KnownOwner& known = entry->mValue;
   bool isGone = mState.mViews.StatusOf(known.mOwner, known.mLearned, aNow) ==
                 PeerStatus::Gone;
-  if (isGone) {
-    aTable.Erase(*entry);
-    return nullptr;
-  }
-  return entry;
+  return isGone ? nullptr : entry;
 }
 
 PromiseTable::Entry* Ownership::FindPromise(const FlowKey& aFlow, Time aNow)
--- a/src/steer/OwnershipMessages.h
+++ b/src/steer/OwnershipMessages.h
@@ -99,13 +99,14 @@
 };
 
 /** Who owns a flow, for a balancer's hint cache; or, with no owner, that the
- * sender does not own it, for the arbiter that took it for the owner.
+ * sender does not own this life of it, for the arbiter that thought so.
  */
 struct Hint
 {
   FlowKey mFlow;
   HostId mFrom;
   Peer mOwner;
+  FlowEpoch mEpoch = 0;
   /** The sender can't take new flows at present. */
   bool mDeclines = false;
 };
--- a/src/steer/OwnershipState.cpp
+++ b/src/steer/OwnershipState.cpp
@@ -6,8 +6,20 @@
 
 namespace {
 
-/** Low bits of an epoch that tell hosts apart; the rest is microseconds. */
-constexpr int kEpochHostBits = 12;
+/** Low bits of an epoch that tell the owner's starts apart: one stale order in
+ * half a million is mistaken for a present one. The rest counts units of 64
+ * microseconds, which fit until the year 2041 and allow 15,625 new flows a
+ * second for each shard.
+ */
+constexpr int kEpochOwnerBits = 19;
+constexpr int kEpochUnitBits = 6;
+
+std::uint64_t OwnerBits(const Peer& aOwner)
+{
+  std::uint64_t hash = MixHash(aOwner.mHost.mValue, aOwner.mIncarnation);
+  return hash & ((std::uint64_t{ 1 } << kEpochOwnerBits) - 1);
+}
+
 /** Busy flows that are passed over to find one to evict. */
 constexpr std::size_t kEvictionTries = 8;
 
@@ -29,16 +41,25 @@
 {
 }
 
-FlowEpoch OwnershipState::NextEpoch(Time aNow)
+FlowEpoch OwnershipState::NextEpoch(const Peer& aOwner, Time aNow)
 {
   auto since =
     std::chrono::duration_cast<std::chrono::microseconds>(aNow - mStart);
   std::uint64_t stamp =
     mSelf.mIncarnation + static_cast<std::uint64_t>(since.count());
-  mLastStamp = std::max(stamp, mLastStamp + 1);
-  std::uint64_t hostBits =
-    mSelf.mHost.mValue & ((std::uint64_t{ 1 } << kEpochHostBits) - 1);
-  return (mLastStamp << kEpochHostBits) | hostBits;
+  mLastStamp = std::max(stamp >> kEpochUnitBits, mLastStamp + 1);
+  return (mLastStamp << kEpochOwnerBits) | OwnerBits(aOwner);
+}
+
+void OwnershipState::Observe(FlowEpoch aEpoch)
+{
+  mLastStamp = std::max(mLastStamp, aEpoch >> kEpochOwnerBits);
+}
+
+bool OwnershipState::IsForThisStart(FlowEpoch aEpoch) const
+{
+  std::uint64_t bits = aEpoch & ((std::uint64_t{ 1 } << kEpochOwnerBits) - 1);
+  return !mOptions.mGuards.mIncarnation || bits == OwnerBits(mSelf);
 }
 
 bool OwnershipState::MakeRoom(Time aNow, OwnershipActions& aOut)
@@ -98,7 +119,7 @@
     ++mCounters[OwnershipCount::MovedEvicted];
     mMoved.Erase(*mMoved.Oldest());
   }
-  mMoved.Put(aFlow, aNow)->mValue = { aTo, aEpoch, aNow, {}, aMoves };
+  mMoved.Put(aFlow, aNow)->mValue = { aTo, aEpoch, aNow, {}, {}, aMoves };
 }
 
 void OwnershipState::Refuse(const PacketEvent& aPacket,
--- a/src/steer/OwnershipState.h
+++ b/src/steer/OwnershipState.h
@@ -40,6 +40,8 @@
   Time mLearned;
   /** Until then the owner may not have heard that it was chosen. */
   Time mJustPlacedUntil;
+  /** When the owner last said so against another's claim. */
+  Time mVerifiedAt;
   std::uint16_t mMoves = 0;
 };
 
@@ -75,9 +77,20 @@
     return { aFlow.mFlow, aFlow.mValue.mEpoch, aFlow.mValue.mMoves, false };
   }
 
-  /** A new epoch: larger than those that this host gave before, and unlike
-   * those of other hosts. */
-  FlowEpoch NextEpoch(Time aNow);
+  /** A new epoch for a flow that aOwner is to own: larger than all that this
+   * host gave or heard of. It tells the owner's starts apart.
+   */
+  FlowEpoch NextEpoch(const Peer& aOwner, Time aNow);
+
+  /** Notes an epoch that another host gave, so that later ones are larger
+   * whatever the hosts' clocks say.
+   */
+  void Observe(FlowEpoch aEpoch);
+
+  /** True if an epoch was given for this start of this host. A restart must
+   * not go on with a life whose state it never had.
+   */
+  bool IsForThisStart(FlowEpoch aEpoch) const;
 
   /** Adds an owned flow; evicts one without answers to make room. Null if
    * there is none. Precondition: the flow is not owned yet.
--- a/src/steer/Steering.cpp
+++ b/src/steer/Steering.cpp
@@ -23,9 +23,11 @@
   }
   if (auto hint = aHints.Find(aFlowHash)) {
     const Member* owner = aView->Find(hint->mHost);
-    // A restart at the same address holds none of the old flows: a hint that
-    // outlived its incarnation would send the flow there for nothing.
-    if (owner != nullptr && owner->mIncarnation == hint->mIncarnation) {
+    // A restart at the same address holds none of the old flows, and a host
+    // that is leaving has handed its flows on: following a hint to either would
+    // lose the flow's packets for as long as the hint lives.
+    if (owner != nullptr && owner->mIncarnation == hint->mIncarnation &&
+        owner->mState != HostState::Leaving) {
       return SteerTarget{ owner, PacketDirective::Deliver };
     }
     aHints.Erase(aFlowHash);
--- a/src/wire/SteerCodec.cpp
+++ b/src/wire/SteerCodec.cpp
@@ -94,7 +94,7 @@
   auto flow = heatherplank::ToWire(aHint.mFlow);
   auto owner = ToWire(aHint.mOwner);
   aBuilder.Finish(wire::CreateHint(aBuilder, &flow, aHint.mFrom.mValue, &owner,
-                                   aHint.mDeclines));
+                                   aHint.mEpoch, aHint.mDeclines));
 }
 
 void Build(Builder& aBuilder, const HandOff& aHandOff)
@@ -164,6 +164,7 @@
   return Hint{ heatherplank::FromWire(*aFrom.flow()),
                { aFrom.from() },
                FromWire(aFrom.owner()),
+               aFrom.epoch(),
                aFrom.declines() };
 }
 
--- a/src/wire/steer_generated.h
+++ b/src/wire/steer_generated.h
@@ -438,7 +438,8 @@
     VT_FLOW = 4,
     VT_FROM = 6,
     VT_OWNER = 8,
-    VT_DECLINES = 10
+    VT_EPOCH = 10,
+    VT_DECLINES = 12
   };
   const heatherplank::wire::WireFlow *flow() const {
     return GetStruct<const heatherplank::wire::WireFlow *>(VT_FLOW);
@@ -449,6 +450,9 @@
   const heatherplank::wire::WirePeer *owner() const {
     return GetStruct<const heatherplank::wire::WirePeer *>(VT_OWNER);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool declines() const {
     return GetField<uint8_t>(VT_DECLINES, 0) != 0;
   }
@@ -457,6 +461,7 @@
            VerifyFieldRequired<heatherplank::wire::WireFlow>(verifier, VT_FLOW, 8) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<heatherplank::wire::WirePeer>(verifier, VT_OWNER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_DECLINES, 1) &&
            verifier.EndTable();
   }
@@ -475,6 +480,9 @@
   void add_owner(const heatherplank::wire::WirePeer *owner) {
     fbb_.AddStruct(Hint::VT_OWNER, owner);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(Hint::VT_EPOCH, epoch, 0);
+  }
   void add_declines(bool declines) {
     fbb_.AddElement<uint8_t>(Hint::VT_DECLINES, static_cast<uint8_t>(declines), 0);
   }
@@ -495,8 +503,10 @@
     const heatherplank::wire::WireFlow *flow = nullptr,
     uint64_t from = 0,
     const heatherplank::wire::WirePeer *owner = nullptr,
+    uint64_t epoch = 0,
     bool declines = false) {
   HintBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_from(from);
   builder_.add_owner(owner);
   builder_.add_flow(flow);
