Waits by when slots come free; slow hosts by service time; documents by deadline

Waits were averaged over the slots, so one long download had short checks refused; hosts were held out as slow for the queue in their latency (12 % of the slots idle at saturation); a second's use of the slots had documents of a ten second deadline refused in a burst; documents served in turn fell behind later ones until they were late. Ruled out: raising the queue limits alone, which changes none of these. Change: ExpectedWait fills the slots as they come free; HostLoad::mServiceTime for the outlier detector; a ten second view for work that may wait, which is now served by its deadline; a queue is a standing one after a whole deadline; over_share only for callers with twice the mean waiting.

--- a/bench/load/Pattern.cpp
+++ b/bench/load/Pattern.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint16_t kChecks = 1;
 constexpr std::uint16_t kDocuments = 2;
 constexpr double kSlots = 14;
+constexpr std::uint32_t kQueueLimit = 256;
 
 // The rate at which requests of a length fill a share of the desk's slots.
 double Rate(double aShare, double aTakesMs, double aSlots = kSlots)
@@ -35,6 +36,7 @@
   rule.mNeverRepeat = aNeverRepeat;
   rule.mMayWait = aMayWait;
   rule.mDeadline = aDeadline;
+  rule.mQueueLimit = kQueueLimit;
   return rule;
 }
 
@@ -68,6 +70,7 @@
        at += gap(rng)) {
     Arrival arrival;
     arrival.mClass = aStream.mClass;
+    arrival.mGroup = aStream.mGroup;
     const auto callers = aStream.mCallers;
     const auto caller = callers == 0 ? number : number % callers;
     arrival.mCaller = MixHash(aSeed, caller);
@@ -103,7 +106,7 @@
 Pattern BusyCallers()
 {
   Pattern pattern{ "busy callers", MarineDesk(), DeskAt(0.6), {} };
-  pattern.mStreams.push_back({ kChecks, Rate(1.2, 20), 20, 0, 10, 3 });
+  pattern.mStreams.push_back({ kChecks, Rate(1.2, 20), 20, 0, 10, 3, "busy" });
   return pattern;
 }
 
@@ -121,7 +124,7 @@
   Pattern pattern{ "long among short", MarineDesk(), {}, {} };
   pattern.mStreams = { { kClaims, Rate(0.2, 40), 40 },
                        { kChecks, Rate(0.3, 20), 20 },
-                       { kDocuments, Rate(0.5, 2500), 2500 } };
+                       { kDocuments, Rate(0.8, 2500), 2500 } };
   return pattern;
 }
 
@@ -132,24 +135,26 @@
 
 Pattern ClaimsSaturation()
 {
-  return {
-    "claims alone at 2x", MarineDesk(), { { kClaims, Rate(2.0, 40), 40 } }, {}
-  };
+  return { "claims alone at 2x",
+           MarineDesk(),
+           { { kClaims, Rate(2.0, 40), 40, 0, 30 } },
+           {} };
 }
 
 Pattern ReservationSaturation()
 {
   return { "reservations alone at 2x",
            Agenda(),
-           { { 0, Rate(2.0, 40), 40 }, { 1, Rate(0.5, 20), 20 } },
+           { { 0, Rate(2.0, 40), 40, 0, 30 }, { 1, Rate(0.5, 20), 20, 0, 30 } },
            {} };
 }
 
 Pattern DocumentSaturation()
 {
-  return {
-    "documents alone at 2x", DocArchive(), { { 0, Rate(2.0, 100, 6), 100 } }, {}
-  };
+  return { "documents alone at 2x",
+           DocArchive(),
+           { { 0, Rate(2.0, 100, 6), 100, 0, 30 } },
+           {} };
 }
 
 Pattern ColdStart()
--- a/bench/load/Pattern.h
+++ b/bench/load/Pattern.h
@@ -20,6 +20,8 @@
   double mUntilS = 10;
   /** Callers that send them in turn; 0 for a new one each time. */
   std::uint64_t mCallers = 0;
+  /** Counted apart, if named. */
+  std::string mGroup{};
 };
 
 /** A pattern of load: who sends what, and what happens to the hosts. */
--- a/src/decide/ClassState.h
+++ b/src/decide/ClassState.h
@@ -11,11 +11,16 @@
 
 namespace heatherplank {
 
-/** How much slot time something took lately: a moving sum over a second, which
- * is some twenty answers of today's services. Not thread safe. */
+/** How much slot time something took lately: a moving sum. Not thread safe. */
 class SlotUse
 {
 public:
+  /** Precondition: aSeconds, over which it looks back, is above 0. */
+  explicit SlotUse(double aSeconds)
+    : mWindow(aSeconds)
+  {
+  }
+
   /** Adds slot time. */
   void Add(Duration aTime, Time aNow)
   {
@@ -24,7 +29,7 @@
   }
 
   /** Slots that were in use on average. */
-  double Slots(Time aNow) const { return At(aNow); }
+  double Slots(Time aNow) const { return At(aNow) / mWindow; }
 
 private:
   double At(Time aNow) const
@@ -33,9 +38,10 @@
       return 0;
     }
     const std::chrono::duration<double> since = aNow - mAt;
-    return mSeconds * std::exp(-since.count());
+    return mSeconds * std::exp(-since.count() / mWindow);
   }
 
+  double mWindow;
   double mSeconds = 0;
   Time mAt;
 };
@@ -52,11 +58,37 @@
   {
   }
 
+  /** How many would run before a new request of the caller. */
+  std::uint32_t Ahead(std::uint64_t aCaller) const
+  {
+    return mOptions.mMayWait ? mQueue.Size() : mQueue.Ahead(aCaller);
+  }
+
+  /** Takes what runs next; null if nothing waits. Work that may wait goes by
+   * its deadline, since all of it was promised to run: served in turn, what
+   * busy callers had sent long ago fell behind what came later, until it was
+   * late. Other work goes by the turn of its callers. */
+  Waiting* TakeNext()
+  {
+    if (!mOptions.mMayWait) {
+      return mQueue.Pop();
+    }
+    Waiting* earliest = mQueue.Earliest();
+    if (earliest != nullptr) {
+      mQueue.Remove(*earliest);
+    }
+    return earliest;
+  }
+
   ClassOptions mOptions;
   FairQueue mQueue;
   ServiceTimes mTimes;
   ReturnPlanner mReturns;
-  SlotUse mUse;
+  /** Over a second, some twenty answers of today's services, for work that
+   * waits less than that; and over ten for work that may wait through a burst.
+   */
+  SlotUse mUse{ 1.0 };
+  SlotUse mLongUse{ 10.0 };
   /** Slots that it holds. */
   std::uint32_t mRunning = 0;
   /** Slot time taken, divided by the share; with ClassOrder::Share. */
--- a/src/decide/HostLoad.h
+++ b/src/decide/HostLoad.h
@@ -20,10 +20,13 @@
   std::uint32_t mSlots = 1;
   /** Moving average of an answer's time, queue included; zero if none yet. */
   Duration mLatency{};
+  /** Moving mean of what requests take in a slot, queue not included; zero if
+   * none was seen lately. */
+  Duration mServiceTime{};
   /** Moving share (0 to 1) of dispatched requests that failed or timed out. A
    * host that fails fast has short queues; by load alone it would look best. */
   double mFailing = 0;
-  /** Results so far that mLatency and mFailing were counted from; the same
+  /** Results so far that these figures were counted from; the same
    * number again means that nothing new is known. */
   std::uint64_t mResults = 0;
   /** Time since the figures were taken, when they are read. */
--- a/src/decide/OutlierDetector.cpp
+++ b/src/decide/OutlierDetector.cpp
@@ -81,7 +81,7 @@
       return;
     }
     record.mFailing = aLoad.mFailing;
-    record.mLatency = static_cast<double>(aLoad.mLatency.count());
+    record.mLatency = static_cast<double>(aLoad.mServiceTime.count());
     record.mSeen = std::max(record.mSeen, kFewest);
     if (IsOutlier(record) || aLoad.mFailing >= kFailingShare) {
       HoldOut(record, aNow);
--- a/src/decide/OutlierDetector.h
+++ b/src/decide/OutlierDetector.h
@@ -40,7 +40,9 @@
   virtual void OnResult(HostId aHost, bool aAnswered, Duration aLatency,
                         Time aNow) = 0;
 
-  /** The host's agent told its figures, counted from results that it saw. */
+  /** The host's agent told its figures, counted from results that it saw. Of
+   * its times only the service time counts: mLatency holds the queue, and at
+   * saturation hosts with the longer queues would be held out for it. */
   virtual void OnFigures(HostId aHost, const HostLoad& aLoad, Time aNow) = 0;
 
   /** What the backend server's own endpoint says of it. */
--- a/src/decide/ReservationAdmission.cpp
+++ b/src/decide/ReservationAdmission.cpp
@@ -20,6 +20,10 @@
 // Weight of one more answer in the figures for other hosts.
 constexpr int kLatencyShare = 8;
 constexpr double kFailingShare = 0.125;
+// Answers in the mean service time: short and long work are mixed, and over 64
+// answers the mix is that of the other hosts.
+constexpr std::uint32_t kServiceCount = 64;
+constexpr Duration kForgetAfter = 1s;
 
 } // namespace
 
@@ -151,6 +155,7 @@
   load.mBusy = static_cast<std::uint32_t>(mRunning.size());
   load.mSlots = mSlots;
   load.mLatency = mLatency;
+  load.mServiceTime = mServiceTime;
   load.mFailing = mFailing;
   load.mResults = mResults;
   return load;
@@ -193,16 +198,19 @@
 {
   ClassState& state = *mClasses[aSlot.mClass];
   state.mUse.Add(aNow - aSlot.mSince, aNow);
+  state.mLongUse.Add(aNow - aSlot.mSince, aNow);
   switch (aResult) {
     case RunResult::Answered:
       ++mResults;
       mPausesInARow = 0;
       state.mTimes.Observe(aSlot.mSize, aServiceTime);
+      NoteServiceTime(aServiceTime, aNow);
       mLatency += (aNow - aSlot.mArrival - mLatency) / kLatencyShare;
       mFailing -= mFailing * kFailingShare;
       break;
     case RunResult::TimedOut:
       state.mTimes.ObserveAtLeast(aSlot.mSize, aServiceTime);
+      NoteServiceTime(aServiceTime, aNow);
       NoteFailure();
       break;
     case RunResult::Failed:
@@ -221,6 +229,19 @@
   }
 }
 
+// After a pause the mean begins anew: a host that was slow, and was held out
+// for it, would otherwise drag its old mean along and never come back.
+void ReservationAdmission::NoteServiceTime(Duration aTime, Time aNow)
+{
+  if (aNow - mServiceSeenAt > kForgetAfter) {
+    mServiceCount = 0;
+    mServiceTime = {};
+  }
+  mServiceSeenAt = aNow;
+  mServiceCount = std::min(mServiceCount + 1, kServiceCount);
+  mServiceTime += (aTime - mServiceTime) / mServiceCount;
+}
+
 void ReservationAdmission::NoteFailure()
 {
   ++mResults;
@@ -330,7 +351,7 @@
   ClassState& state = ClassOf(aRequest);
   const HostView view = View();
   const std::size_t index = aRequest.mClass;
-  const std::uint32_t ahead = state.mQueue.Ahead(aRequest.mCaller);
+  const std::uint32_t ahead = state.Ahead(aRequest.mCaller);
   const Duration wait = ExpectedWait(view, index, ahead, aNow);
   // What a request with a whole deadline before it would put up with.
   const Duration bearable =
--- a/src/decide/ReservationAdmission.h
+++ b/src/decide/ReservationAdmission.h
@@ -54,6 +54,7 @@
   std::optional<RefusalReason> Judge(const Request& aRequest, Time aNow);
   std::optional<RefusalReason> JudgeWait(const Request& aRequest, Time aNow);
   Duration Tolerated(const Request& aRequest, Time aNow) const;
+  bool IsBusyCaller(const ClassState& aClass, const Request& aRequest) const;
   bool TakeProbe(ClassState& aClass, Time aNow);
 
   // From the queues to the slots.
@@ -80,6 +81,7 @@
 
   void NoteResult(const RunningSlot& aSlot, RunResult aResult,
                   Duration aServiceTime, Time aNow);
+  void NoteServiceTime(Duration aTime, Time aNow);
   void NoteFailure();
   void Pause(Time aNow);
 
@@ -101,6 +103,9 @@
   /** When the last event came. */
   Time mSeenAt;
   Duration mLatency{};
+  Duration mServiceTime{};
+  std::uint32_t mServiceCount = 0;
+  Time mServiceSeenAt;
   double mFailing = 0;
   std::uint64_t mResults = 0;
 };
--- a/src/decide/ReservationDoor.cpp
+++ b/src/decide/ReservationDoor.cpp
@@ -12,10 +12,14 @@
 // A lane holds at most twice the room that is left: one busy caller alone gets
 // two thirds of the queue, and there is always room for another caller.
 constexpr std::uint32_t kLaneShare = 2;
-// A queue that did not empty for this long is no burst: callers arrive faster
-// than the slots serve, and waiting longer only makes every answer later.
-constexpr Duration kBurst = 500ms;
+// What is tolerated of the time left, once a queue did not empty for a whole
+// deadline. A burst of which all can be answered in time is gone by then; what
+// is left is more than the slots can serve, and a longer queue would make
+// every answer later and not one more of them.
 constexpr int kStandingShare = 4;
+// Work that may wait is let in for three quarters of its time: it must not be
+// lost if what goes before it grows.
+constexpr double kMayWaitShare = 0.75;
 // How often hopeless work may be tried. Four a second are at most a tenth of
 // what two slots of 50 ms serve, and a host that has recovered is known again
 // within twenty answers.
@@ -52,7 +56,7 @@
   ClassState& state = ClassOf(aRequest);
   const HostView view = View();
   const std::size_t index = aRequest.mClass;
-  const std::uint32_t ahead = state.mQueue.Ahead(aRequest.mCaller);
+  const std::uint32_t ahead = state.Ahead(aRequest.mCaller);
   const Duration wait = ExpectedWait(view, index, ahead, aNow);
   if (wait == Duration{}) {
     const Duration run = state.mTimes.Mean(aRequest.mSize);
@@ -66,12 +70,21 @@
   if (wait <= tolerated) {
     return std::nullopt;
   }
-  // Would a caller that has nothing here have been let in?
-  const std::uint32_t fewest = std::min(ahead, state.mQueue.Lanes());
-  const bool isOwnFault = mOptions.mGuards.mFairness && fewest < ahead &&
-                          ExpectedWait(view, index, fewest, aNow) <= tolerated;
-  return isOwnFault ? RefusalReason::OverShare
-                    : RefusalReason::DeadlineUnreachable;
+  return IsBusyCaller(state, aRequest) ? RefusalReason::OverShare
+                                       : RefusalReason::DeadlineUnreachable;
+}
+
+// True if the caller has more than twice as much waiting as callers have on
+// average, so that it is refused for its own work rather than for the others'.
+bool ReservationAdmission::IsBusyCaller(const ClassState& aClass,
+                                        const Request& aRequest) const
+{
+  const FairQueue& queue = aClass.mQueue;
+  if (!mOptions.mGuards.mFairness || queue.Lanes() < 2) {
+    return mOptions.mGuards.mFairness && queue.Size() > 0 &&
+           queue.Depth(aRequest.mCaller) == queue.Size();
+  }
+  return queue.Depth(aRequest.mCaller) * queue.Lanes() > 2 * queue.Size();
 }
 
 // How long the request may wait and still be let in.
@@ -81,9 +94,13 @@
   const ClassState& state = *mClasses[aRequest.mClass];
   const Duration run = state.mTimes.High(aRequest.mSize);
   const Duration slack = aRequest.mDeadline - aNow - run;
-  const bool stands = state.mQueue.Size() > 0 && aNow - state.mEmptyAt > kBurst;
-  const bool shorten =
-    mOptions.mGuards.mStandingQueue && stands && !state.mOptions.mMayWait;
+  if (state.mOptions.mMayWait) {
+    return std::chrono::duration_cast<Duration>(slack * kMayWaitShare);
+  }
+  const bool isEmpty = state.mQueue.Size() == 0;
+  const bool stands =
+    !isEmpty && aNow - state.mEmptyAt > state.mOptions.mDeadline;
+  const bool shorten = mOptions.mGuards.mStandingQueue && stands;
   return shorten ? slack / kStandingShare : slack;
 }
 
@@ -142,7 +159,7 @@
   if (state == nullptr) {
     return nullptr;
   }
-  return state->mQueue.Pop();
+  return state->TakeNext();
 }
 
 // Work that may wait starts before more important work once its latest start
--- a/src/decide/WaitEstimate.cpp
+++ b/src/decide/WaitEstimate.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 
+#include <boost/container/small_vector.hpp>
+
 namespace heatherplank {
 
 namespace {
 
 constexpr double kLeastSlots = 0.05;
+constexpr int kLeastLeft = 4;
 
 using Nanoseconds = std::chrono::duration<double, std::nano>;
 
@@ -26,15 +29,39 @@
   return static_cast<double>(aClass.mTimes.Mean().count()) * aCount;
 }
 
-// What is left of the requests that run, by their class's mean.
-double WorkRunning(const HostView& aHost, Time aNow)
+// What is left of a request that runs, by its class's mean; one that has taken
+// longer than that is not about to end.
+double WorkLeft(const HostView& aHost, const RunningSlot& aSlot, Time aNow)
+{
+  const Duration mean = aHost.mClasses[aSlot.mClass]->mTimes.Mean(aSlot.mSize);
+  const Duration left = mean - (aNow - aSlot.mSince);
+  return static_cast<double>(std::max(left, mean / kLeastLeft).count());
+}
+
+// When slots that come free one after the other have done aWork. One long
+// request holds up its own slot only; averaged over the slots, it would have
+// short work refused that the other slot can do at once.
+double TimeToDo(double aWork, const HostView& aHost, Time aNow)
 {
-  Duration left{};
+  boost::container::small_vector<double, 8> freeIn;
   for (const auto& it : aHost.mRunning) {
-    const Duration mean = aHost.mClasses[it.mClass]->mTimes.Mean(it.mSize);
-    left += std::max(Duration{}, mean - (aNow - it.mSince));
+    freeIn.push_back(WorkLeft(aHost, it, aNow));
+  }
+  while (freeIn.size() < aHost.mSlots) {
+    freeIn.push_back(0);
+  }
+  std::ranges::sort(freeIn);
+  double sum = aWork;
+  double time = 0;
+  for (std::size_t i = 0; i < freeIn.size(); ++i) {
+    sum += freeIn[i];
+    time = sum / static_cast<double>(i + 1);
+    const bool isNextLater = i + 1 < freeIn.size() && time <= freeIn[i + 1];
+    if (isNextLater) {
+      break;
+    }
   }
-  return static_cast<double>(left.count());
+  return time;
 }
 
 double WorkWaitingBefore(const HostView& aHost, std::size_t aClass)
@@ -77,7 +104,8 @@
   const ClassState& own = *aHost.mClasses[aClass];
   for (const auto& it : aHost.mClasses) {
     if (GoesBefore(*it, own)) {
-      slots -= it->mUse.Slots(aNow);
+      const SlotUse& use = own.mOptions.mMayWait ? it->mLongUse : it->mUse;
+      slots -= use.Slots(aNow);
     }
   }
   return std::max(kLeastSlots, slots);
@@ -96,8 +124,9 @@
   if (startsNow) {
     return pause;
   }
-  const double work = WorkRunning(aHost, aNow) + before + WorkOf(own, aAhead);
-  const Nanoseconds wait(work / SlotsToCountOn(aHost, aClass, aNow));
+  const double share = SlotsToCountOn(aHost, aClass, aNow) / aHost.mSlots;
+  const double work = (before + WorkOf(own, aAhead)) / share;
+  const Nanoseconds wait(TimeToDo(work, aHost, aNow));
   return pause + std::chrono::duration_cast<Duration>(wait);
 }
 
--- a/src/replay/Player.cpp
+++ b/src/replay/Player.cpp
@@ -118,6 +118,7 @@
   ClassTally& tally = TallyOf(ongoing);
   ++tally.mOffered;
   tally.mWantedWork += aArrival.mTakes;
+  mTally.mLastArrival = Now();
   ++mUnderWay;
   mRetries.OnFirstAttempt();
   Attempt(ongoing);
@@ -255,7 +256,7 @@
       ++tally.mAnswered;
       tally.mAnsweredWork += ongoing.mArrival.mTakes;
       tally.mLatencies.push_back(mNow - ongoing.mSentAt);
-      mTally.mLastAnswer = Now();
+      tally.mAnswers.emplace_back(Now(), ongoing.mArrival.mTakes);
       ++mTally.mHosts[host.mName].mAnswered;
       ++host.mAnswersSinceStart;
       if (mSlowStart) {
@@ -329,7 +330,11 @@
 
 ClassTally& Player::TallyOf(const Ongoing& aOngoing)
 {
-  return mTally.mClasses[mAdmission.mClasses[aOngoing.mArrival.mClass].mName];
+  std::string name = mAdmission.mClasses[aOngoing.mArrival.mClass].mName;
+  if (!aOngoing.mArrival.mGroup.empty()) {
+    name += "/" + aOngoing.mArrival.mGroup;
+  }
+  return mTally.mClasses[name];
 }
 
 } // namespace heatherplank::replay
--- a/src/replay/Player.h
+++ b/src/replay/Player.h
@@ -67,6 +67,8 @@
 struct Arrival
 {
   std::uint16_t mClass = 0;
+  /** Counted apart under "CLASS/GROUP" if there is one. */
+  std::string mGroup;
   std::uint64_t mCaller = 0;
   /** The flow; callers may have several. */
   std::uint64_t mFlow = 0;
--- a/src/replay/Tally.cpp
+++ b/src/replay/Tally.cpp
@@ -38,9 +38,9 @@
 
 using ClassFigure = std::function<double(const ClassTally&)>;
 
-const std::map<std::string, ClassFigure, std::less<>>& ClassFigures()
+const std::map<std::string, ClassFigure, std::less<>>& ClaskFigures()
 {
-  static const std::map<std::string, ClassFigure, std::less<>> sFigures{
+  static const std::map<std::string, ClassFigure, std::less<>> kFigures{
     { "offered", [](const auto& aIt) { return double(aIt.mOffered); } },
     { "answered", [](const auto& aIt) { return double(aIt.mAnswered); } },
     { "answered_share",
@@ -68,7 +68,7 @@
     { "refusal_p99_ms",
       [](const auto& aIt) { return Quantile(aIt.mRefusalWaits, 0.99); } },
   };
-  return sFigures;
+  return kFigures;
 }
 
 std::optional<double> RefusedFor(std::string_view aReason,
@@ -93,17 +93,29 @@
   return sum / static_cast<double>(all.size());
 }
 
-// Answered work as a share of what the slots allowed: all that was wanted, or
-// all that the slots could do from the beginning to the last answer.
+Duration AnsweredBy(const ClassTally& aClass, Duration aTime)
+{
+  Duration sum{};
+  for (const auto& [at, work] : aClass.mAnswers) {
+    sum += at <= aTime ? work : Duration{};
+  }
+  return sum;
+}
+
+// Answered work as a share of what the slots allowed: of all that was wanted;
+// or, if that is more than the slots can do while requests arrive, of what
+// they can do, and then by what they did until the last one arrived.
 double OfSlots(const Tally& aTally, const ClassTally& aClass)
 {
-  const Duration window = aTally.mLastAnswer - aTally.mFrom;
-  const Duration slots = window * aTally.mSlots;
-  const Duration allowed = std::min(slots, aClass.mWantedWork);
+  const Duration slots = (aTally.mLastArrival - aTally.mFrom) * aTally.mSlots;
+  const bool isTooMuch = aClass.mWantedWork > slots;
+  const Duration allowed = isTooMuch ? slots : aClass.mWantedWork;
+  const Duration done =
+    isTooMuch ? AnsweredBy(aClass, aTally.mLastArrival) : aClass.mAnsweredWork;
   if (allowed <= Duration{}) {
     return 1.0;
   }
-  return static_cast<double>(aClass.mAnsweredWork.count()) /
+  return static_cast<double>(done.count()) /
          static_cast<double>(allowed.count());
 }
 
@@ -129,6 +141,8 @@
                             aIt.mRefusalWaits.end());
   aSum.mWantedWork += aIt.mWantedWork;
   aSum.mAnsweredWork += aIt.mAnsweredWork;
+  aSum.mAnswers.insert(aSum.mAnswers.end(), aIt.mAnswers.begin(),
+                       aIt.mAnswers.end());
 }
 
 } // namespace
@@ -169,15 +183,15 @@
   if (aName.starts_with(kReason)) {
     return RefusedFor(aName.substr(kReason.size()), tally);
   }
-  auto it = ClassFigures().find(aName);
-  return it == ClassFigures().end() ? std::nullopt
+  auto it = ClaskFigures().find(aName);
+  return it == ClaskFigures().end() ? std::nullopt
                                     : std::optional(it->second(tally));
 }
 
 std::string FigureNames()
 {
   std::string names;
-  for (const auto& [name, figure] : ClassFigures()) {
+  for (const auto& [name, figure] : ClaskFigures()) {
     names += name + ", ";
   }
   return names + "of_slots, refused_for_REASON, imbalance, most_out, "
--- a/src/replay/Tally.h
+++ b/src/replay/Tally.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
@@ -42,6 +43,8 @@
   /** Slot time that was wanted, and that went into answers in time. */
   Duration mWantedWork{};
   Duration mAnsweredWork{};
+  /** When each answer in time came, and the slot time in it. */
+  std::vector<std::pair<Duration, Duration>> mAnswers;
 };
 
 /** What one host did. */
@@ -57,7 +60,7 @@
   std::map<std::string, ClassTally, std::less<>> mClasses;
   std::map<std::string, HostTally, std::less<>> mHosts;
   Duration mFrom{};
-  Duration mLastAnswer{};
+  Duration mLastArrival{};
   std::uint32_t mSlots = 0;
   std::uint32_t mMostOut = 0;
   /** Of each second with work, the busiest host's slot time over the mean. */
--- a/src/replay/TraceReader.cpp
+++ b/src/replay/TraceReader.cpp
@@ -221,6 +221,7 @@
   const std::string caller = aReader.String("caller", "anyone");
   const auto callers = aReader.Integer("callers", 1, kMostRequests,
                                        aReader.Has("caller") ? 1 : count);
+  const std::string group = aReader.String("group", "");
   Arrival arrival;
   arrival.mDeadline = FromMs(aReader.Number("deadline_ms", 0, kMostMs, 0));
   arrival.mSize =
@@ -229,6 +230,7 @@
     return;
   }
   arrival.mClass = *index;
+  arrival.mGroup = group;
   const std::uint64_t first = HashBytes(caller, ++mFlows);
   const bool isNamed = aReader.Has("caller");
   double at = 0;
