--- a/bench/load/LoadTables.cpp
+++ b/bench/load/LoadTables.cpp
@@ -1,5 +1,6 @@
 // Prints, as tables, what callers get from each admission and balancing policy
 // under each pattern of load. Seeded: it always prints the same.
+#include <algorithm>
 #include <cstdio>
 #include <string>
 
@@ -83,6 +84,50 @@
   }
 }
 
+struct GuardRow
+{
+  const char* mName;
+  bool AdmissionGuards::*mGuard;
+  const char* mPattern;
+  const char* mFigure;
+  const char* mClass;
+};
+
+constexpr GuardRow kGuardRows[] = {
+  { "early refusal", &AdmissionGuards::mEarlyRefusal, "claims alone at 2x",
+    "of_slots", "claims" },
+  { "early refusal", &AdmissionGuards::mEarlyRefusal, "claims alone at 2x",
+    "refusal_p99_ms", "claims" },
+  { "reservation", &AdmissionGuards::mReservation, "long among short", "p99_ms",
+    "claims" },
+  { "fairness", &AdmissionGuards::mFairness, "busy callers", "answered_share",
+    "checks" },
+  { "standing queue", &AdmissionGuards::mStandingQueue, "saturation, 2x",
+    "p50_ms", "checks" },
+  { "spread returns", &AdmissionGuards::mSpreadReturns, "retry storm",
+    "attempts_each", "checks" },
+  { "hand-on hysteresis", &AdmissionGuards::mHandOnHysteresis, "cold start",
+    "handed_on", "" },
+};
+
+void PrintGuards()
+{
+  std::puts("\n## Guards\n");
+  std::puts("| guard | pattern | figure | on | off |");
+  std::puts("| --- | --- | --- | --- | --- |");
+  const auto patterns = AdmissionPatterns();
+  for (const auto& row : kGuardRows) {
+    const auto pattern =
+      std::ranges::find(patterns, row.mPattern, &Pattern::mName);
+    PlayerOptions options;
+    const double on = Of(Play(*pattern, options), row.mFigure, row.mClass);
+    options.mGuards.*row.mGuard = false;
+    const double off = Of(Play(*pattern, options), row.mFigure, row.mClass);
+    std::printf("| %s | %s | %s %s | %.3f | %.3f |\n", row.mName, row.mPattern,
+                row.mFigure, row.mClass, on, off);
+  }
+}
+
 struct Deployment
 {
   const char* mName;
@@ -132,6 +177,7 @@
 {
   std::puts("## Admission");
   PrintAdmissions();
+  PrintGuards();
   std::puts("\n## Balancing policies");
   PrintBalancing({ "marine utility", 1.0, { CoverDesk(), DocArchive() } });
   PrintBalancing({ "tailoring shops", 3.0, { Agenda(), Catalogo() } });
