Rules change under a full queue

Cause: operators change rules while requests wait. Ruled out: a new admission at each change, it would lose what waits or have the driver replay it, and its service times would be cold. Figures: Admission.NewRulesKeepWhatWaitsAndWhatWasLearned passes. Conclusion: slots are still OnSlots' alone.

--- a/src/decide/AdmissionPolicy.h
+++ b/src/decide/AdmissionPolicy.h
@@ -77,6 +77,13 @@
   /** The number of slots changed; requests that run are not cut. */
   virtual void OnSlots(std::uint32_t aSlots, Time aNow, Actions& aOut) = 0;
 
+  /** The rules changed; the slots do not, see OnSlots. Classes are matched by
+   * name, and what waits or runs in one that is gone goes over to the last
+   * one. From now on Request::mClass is an index into aOptions.mClasses.
+   * Precondition: aOptions has a class. */
+  virtual void OnOptions(const AdmissionOptions& aOptions, Time aNow,
+                         Actions& aOut) = 0;
+
   /** Fresh figures of the other hosts that could take this host's requests.
    */
   virtual void OnPeers(std::span<const Candidate> aPeers, Time aNow,
--- a/src/decide/BaselineAdmission.cpp
+++ b/src/decide/BaselineAdmission.cpp
@@ -73,6 +73,15 @@
   Fill(aOut);
 }
 
+void BaselineAdmission::OnOptions(const AdmissionOptions& aOptions,
+                                  Time /*aNow*/, Actions& aOut)
+{
+  const std::uint32_t slots = mOptions.mSlots;
+  mOptions = aOptions;
+  mOptions.mSlots = slots;
+  Fill(aOut);
+}
+
 void BaselineAdmission::OnPeers(std::span<const Candidate> /*aPeers*/,
                                 Time /*aNow*/, Actions& /*aOut*/)
 {
--- a/src/decide/BaselineAdmission.h
+++ b/src/decide/BaselineAdmission.h
@@ -24,6 +24,8 @@
               Time aNow, Actions& aOut) override;
   bool OnCancel(RequestId aId, Time aNow, Actions& aOut) override;
   void OnSlots(std::uint32_t aSlots, Time aNow, Actions& aOut) override;
+  void OnOptions(const AdmissionOptions& aOptions, Time aNow,
+                 Actions& aOut) override;
   void OnPeers(std::span<const Candidate> aPeers, Time aNow,
                Actions& aOut) override;
   void OnDrain(Time aNow, Actions& aOut) override;
--- a/src/decide/ClassState.h
+++ b/src/decide/ClassState.h
@@ -58,6 +58,17 @@
   {
   }
 
+  /** Takes over what was observed of the class under its former options. */
+  void Learn(const ClassState& aFormer)
+  {
+    mTimes = aFormer.mTimes;
+    mUse = aFormer.mUse;
+    mLongUse = aFormer.mLongUse;
+    mTaken = aFormer.mTaken;
+    mNextProbe = aFormer.mNextProbe;
+    mEmptyAt = aFormer.mEmptyAt;
+  }
+
   /** How many would run before a new request of the caller. */
   std::uint32_t Ahead(std::uint64_t aCaller) const
   {
--- a/src/decide/ReservationAdmission.h
+++ b/src/decide/ReservationAdmission.h
@@ -37,6 +37,8 @@
               Time aNow, Actions& aOut) override;
   bool OnCancel(RequestId aId, Time aNow, Actions& aOut) override;
   void OnSlots(std::uint32_t aSlots, Time aNow, Actions& aOut) override;
+  void OnOptions(const AdmissionOptions& aOptions, Time aNow,
+                 Actions& aOut) override;
   void OnPeers(std::span<const Candidate> aPeers, Time aNow,
                Actions& aOut) override;
   void OnDrain(Time aNow, Actions& aOut) override;
@@ -49,6 +51,8 @@
   bool HasFreeSlot(Time aNow) const;
   double LoadPerSlotNow() const;
   void BoundReservations();
+  std::vector<std::uint16_t> ReplaceClasses(const AdmissionOptions& aOptions);
+  std::vector<Waiting*> TakeAllWaiting();
 
   // At the door.
   std::optional<RefusalReason> Judge(const Request& aRequest, Time aNow);
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -350,3 +350,28 @@
     host.Advance(*next - host.mNow);
   }
 }
+
+// Operators change a rule while the queue is full. What waits keeps its place
+// and its promise; rebuilt from nothing, the host would lose it.
+TEST(Admission, NewRulesKeepWhatWaitsAndWhatWasLearned)
+{
+  AdmissionDriver host(ThreeClasses());
+  host.Teach(kClaims, 100ms);
+  auto runs = host.Send(kChecks, 1);
+  host.Send(kChecks, 2);
+  auto check = host.Send(kChecks, 3);
+  auto claim = host.Send(kClaims, 4);
+  auto options = ThreeClasses();
+  std::swap(options.mClasses[kClaims], options.mClasses[kDocuments]);
+  options.mClasses.erase(options.mClasses.begin() + kChecks);
+  host.mActions.clear();
+  host.mPolicy->OnOptions(options, host.mNow, host.mActions);
+  CHECK_TRUE(host.mActions.empty());
+  CHECK_EQUAL(2, host.mPolicy->Load().mQueued);
+  host.Done(runs, 20ms);
+  STRCMP_EQUAL("dispatched", host.What(claim).c_str());
+  host.Done(claim, 100ms);
+  STRCMP_EQUAL("dispatched", host.What(check).c_str());
+  host.Send(1, 5);
+  CHECK_EQUAL(1, host.mPolicy->Load().mQueued);
+}
