--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string_view>
@@ -181,6 +182,8 @@
     std::uint64_t mVersion = 0;
     bool mChanged = false;
     mutable MemberViewPtr mView;
+    /** Asked for with each heartbeat, and made anew only after a change. */
+    mutable std::optional<std::uint64_t> mDigest;
   };
 
   MemberEntry* Find(HostId aHost);
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -72,6 +72,7 @@
     ServiceState& state = mServices[it];
     state.mVersion = mVersion;
     state.mView.reset();
+    state.mDigest.reset();
     if (!state.mChanged) {
       state.mChanged = true;
       mChangedServices.push_back(it);
@@ -222,14 +223,17 @@
 std::uint64_t MemberTable::ServiceDigest(ServiceId aService) const
 {
   auto it = mServices.find(aService);
-  std::uint64_t sum = 0;
   if (it == mServices.end()) {
-    return sum;
+    return 0;
   }
-  for (const auto& [host, entry] : it->second.mEntries) {
-    sum += HashInView(*entry);
+  const ServiceState& state = it->second;
+  if (!state.mDigest) {
+    state.mDigest = 0;
+    for (const auto& [host, entry] : state.mEntries) {
+      *state.mDigest += HashInView(*entry);
+    }
   }
-  return sum;
+  return *state.mDigest;
 }
 
 } // namespace heatherplank
