--- a/src/membership/MemberRecord.h
+++ b/src/membership/MemberRecord.h
@@ -56,8 +56,8 @@
  */
 bool MergeRecord(MemberRecord& aInto, const MemberRecord& aFrom);
 
-/** Hash of what a view shows of a record: content, and whether it is dead. Left
- * out are beat, age and suspicion, which differ between tables at rest. */
+/** Hash of what a view shows of a record. Left out are beat, age and suspicion,
+ * which differ between tables at rest. */
 std::uint64_t HashRecord(const MemberRecord& aRecord);
 
 struct Heartbeat
@@ -81,12 +81,18 @@
   MemberTableId mTable = MemberTableId::Hosts;
   std::uint64_t mVersion = 0;
   std::uint8_t mTree = kNoTree;
+  /** The records are all that the sender holds of their service. */
+  bool mIsComplete = false;
   std::vector<MemberRecord> mRecords;
 };
 
 struct MemberDigest
 {
   MemberTableId mTable = MemberTableId::Hosts;
+  /** The balancer that sent it. */
+  HostId mFrom;
+  /** It answers a digest, and wants none in return. */
+  bool mIsReply = false;
   std::uint64_t mVersion = 0;
   /** One hash for each of equal ranges of host ids; a power of two of them. */
   std::vector<std::uint64_t> mHashes;
@@ -95,6 +101,7 @@
 struct MemberSnapshotRequest
 {
   MemberTableId mTable = MemberTableId::Hosts;
+  HostId mFrom;
   /** The range asked for, both ends included. */
   HostId mFirst;
   HostId mLast{ UINT64_MAX };
@@ -104,6 +111,7 @@
 struct MemberSnapshot
 {
   MemberTableId mTable = MemberTableId::Hosts;
+  HostId mFrom;
   std::uint64_t mVersion = 0;
   /** The range that the records cover whole; shorter than asked for if the
    * limit was reached. */
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -37,7 +37,7 @@
   : mId(aId)
   , mCheck(aCheck)
   , mOptions(aOptions)
-  , mIsMonitor([](HostId) { return true; })
+  , mIsMonitor([](const Member&) { return true; })
 {
 }
 
@@ -91,7 +91,38 @@
 
 void MemberTable::OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow)
 {
-  MergeAll(aSnapshot.mRecords, aSnapshot.mVersion, aNow);
+  std::vector<MemberRecord> known = aSnapshot.mRecords;
+  std::erase_if(known, [this](const MemberRecord& aRecord) {
+    bool gone = aRecord.mVerdict == Verdict::Dead ||
+                aRecord.mMember.mState == HostState::Leaving;
+    return gone && Find(aRecord.mMember.mHost) == nullptr;
+  });
+  MergeAll(known, aSnapshot.mVersion, aNow);
+}
+
+void MemberTable::OnServiceDelta(ServiceId aService, const MemberDelta& aDelta,
+                                 Duration aSilent, Time aNow)
+{
+  OnDelta(aDelta, aNow);
+  auto state = mServices.find(aService);
+  if (state == mServices.end()) {
+    return;
+  }
+  std::vector<MemberEntry*> unconfirmed;
+  std::set<HostId> listed;
+  for (const MemberRecord& it : aDelta.mRecords) {
+    listed.insert(it.mMember.mHost);
+  }
+  for (const auto& [host, entry] : state->second.mEntries) {
+    bool silent = aNow - entry->mHeardAt >= aSilent;
+    if (!listed.contains(host) && !entry->IsGone() && silent) {
+      unconfirmed.push_back(entry);
+    }
+  }
+  for (MemberEntry* it : unconfirmed) {
+    Erase(*it);
+  }
+  CloseEvent(aDelta.mVersion);
 }
 
 std::vector<MemberRecord> MemberTable::MergeAll(
@@ -228,7 +259,7 @@
 
 void MemberTable::Watch(MemberEntry& aEntry, Time aNow)
 {
-  if (mOptions.mJudgesSilence && mIsMonitor(aEntry.mRecord.mMember.mHost)) {
+  if (mOptions.mJudgesSilence && mIsMonitor(aEntry.mRecord.mMember)) {
     aEntry.mHeardAt = aNow;
     mHeard.push_back(aEntry);
   }
@@ -244,16 +275,18 @@
   aEntry.mOverdue = false;
 }
 
-void MemberTable::SetMonitored(const std::function<bool(HostId)>& aIsMonitor,
-                               Time aNow)
+void MemberTable::SetMonitored(
+  const std::function<bool(const Member&)>& aIsMonitor, Time aNow)
 {
   mIsMonitor = aIsMonitor;
   for (auto& [host, entry] : mEntries) {
     bool watched = entry.mSilenceHook.is_linked();
-    if (watched && !mIsMonitor(host)) {
+    if (watched && !mIsMonitor(entry.mRecord.mMember)) {
       Unwatch(entry);
     } else if (!watched && !entry.IsGone()) {
-      Watch(entry, aNow);
+      // Members heard meanwhile queue behind these and are judged a little
+      // late, which is harmless while the balancers themselves change.
+      Watch(entry, aNow + mOptions.mNewlyJudgedGrace);
     }
   }
 }
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -15,6 +15,13 @@
 /** Records a message unless the request says otherwise. */
 constexpr std::size_t kDefaultRecords = 512;
 
+/** Tombstones count for nothing: each table forgets them at a time of its own,
+ * and repair would hand them round for ever. */
+std::uint64_t HashInView(const MemberEntry& aEntry)
+{
+  return aEntry.IsGone() ? 0 : HashRecord(aEntry.mRecord);
+}
+
 std::size_t RangeOf(HostId aHost, std::size_t aRanges)
 {
   int bits = std::countr_zero(aRanges);
@@ -38,7 +45,7 @@
 {
   std::vector<std::uint64_t> hashes(aRanges, 0);
   for (const auto& [host, entry] : aEntries) {
-    hashes[RangeOf(host, aRanges)] += HashRecord(entry.mRecord);
+    hashes[RangeOf(host, aRanges)] += HashInView(entry);
   }
   return hashes;
 }
@@ -48,6 +55,7 @@
 void MemberTable::MarkChanged(MemberEntry& aEntry)
 {
   mTouched.push_back(aEntry.mRecord.mMember.mService);
+  mNews.insert(aEntry.mRecord.mMember.mHost);
 }
 
 void MemberTable::MarkForPeers(MemberEntry& aEntry)
@@ -103,12 +111,14 @@
     if (entry->IsGone()) {
       continue;
     }
-    const Member& member = entry->mRecord.mMember;
+    Member member = entry->mRecord.mMember;
     std::uint32_t weight =
       std::uint32_t{ member.mWeight } * entry->mStep / mOptions.mSlowStartSteps;
-    view->mMembers.push_back({ member,
-                               static_cast<std::uint16_t>(std::max(1U, weight)),
-                               entry->mRecord.mVerdict == Verdict::Suspect });
+    member.mWeight = static_cast<std::uint16_t>(std::max(1U, weight));
+    view->mMembers.push_back(member);
+    if (entry->mRecord.mVerdict == Verdict::Suspect) {
+      view->mSuspects.push_back(host);
+    }
   }
   return view;
 }
@@ -132,10 +142,27 @@
   return out;
 }
 
+std::vector<MemberRecord> MemberTable::TakeNews(Time aNow)
+{
+  std::vector<MemberRecord> out;
+  for (HostId it : mNews) {
+    const MemberEntry* entry = Find(it);
+    if (entry != nullptr) {
+      out.push_back(Export(*entry, aNow));
+    }
+  }
+  mNews.clear();
+  return out;
+}
+
 MemberDigest MemberTable::Digest() const
 {
   std::size_t ranges = std::bit_ceil(1 + mEntries.size() / kMembersPerRange);
-  return { mId, mVersion, HashRanges(mEntries, std::min(ranges, kMaxRanges)) };
+  MemberDigest digest;
+  digest.mTable = mId;
+  digest.mVersion = mVersion;
+  digest.mHashes = HashRanges(mEntries, std::min(ranges, kMaxRanges));
+  return digest;
 }
 
 std::vector<MemberSnapshotRequest> MemberTable::Differences(
@@ -153,7 +180,7 @@
     if (joins) {
       out.back().mLast = LastOf(i, ranges);
     } else if (out.size() < aLimit) {
-      out.push_back({ mId, first, LastOf(i, ranges), 0 });
+      out.push_back({ mId, {}, first, LastOf(i, ranges), 0 });
     } else {
       break;
     }
@@ -167,7 +194,7 @@
   std::size_t limit =
     aRequest.mMaxRecords == 0 ? kDefaultRecords : aRequest.mMaxRecords;
   limit = std::max<std::size_t>(1, std::min(limit, aMaxRecords));
-  MemberSnapshot out{ mId, mVersion, aRequest.mFirst, aRequest.mLast, {} };
+  MemberSnapshot out{ mId, {}, mVersion, aRequest.mFirst, aRequest.mLast, {} };
   auto it = mEntries.lower_bound(aRequest.mFirst);
   for (; it != mEntries.end() && it->first <= aRequest.mLast; ++it) {
     if (out.mRecords.size() == limit) {
@@ -181,7 +208,7 @@
 
 MemberDelta MemberTable::ServiceDelta(ServiceId aService, Time aNow) const
 {
-  MemberDelta out{ mId, mVersion, kNoTree, {} };
+  MemberDelta out{ mId, mVersion, kNoTree, true, {} };
   auto it = mServices.find(aService);
   if (it == mServices.end()) {
     return out;
@@ -200,7 +227,7 @@
     return sum;
   }
   for (const auto& [host, entry] : it->second.mEntries) {
-    sum += HashRecord(entry->mRecord);
+    sum += HashInView(*entry);
   }
   return sum;
 }
