Membership and configuration over their own links; truthful refusals

(3) A restarted agent announced itself before it knew its service and refused packets as "wrong service". Ruled out: asking the record before such a refusal, since the frozen owner can still commit its grant afterwards; a silent balancer, since only the one that knows nothing yet may be silent. Change: who does not own the flow, or has no host for it, says "unknown" of what may not be repeated, with when to ask again under the key; a balancer drops packets until it can judge them; an agent announces itself once it knows its service. BalancerMembership, AgentMembership, ConfigDistribution and AgentConfiguration are driven over ControlLinks, which say Hello first; agents make no platform call but for grants. Heartbeats are confirmed by number.

--- a/include/heatherplank/Configuration.h
+++ b/include/heatherplank/Configuration.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
@@ -69,6 +70,11 @@
   bool operator==(const Service&) const = default;
 };
 
+/** The rule that a request meets: the first that matches, or null. Thread safe.
+ */
+const Rule* FindRule(const Service& aService, std::string_view aMethod,
+                     std::string_view aTarget);
+
 /** The balancing policy in force. */
 struct PolicyChoice
 {
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 
+#include "src/agent/ConfigFeed.h"
 #include "src/agent/FlowFront.h"
 #include "src/agent/MemberFeed.h"
 #include "src/agent/PeerLoads.h"
@@ -15,15 +16,15 @@
 #include "src/agent/SlowStarts.h"
 #include "src/base/Log.h"
 #include "src/metrics/Metrics.h"
-#include "src/net/ControlClient.h"
-#include "src/net/ControlServer.h"
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
 #include "src/platform/HttpObjectStore.h"
 #include "src/process/AdminServer.h"
-#include "src/process/ConfigPlane.h"
+#include "src/process/ControlLinks.h"
 #include "src/process/ProcessRuntime.h"
+#include "src/process/WallClock.h"
 #include "src/wire/LoadCodec.h"
+#include "src/wire/MembershipCodec.h"
 
 namespace heatherplank {
 
@@ -32,6 +33,8 @@
 constexpr auto kOwnershipTick = std::chrono::milliseconds(25);
 constexpr auto kPipelineTick = std::chrono::milliseconds(5);
 constexpr auto kConfigTick = std::chrono::milliseconds(100);
+constexpr auto kMembersTick = std::chrono::milliseconds(50);
+constexpr auto kLinksTick = std::chrono::seconds(1);
 /** Five figures a second keep a choice among loads well within the second that
  * picks count for at most. */
 constexpr auto kLoadPeriod = std::chrono::milliseconds(200);
@@ -42,14 +45,6 @@
  * and is still closing. */
 constexpr std::size_t kSpareConnections = 2;
 
-Incarnation WallClockMicroseconds()
-{
-  using std::chrono::duration_cast;
-  using std::chrono::microseconds;
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<Incarnation>(duration_cast<microseconds>(now).count());
-}
-
 Member MakeSelf(const AgentSettings& aSettings)
 {
   Member self;
@@ -68,15 +63,26 @@
 
 struct Agent::Impl
 {
-  Impl(const AgentSettings& aSettings)
+  explicit Impl(const AgentSettings& aSettings)
     : mSettings(aSettings)
     , mSelf(MakeSelf(aSettings))
     , mMalformed(
         mMetrics.GetCounter("packets_refused_total", "reason=\"malformed\""))
-    , mMembers(mClock, mMetrics, mSelf,
-               [this](const ServiceViewPtr& aView, Time aConfirmedAt) {
-                 OnView(aView, aConfirmedAt);
-               })
+    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+             { mSelf.mHost, mSelf.mControl },
+             [this](const Hello& aFrom, const Frame& aFrame) {
+               OnFrame(aFrom, aFrame);
+             })
+    , mMembers({ mClock, mMetrics, mLinks,
+                 [this](const ServiceViewPtr& aView, Time aConfirmedAt) {
+                   OnView(aView, aConfirmedAt);
+                 } },
+               mSelf, aSettings.mBalancers)
+    , mConfig({ mClock, mMetrics, mLinks,
+                [this](const ConfigurationPtr& aConfiguration) {
+                  OnConfiguration(*aConfiguration);
+                } },
+              mSelf.mService, aSettings.mBalancers)
     , mAdmin(mMetrics, [this] { return Ready(); })
     , mRandom(mSelf.mIncarnation)
   {
@@ -89,23 +95,19 @@
   ProcessRuntime mRuntime;
   const Member mSelf;
   Counter& mMalformed;
+  ControlLinks mLinks;
   MemberFeed mMembers;
+  ConfigFeed mConfig;
   PeerLoads mLoads;
   SlowStarts mSlowStarts;
   AdminServer mAdmin;
   std::mt19937_64 mRandom;
   std::shared_ptr<DatagramSocket> mTunnel;
-  std::shared_ptr<ControlServer> mControl;
-  std::unique_ptr<ConfigPlane> mConfig;
   std::shared_ptr<ObjectStore> mStore;
   std::unique_ptr<BackendClient> mBackend;
   std::unique_ptr<RunOnceRecorder> mGrants;
   std::unique_ptr<FlowFront> mFront;
   std::unique_ptr<RequestPipeline> mPipeline;
-  std::vector<std::shared_ptr<ControlClient>> mBalancers;
-  std::mutex mLinksLock;
-  /** Control connections to other agents, made when first needed. */
-  std::map<Address, std::shared_ptr<ControlClient>> mLinks;
   std::mutex mViewLock;
   ServiceViewPtr mView;
   std::atomic<std::uint64_t> mLoadSequence{ 0 };
@@ -118,7 +120,7 @@
     if (mStopping) {
       return Fail(ErrorKind::Unavailable, "stopping", "use another host");
     }
-    if (!mConfig->Current()) {
+    if (!mConfig.Current()) {
       return Fail(ErrorKind::Unavailable, "no configuration yet",
                   "apply one, or look at the platform and the balancers");
     }
@@ -137,16 +139,10 @@
       return tl::unexpected(tunnel.error());
     }
     mTunnel = *tunnel;
-    ControlConnection::Events events;
-    events.mFrame = [this](const auto&, const Frame& aFrame) {
-      OnAgentFrame(aFrame);
-    };
-    auto control =
-      ControlServer::Make(executor, mSettings.mControl, std::move(events));
-    if (!control) {
-      return tl::unexpected(control.error());
+    auto listening = mLinks.Listen();
+    if (!listening) {
+      return listening;
     }
-    mControl = *control;
     if (aFaultInjection) {
       mAdmin.MountFaults(mCuts);
     }
@@ -156,10 +152,6 @@
   void Start()
   {
     MakeParts();
-    for (const auto& it : mSettings.mBalancers) {
-      mBalancers.push_back(MakeBalancer(it));
-    }
-    mMembers.SetBalancers(mBalancers);
     mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
       OnDatagram(aDatagram, aFrom);
     });
@@ -188,7 +180,7 @@
                           return Observe(aMember, aNow);
                         },
                         [this](const Address& aTo, const Bytes& aPayload) {
-                          SendByControl(aTo, aPayload);
+                          mLinks.Send(aTo, MessageKind::HandOff, aPayload);
                         } },
       options);
     mStore = std::make_shared<HttpObjectStore>(
@@ -203,16 +195,12 @@
       RequestPipeline::Parts{ mClock, mMetrics, *mBackend, *mGrants, *mFront },
       mSettings.mName, mSettings.mSlots);
     mFront->SetPipeline(*mPipeline);
-    mConfig = std::make_unique<ConfigPlane>(
-      mRuntime.Executor(), mSettings, mClock, mMetrics,
-      [this](const ConfigurationPtr& aConfiguration) {
-        OnConfiguration(*aConfiguration);
-      });
   }
 
   void StartTimers()
   {
-    mRuntime.Every(MemberFeed::kHeartbeatPeriod, [this] { mMembers.Beat(); });
+    mRuntime.Every(kMembersTick, [this] { mMembers.Tick(); });
+    mRuntime.Every(kLinksTick, [this] { mLinks.Tick(); });
     mRuntime.Every(kOwnershipTick, [this] {
       mFront->Tick();
       AdvanceStop();
@@ -221,23 +209,13 @@
       mPipeline->Tick();
       mGrants->Tick();
     });
-    mRuntime.Every(kConfigTick, [this] { mConfig->Tick(); });
+    mRuntime.Every(kConfigTick, [this] {
+      mConfig.SetBalancers(mMembers.Balancers());
+      mConfig.Tick();
+    });
     mRuntime.Every(kLoadPeriod, [this] { TellLoad(); });
   }
 
-  std::shared_ptr<ControlClient> MakeBalancer(const Address& aAddress)
-  {
-    ControlClient::Events events;
-    events.mConnected = [this](const auto&) { mMembers.Beat(); };
-    events.mFrame = [this](const auto& aConnection, const Frame& aFrame) {
-      if (!mMembers.OnFrame(aFrame)) {
-        mConfig->OnFrame(aConnection, aFrame);
-      }
-    };
-    return ControlClient::Make(mRuntime.Executor(), aAddress, &mCuts,
-                               std::move(events));
-  }
-
   void OnConfiguration(const Configuration& aConfiguration)
   {
     const Service* service = aConfiguration.Find(mSelf.mService);
@@ -249,9 +227,7 @@
     }
     mFront->SetService(*service, aConfiguration.mPolicy.mName);
     mPipeline->SetService(*service);
-    if (mMembers.State() == HostState::Cold) {
-      mMembers.SetState(HostState::Serving);
-    }
+    mMembers.Announce();
     const auto& drained = aConfiguration.mDrainedHosts;
     if (std::find(drained.begin(), drained.end(), mSettings.mName) !=
         drained.end()) {
@@ -309,30 +285,15 @@
     }
   }
 
-  void OnAgentFrame(const Frame& aFrame)
+  void OnFrame(const Hello& aFrom, const Frame& aFrame)
   {
     if (aFrame.mKind == MessageKind::HandOff) {
       mFront->OnHandOffFrame(aFrame.mPayload);
-      return;
-    }
-    mMetrics.GetCounter("messages_refused_total", "reason=\"unknown_kind\"")
-      .Add();
-  }
-
-  void SendByControl(const Address& aTo, const Bytes& aPayload)
-  {
-    std::shared_ptr<ControlClient> link;
-    {
-      std::lock_guard lock(mLinksLock);
-      auto& slot = mLinks[aTo];
-      if (!slot) {
-        slot = ControlClient::Make(mRuntime.Executor(), aTo, &mCuts, {});
-      }
-      link = slot;
+    } else if (IsMembership(aFrame.mKind)) {
+      mMembers.OnFrame(aFrame);
+    } else {
+      mConfig.OnFrame(aFrom, aFrame);
     }
-    // The first attempt may find the connection still opening; ownership
-    // sends the hand-off again until it is answered.
-    link->Send(MessageKind::HandOff, aPayload);
   }
 
   void TellLoad()
@@ -380,6 +341,20 @@
     mStopping = true;
   }
 
+  /** Some other host may take this one's flows. If the whole service stops
+   * there is none, and waiting would only slow the stop down. */
+  bool CanHandOver()
+  {
+    ServiceViewPtr view = View();
+    if (!view) {
+      return false;
+    }
+    auto members = view->Members();
+    return std::any_of(members.begin(), members.end(), [&](const Member& aIt) {
+      return aIt.mHost != mSelf.mHost && CanAdopt(aIt);
+    });
+  }
+
   /** A planned stop: first nothing may be left here, then this host forwards
    * for as long as others may still send packets to it. */
   void AdvanceStop()
@@ -388,7 +363,8 @@
       return;
     }
     Time now = mClock.Now();
-    bool empty = mFront->FlowCount() == 0 && mPipeline->Active() == 0;
+    bool empty =
+      mPipeline->Active() == 0 && (mFront->FlowCount() == 0 || !CanHandOver());
     bool late =
       now - mStopBegan >= std::chrono::milliseconds(mSettings.mDrainTimeoutMs);
     if (mLeavingSince == Time{}) {
--- /dev/null
+++ b/src/agent/ConfigFeed.cpp
@@ -0,0 +1,98 @@
+#include "src/agent/ConfigFeed.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+#include "src/process/ConfigCounterExport.h"
+#include "src/process/ControlLinks.h"
+#include "src/wire/ConfigCodec.h"
+
+namespace heatherplank {
+
+ConfigFeed::ConfigFeed(Parts aParts, ServiceId aService,
+                       std::span<const Address> aSeeds)
+  : mParts(std::move(aParts))
+  , mConfiguration({ aService })
+{
+  for (const auto& it : aSeeds) {
+    HostId id = MakeHostId(it.ToString());
+    mAddresses[id] = it;
+    mConfiguration.OnConnected(id, mParts.mClock.Now());
+  }
+}
+
+template<typename Change>
+void ConfigFeed::Do(const Change& aChange)
+{
+  std::vector<std::pair<Address, ConfigMessage>> sends;
+  std::vector<ConfigurationPtr> changes;
+  {
+    std::lock_guard lock(mLock);
+    aChange(mParts.mClock.Now());
+    for (auto& it : mConfiguration.TakeActions()) {
+      if (auto* send = std::get_if<ConfigSend>(&it)) {
+        sends.emplace_back(mAddresses[send->mTo], std::move(send->mMessage));
+      } else if (auto* change = std::get_if<ConfigInForce>(&it)) {
+        changes.push_back(std::move(change->mConfiguration));
+      }
+    }
+    ExportConfigCounters(mConfiguration.Counters(), mExported, mParts.mMetrics);
+  }
+  for (const auto& [to, message] : sends) {
+    auto encoded = EncodeConfigMessage(message);
+    mParts.mLinks.Send(to, encoded.mKind, encoded.mPayload);
+  }
+  for (auto& it : changes) {
+    LogEvent(LogLevel::Info, "configuration_in_force",
+             { { "version", it->mVersion } });
+    mParts.mOnChange(std::move(it));
+  }
+}
+
+bool ConfigFeed::IsKnown(const Address& aControl) const
+{
+  return std::any_of(mAddresses.begin(), mAddresses.end(),
+                     [&](const auto& aIt) { return aIt.second == aControl; });
+}
+
+void ConfigFeed::SetBalancers(std::span<const Member> aBalancers)
+{
+  Do([&](Time aNow) {
+    for (const auto& it : aBalancers) {
+      if (!IsKnown(it.mControl)) {
+        mAddresses[it.mHost] = it.mControl;
+        mConfiguration.OnConnected(it.mHost, aNow);
+      }
+    }
+  });
+}
+
+ConfigurationPtr ConfigFeed::Current() const
+{
+  std::lock_guard lock(mLock);
+  return mConfiguration.InForce();
+}
+
+void ConfigFeed::OnFrame(const Hello& aFrom, const Frame& aFrame)
+{
+  auto message = DecodeConfigMessage(aFrame);
+  if (!message) {
+    mParts.mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\"")
+      .Add();
+    return;
+  }
+  Do([&](Time aNow) {
+    mAddresses[aFrom.mHost] = aFrom.mControl;
+    mConfiguration.OnMessage(aFrom.mHost, *message, aNow);
+  });
+}
+
+void ConfigFeed::Tick()
+{
+  Do([&](Time aNow) { mConfiguration.Tick(aNow); });
+}
+
+} // namespace heatherplank
--- a/src/agent/MemberFeed.cpp
+++ b/src/agent/MemberFeed.cpp
@@ -1,27 +1,25 @@
 #include "src/agent/MemberFeed.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "src/base/Log.h"
 #include "src/metrics/Metrics.h"
-#include "src/net/ControlClient.h"
+#include "src/process/ControlLinks.h"
 #include "src/wire/MembershipCodec.h"
 
 namespace heatherplank {
 
 namespace {
 
-/** Beats whose sending time is remembered: an answer that comes later than 20
- * s confirms nothing. */
-constexpr std::size_t kBeatsRemembered = 64;
+/** Five fit into the silence that raises a suspicion, and the answer to the
+ * second to last still keeps the trust in a view. */
+constexpr auto kHeartbeatEvery = std::chrono::milliseconds(300);
 
-MemberTableOptions MakeOptions()
+AgentMembershipOptions MakeOptions(const std::vector<Address>& aSeeds)
 {
-  MemberTableOptions options;
-  options.mJudgesSilence = false;
-  // Slow start is the owner's choice (SlowStarts), not the rank's.
-  options.mSlowStart = Duration::zero();
+  AgentMembershipOptions options;
+  options.mSeeds = aSeeds;
+  options.mHeartbeatEvery = kHeartbeatEvery;
   return options;
 }
 
@@ -44,117 +42,113 @@
   ServiceId mService;
 };
 
-MemberFeed::MemberFeed(const Clock& aClock, MetricsRegistry& aMetrics,
-                       const Member& aSelf, OnView aOnView)
-  : mClock(aClock)
-  , mMetrics(aMetrics)
-  , mOnView(std::move(aOnView))
+MemberFeed::MemberFeed(Parts aParts, const Member& aSelf,
+                       const std::vector<Address>& aSeeds)
+  : mParts(std::move(aParts))
   , mOwnService(std::make_unique<OwnService>(aSelf.mService))
-  , mSelf(aSelf)
-  , mTable(MemberTableId::Hosts, *mOwnService, MakeOptions())
-  , mStartedAt(aClock.Now())
+  , mMembership(aSelf, *mOwnService, MakeOptions(aSeeds),
+                MixHash(aSelf.mHost.mValue, aSelf.mIncarnation),
+                mParts.mClock.Now())
 {
 }
 
 MemberFeed::~MemberFeed() = default;
 
-void MemberFeed::SetBalancers(
-  std::vector<std::shared_ptr<ControlClient>> aBalancers)
+void MemberFeed::Announce()
 {
-  std::lock_guard lock(mLock);
-  mBalancers = std::move(aBalancers);
+  {
+    std::lock_guard lock(mLock);
+    if (mAnnounced) {
+      return;
+    }
+    mAnnounced = true;
+  }
+  SetState(HostState::Serving);
 }
 
 void MemberFeed::SetState(HostState aState)
 {
   {
     std::lock_guard lock(mLock);
-    if (aState <= mSelf.mState) {
+    if (aState <= mMembership.Self().mState) {
       return;
     }
-    mSelf.mState = aState;
-    LogEvent(LogLevel::Info, "host_state", { { "state", ToString(aState) } });
+    mMembership.SetState(aState, mParts.mClock.Now());
   }
-  Beat();
-}
-
-HostState MemberFeed::State() const
-{
-  std::lock_guard lock(mLock);
-  return mSelf.mState;
+  LogEvent(LogLevel::Info, "host_state", { { "state", ToString(aState) } });
+  Flush();
 }
 
-Heartbeat MemberFeed::MakeHeartbeat(Time aNow)
+void MemberFeed::OnFrame(const Frame& aFrame)
 {
-  Heartbeat heartbeat;
-  heartbeat.mRecord.mMember = mSelf;
-  heartbeat.mRecord.mBeat = ++mBeat;
-  heartbeat.mRecord.mAge = aNow - mStartedAt;
-  heartbeat.mVersion = mTable.Version();
-  heartbeat.mServiceDigest = mTable.ServiceDigest(mSelf.mService);
-  mSentAt[mBeat] = aNow;
-  if (mSentAt.size() > kBeatsRemembered) {
-    mSentAt.erase(mSentAt.begin());
+  auto message = DecodeMembership(aFrame);
+  if (!message) {
+    mParts.mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\"")
+      .Add();
+    return;
   }
-  return heartbeat;
-}
-
-void MemberFeed::Beat()
-{
-  std::lock_guard lock(mLock);
-  Bytes payload = EncodePayload(MakeHeartbeat(mClock.Now()));
-  for (const auto& it : mBalancers) {
-    it->Send(MessageKind::Heartbeat, payload);
+  {
+    std::lock_guard lock(mLock);
+    mMembership.OnMessage(*message, mParts.mClock.Now());
   }
+  Flush();
 }
 
-bool MemberFeed::OnFrame(const Frame& aFrame)
+void MemberFeed::Tick()
 {
-  if (aFrame.mKind != MessageKind::MemberDelta) {
-    return false;
-  }
-  auto delta = DecodeMemberDelta(aFrame.mPayload);
-  if (!delta) {
-    mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\"").Add();
-    return true;
-  }
-  Time confirmedAt{};
   {
     std::lock_guard lock(mLock);
-    mTable.OnDelta(*delta, mClock.Now());
-    auto it = mSentAt.find(delta->mAnswersBeat);
-    if (it != mSentAt.end()) {
-      confirmedAt = it->second;
+    if (!mAnnounced) {
+      return;
     }
+    mMembership.OnTick(mParts.mClock.Now());
   }
-  Publish(confirmedAt);
-  return true;
+  Flush();
 }
 
-void MemberFeed::Publish(Time aConfirmedAt)
+void MemberFeed::Flush()
 {
+  std::vector<SendMembership> actions;
   ServiceViewPtr view;
   Time confirmedAt;
   {
     std::lock_guard lock(mLock);
-    MemberViewPtr fresh = mTable.View(mSelf.mService);
-    if (!mView || mMemberView->mVersion != fresh->mVersion) {
+    actions = mMembership.TakeActions();
+    MemberViewPtr fresh = mMembership.Peers();
+    bool changed = !mMemberView || mMemberView->mVersion != fresh->mVersion;
+    if (changed) {
       mMemberView = fresh;
-      mView = MakeServiceView(mSelf.mService, fresh->mVersion, fresh->mMembers);
-    } else if (aConfirmedAt <= mConfirmedAt) {
-      return;
+      mView = MakeServiceView(mMembership.Self().mService, fresh->mVersion,
+                              fresh->mMembers);
+    }
+    confirmedAt = mMembership.ConfirmedAt();
+    bool confirmed = confirmedAt > mConfirmedAt;
+    mConfirmedAt = confirmedAt;
+    // Before the first answer the view holds this host alone, by its own word.
+    if (confirmedAt != Time{} && (changed || confirmed)) {
+      view = mView;
     }
-    mConfirmedAt = std::max(mConfirmedAt, aConfirmedAt);
-    view = mView;
-    confirmedAt = mConfirmedAt;
   }
-  mOnView(std::move(view), confirmedAt);
+  for (const auto& it : actions) {
+    auto encoded = EncodeMembership(it.mMessage);
+    mParts.mLinks.Send(it.mTo, encoded.mKind, encoded.mPayload);
+  }
+  if (view) {
+    mParts.mOnView(std::move(view), confirmedAt);
+  }
 }
 
 bool MemberFeed::IsInView() const
 {
   std::lock_guard lock(mLock);
-  return mView && mView->Find(mSelf.mHost) != nullptr;
+  return mConfirmedAt != Time{} &&
+         mView->Find(mMembership.Self().mHost) != nullptr;
+}
+
+std::vector<Member> MemberFeed::Balancers() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.Balancers()->mMembers;
 }
 
 } // namespace heatherplank
--- a/src/agent/MemberFeed.h
+++ b/src/agent/MemberFeed.h
@@ -1,24 +1,24 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Member.h"
-#include "src/membership/MemberTable.h"
-#include "src/net/ControlConnection.h"
+#include "src/membership/AgentMembership.h"
 #include "src/steer/ServiceView.h"
+#include "src/wire/Frame.h"
 
 namespace heatherplank {
 
-class ControlClient;
+class ControlLinks;
 class MetricsRegistry;
 
-/** An agent's membership over the wire: heartbeats out to the balancers, the
- * view of its own service in. Thread safe, by its own lock.
+/** Drives an agent's membership: heartbeats out, the view of its own service
+ * in. Announces nothing until Announce, since a host that does not know its
+ * service yet can only refuse. Thread safe, by its own lock.
  */
 class MemberFeed
 {
@@ -27,51 +27,52 @@
    * the view changed; aConfirmedAt is when that heartbeat was sent. */
   using OnView = std::function<void(ServiceViewPtr, Time aConfirmedAt)>;
 
-  MemberFeed(const Clock& aClock, MetricsRegistry& aMetrics,
-             const Member& aSelf, OnView aOnView);
+  struct Parts
+  {
+    const Clock& mClock;
+    MetricsRegistry& mMetrics;
+    ControlLinks& mLinks;
+    OnView mOnView;
+  };
+
+  /** aSeeds: control addresses of balancers to begin with. */
+  MemberFeed(Parts aParts, const Member& aSelf,
+             const std::vector<Address>& aSeeds);
   ~MemberFeed();
 
-  /** Sets the balancers to send heartbeats to. */
-  void SetBalancers(std::vector<std::shared_ptr<ControlClient>> aBalancers);
+  /** Begins to announce the host, as serving. Later calls do nothing. */
+  void Announce();
 
-  /** Announces another state from now on, at once. A state never goes back
-   * within an incarnation; an earlier one is ignored. */
+  /** Announces another state, at once. A state never goes back. */
   void SetState(HostState aState);
-  HostState State() const;
 
-  /** Sends a heartbeat to every balancer. Call every kHeartbeatPeriod. */
-  void Beat();
+  /** Takes a frame of a membership kind. Malformed ones are counted. */
+  void OnFrame(const Frame& aFrame);
 
-  /** Takes a frame of kind MemberDelta; false if it is of another kind. */
-  bool OnFrame(const Frame& aFrame);
+  /** Call every 50 ms. */
+  void Tick();
 
   /** A balancer has answered and this host stands in the view. */
   bool IsInView() const;
 
-  /** Four heartbeats fit into the silence that raises a suspicion. */
-  static constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(300);
+  /** The balancers that are believed to live. */
+  std::vector<Member> Balancers() const;
 
 private:
   struct OwnService;
 
-  Heartbeat MakeHeartbeat(Time aNow);
-  void Publish(Time aConfirmedAt);
+  /** Sends what is due, and gives out the view if it or its confirmation is
+   * news. */
+  void Flush();
 
-  const Clock& mClock;
-  MetricsRegistry& mMetrics;
-  OnView mOnView;
+  Parts mParts;
   std::unique_ptr<OwnService> mOwnService;
   mutable std::mutex mLock;
-  Member mSelf;
-  MemberTable mTable;
-  std::vector<std::shared_ptr<ControlClient>> mBalancers;
-  std::uint32_t mBeat = 0;
-  Time mStartedAt;
-  /** When the beats of the last seconds were sent. */
-  std::map<std::uint32_t, Time> mSentAt;
+  AgentMembership mMembership;
+  bool mAnnounced = false;
   ServiceViewPtr mView;
   MemberViewPtr mMemberView;
-  Time mConfirmedAt;
+  Time mConfirmedAt{};
 };
 
 } // namespace heatherplank
--- a/src/agent/RequestPipeline.cpp
+++ b/src/agent/RequestPipeline.cpp
@@ -13,12 +13,6 @@
 constexpr std::string_view kAdmission = "reservation";
 constexpr std::string_view kFallbackAdmission = "priority";
 
-bool Matches(const Rule& aRule, const CallerRequest& aRequest)
-{
-  bool method = aRule.mMethod.empty() || aRule.mMethod == aRequest.mMethod;
-  return method && aRequest.mTarget.starts_with(aRule.mPathPrefix);
-}
-
 std::unique_ptr<AdmissionPolicy> MakeAdmission(const Service& aService,
                                                std::uint32_t aSlots,
                                                std::uint64_t aSeed)
@@ -141,12 +135,10 @@
     return false;
   }
   aRequest.mClass = static_cast<std::uint16_t>(mService.mRules.size());
-  for (std::size_t i = 0; i < mService.mRules.size(); ++i) {
-    if (Matches(mService.mRules[i], aRequest.mRequest)) {
-      aRequest.mRule = mService.mRules[i];
-      aRequest.mClass = static_cast<std::uint16_t>(i);
-      break;
-    }
+  const CallerRequest& request = aRequest.mRequest;
+  if (const Rule* rule = FindRule(mService, request.mMethod, request.mTarget)) {
+    aRequest.mRule = *rule;
+    aRequest.mClass = static_cast<std::uint16_t>(rule - mService.mRules.data());
   }
   Duration timeout =
     aRequest.mRequest.mTimeout.value_or(aRequest.mRule.mDeadline);
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -5,61 +5,91 @@
 #include <variant>
 #include <vector>
 
+#include "src/balancer/ConfigPlane.h"
 #include "src/balancer/MemberPlane.h"
 #include "src/balancer/PacketRouter.h"
 #include "src/balancer/RouteTable.h"
 #include "src/base/Log.h"
 #include "src/metrics/Metrics.h"
-#include "src/net/ControlClient.h"
-#include "src/net/ControlServer.h"
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
+#include "src/platform/HttpObjectStore.h"
 #include "src/process/AdminServer.h"
-#include "src/process/ConfigPlane.h"
+#include "src/process/ControlLinks.h"
 #include "src/process/ProcessRuntime.h"
+#include "src/process/WallClock.h"
+#include "src/wire/MembershipCodec.h"
 #include "src/wire/SteerCodec.h"
 
 namespace heatherplank {
 
 namespace {
 
-constexpr auto kTick = std::chrono::milliseconds(100);
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kLinksTick = std::chrono::seconds(1);
 /** How long a balancer goes on routing after it said that it stops: the fabric
  * looks at /readyz every second or two, and what it sends until it has seen
  * must not be lost. */
 constexpr auto kStopAfter = std::chrono::milliseconds(2500);
 
+Member MakeSelf(const BalancerSettings& aSettings)
+{
+  Member self;
+  self.mHost = MakeHostId(aSettings.mName);
+  self.mDataCentre = MakeDataCentreId(aSettings.mDataCentre);
+  self.mIncarnation = WallClockMicroseconds();
+  self.mTunnel = aSettings.mTunnel;
+  self.mControl = aSettings.mControl;
+  return self;
+}
+
 } // namespace
 
 struct Balancer::Impl
 {
-  Impl(const BalancerSettings& aSettings)
+  explicit Impl(const BalancerSettings& aSettings)
     : mSettings(aSettings)
+    , mSelf(MakeSelf(aSettings))
     , mMalformed(
         mMetrics.GetCounter("packets_refused_total", "reason=\"malformed\""))
+    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+             { mSelf.mHost, mSelf.mControl },
+             [this](const Hello& aFrom, const Frame& aFrame) {
+               OnFrame(aFrom, aFrame);
+             })
     , mRouter(mMetrics, aSettings.mTunnel, aSettings.mMaxHints)
-    , mMembers(mClock, mMetrics,
-               [this](auto aViews, auto aServices) {
-                 mRouter.SetRoutes(mRoutes.SetViews(aViews, aServices));
-               })
+    , mStore(mRuntime.Executor(), aSettings.mPlatform, {})
+    , mMembers({ mClock, mMetrics, mLinks,
+                 [this](auto aViews, auto aServices) {
+                   mRouter.SetRoutes(mRoutes.SetViews(aViews, aServices));
+                 } },
+               mSelf, aSettings.mPeers)
+    , mConfig({ mClock, mMetrics, mLinks, mStore,
+                [this](ConfigurationPtr aConfiguration) {
+                  mMembers.SetConfiguration(*aConfiguration);
+                  mRouter.SetRoutes(
+                    mRoutes.SetConfiguration(std::move(aConfiguration)));
+                } },
+              mSelf)
     , mAdmin(mMetrics, [this] { return Ready(); })
   {
   }
 
   const BalancerSettings mSettings;
+  const Member mSelf;
   SteadyClock mClock;
   MetricsRegistry mMetrics;
   CutList mCuts;
   ProcessRuntime mRuntime;
   Counter& mMalformed;
+  ControlLinks mLinks;
   RouteTable mRoutes;
   PacketRouter mRouter;
+  HttpObjectStore mStore;
   MemberPlane mMembers;
+  ConfigPlane mConfig;
   AdminServer mAdmin;
-  std::unique_ptr<ConfigPlane> mConfig;
   std::shared_ptr<DatagramSocket> mTunnel;
-  std::shared_ptr<ControlServer> mControl;
-  std::vector<std::shared_ptr<ControlClient>> mPeers;
   std::atomic<bool> mStopping{ false };
 
   Result<void> Ready()
@@ -68,13 +98,16 @@
       return Fail(ErrorKind::Unavailable, "stopping",
                   "send packets to another balancer");
     }
-    if (!mConfig->Current()) {
+    if (!mConfig.Current()) {
       return Fail(ErrorKind::Unavailable, "no configuration yet",
                   "apply one, or look at the platform and the peers");
     }
-    if (!mMembers.IsUsable()) {
-      return Fail(ErrorKind::Unavailable, "the view of members is not whole",
-                  "wait for a peer's snapshot or for heartbeats");
+    MembershipReadiness members = mMembers.Readiness();
+    if (members != MembershipReadiness::Ready) {
+      return Fail(ErrorKind::Unavailable,
+                  "membership is " + std::string(ToString(members)),
+                  "wait for a peer's snapshot or for heartbeats, or mend the "
+                  "network");
     }
     return {};
   }
@@ -87,19 +120,10 @@
       return tl::unexpected(tunnel.error());
     }
     mTunnel = *tunnel;
-    ControlConnection::Events events;
-    events.mFrame = [this](const auto& aConnection, const Frame& aFrame) {
-      OnFrame(aConnection, aFrame);
-    };
-    events.mClosed = [this](const auto& aConnection, const Error& aWhy) {
-      OnClosed(aConnection, aWhy);
-    };
-    auto control =
-      ControlServer::Make(executor, mSettings.mControl, std::move(events));
-    if (!control) {
-      return tl::unexpected(control.error());
+    auto listening = mLinks.Listen();
+    if (!listening) {
+      return listening;
     }
-    mControl = *control;
     if (aFaultInjection) {
       mAdmin.MountFaults(mCuts);
     }
@@ -108,23 +132,10 @@
 
   void Start()
   {
-    for (const auto& it : mSettings.mPeers) {
-      mPeers.push_back(MakePeer(it));
-    }
-    mMembers.SetPeers(mPeers);
     mTunnel->Start(
       [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
-    mConfig = std::make_unique<ConfigPlane>(
-      mRuntime.Executor(), mSettings, mClock, mMetrics,
-      [this](ConfigurationPtr aConfiguration) {
-        mMembers.SetConfiguration(aConfiguration);
-        mRouter.SetRoutes(mRoutes.SetConfiguration(std::move(aConfiguration)));
-      });
-    mRuntime.Every(kTick, [this] {
-      mMembers.Tick();
-      mConfig->Tick();
-      mMetrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
-    });
+    mRuntime.Every(kTick, [this] { Tick(); });
+    mRuntime.Every(kLinksTick, [this] { mLinks.Tick(); });
     mRuntime.OnStop([this] { Stop(); });
     LogEvent(LogLevel::Info, "started",
              { { "tunnel", mSettings.mTunnel.ToString() },
@@ -132,17 +143,21 @@
                { "admin", mSettings.mAdmin.ToString() } });
   }
 
-  std::shared_ptr<ControlClient> MakePeer(const Address& aAddress)
+  void Tick()
   {
-    ControlClient::Events events;
-    events.mConnected = [this](const ControlConnection::Ptr& aConnection) {
-      mMembers.OnPeerConnected(aConnection);
-    };
-    events.mFrame = [this](const auto& aConnection, const Frame& aFrame) {
-      OnFrame(aConnection, aFrame);
-    };
-    return ControlClient::Make(mRuntime.Executor(), aAddress, &mCuts,
-                               std::move(events));
+    mMembers.Tick();
+    mConfig.SetPeers(mMembers.Balancers());
+    mConfig.Tick();
+    // What a balancer can't judge yet it drops like a lost datagram: told "no
+    // such service" by one that just started, a caller would give up a request
+    // that its copy to another balancer may have brought to a host.
+    mRouter.SetUsable(mConfig.Current() != nullptr &&
+                      mMembers.Readiness() != MembershipReadiness::Starting);
+    mMetrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
+    mMetrics.GetGauge("control_bytes_sent")
+      .Set(static_cast<double>(mLinks.BytesSent()));
+    mMetrics.GetGauge("control_bytes_received")
+      .Set(static_cast<double>(mLinks.BytesReceived()));
   }
 
   void OnDatagram(ByteView aDatagram)
@@ -185,29 +200,19 @@
                    { hint->mOwner.mHost, hint->mOwner.mIncarnation });
   }
 
-  void OnFrame(const ControlConnection::Ptr& aConnection, const Frame& aFrame)
+  void OnFrame(const Hello& aFrom, const Frame& aFrame)
   {
-    if (!mMembers.OnFrame(aConnection, aFrame) &&
-        !mConfig->OnFrame(aConnection, aFrame)) {
-      mMetrics.GetCounter("messages_refused_total", "reason=\"unknown_kind\"")
-        .Add();
-    }
-  }
-
-  void OnClosed(const ControlConnection::Ptr& aConnection, const Error& aWhy)
-  {
-    if (aWhy.mKind != ErrorKind::Unavailable) {
-      mMetrics
-        .GetCounter("messages_refused_total",
-                    "reason=\"" + std::string(ToString(aWhy.mKind)) + "\"")
-        .Add();
+    if (IsMembership(aFrame.mKind)) {
+      mMembers.OnFrame(aFrame);
+      return;
     }
-    mMembers.OnClosed(aConnection);
+    mConfig.OnFrame(aFrom, aFrame);
   }
 
   void Stop()
   {
     mStopping = true;
+    mMembers.Leave();
     auto timer = std::make_shared<boost::asio::steady_timer>(
       mRuntime.Executor(), kStopAfter);
     timer->async_wait([this, timer](boost::system::error_code) {
--- a/src/balancer/PacketRouter.cpp
+++ b/src/balancer/PacketRouter.cpp
@@ -15,6 +15,15 @@
 constexpr auto kNoMemberRetry = std::chrono::seconds(1);
 constexpr auto kUnknownServiceRetry = std::chrono::seconds(30);
 
+/** A claim may have reached a host through another balancer, or one that is
+ * gone from this view, before this copy of it came: only what may be repeated
+ * can be said not to have run. */
+bool MayHaveRun(const Service& aService, const CallerRequest& aRequest)
+{
+  const Rule* rule = FindRule(aService, aRequest.mMethod, aRequest.mTarget);
+  return rule != nullptr && rule->mNeverRepeat;
+}
+
 Answer MakeRefusal(SteerRefusal aReason)
 {
   if (aReason == SteerRefusal::UnknownService) {
@@ -31,6 +40,8 @@
   , mForwarded(aMetrics.GetCounter("packets_forwarded_total"))
   , mMalformed(aMetrics.GetCounter("packets_refused_total",
                                    "reason=\"malformed_request\""))
+  , mNotReady(
+      aMetrics.GetCounter("packets_refused_total", "reason=\"not_ready\""))
   , mRoutes(std::make_shared<Routes>())
 {
   for (std::size_t i = 0; i < mRefused.size(); ++i) {
@@ -64,6 +75,10 @@
 
 std::optional<Outgoing> PacketRouter::OnPacket(const Packet& aPacket)
 {
+  if (!mUsable) {
+    mNotReady.Add();
+    return std::nullopt;
+  }
   RoutesPtr routes = CurrentRoutes();
   auto route = routes->mByAddress.find(aPacket.mFlow.mService);
   if (route == routes->mByAddress.end()) {
@@ -112,8 +127,13 @@
     mMalformed.Add();
     return std::nullopt;
   }
-  std::string text =
-    WriteAnswer(MakeRefusal(aReason), request->mRequestId, 0, {}).front();
+  Answer refusal = MakeRefusal(aReason);
+  const Service* service =
+    CurrentRoutes()->mConfiguration->FindByAddress(aPacket.mFlow.mService);
+  if (service != nullptr && MayHaveRun(*service, *request)) {
+    refusal = MakeUnsure(ToString(aReason), refusal.mRetryAfter);
+  }
+  std::string text = WriteAnswer(refusal, request->mRequestId, 0, {}).front();
   Packet answer = aPacket;
   answer.mDirective = PacketDirective::Answer;
   answer.mPayload =
--- a/src/balancer/PacketRouter.h
+++ b/src/balancer/PacketRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -38,6 +39,9 @@
   /** Puts other routes in force, for packets from now on. */
   void SetRoutes(RoutesPtr aRoutes);
 
+  /** Until this is true packets are dropped and counted. */
+  void SetUsable(bool aUsable) { mUsable = aUsable; }
+
   /** Steers a caller's packet from the fabric: what goes to an agent, or an
    * answer to the caller if there is none, or nothing (counted). */
   std::optional<Outgoing> OnPacket(const Packet& aPacket);
@@ -63,6 +67,8 @@
   Address mTunnel;
   Counter& mForwarded;
   Counter& mMalformed;
+  Counter& mNotReady;
+  std::atomic<bool> mUsable{ false };
   std::array<Counter*, 2> mRefused;
   std::vector<std::unique_ptr<Shard>> mShards;
   mutable std::mutex mRoutesLock;
--- a/src/caller/Answer.cpp
+++ b/src/caller/Answer.cpp
@@ -43,7 +43,8 @@
   if (!aAnswer.mReason.empty()) {
     head.set("Refusal-Reason", aAnswer.mReason);
   }
-  if (aAnswer.mOutcome == Outcome::NotRun) {
+  bool comesBack = aAnswer.mRetryAfter > Duration::zero();
+  if (aAnswer.mOutcome == Outcome::NotRun || comesBack) {
     auto ms = ceil<milliseconds>(aAnswer.mRetryAfter).count();
     auto s = ceil<seconds>(aAnswer.mRetryAfter).count();
     head.set("Retry-After-Ms", std::to_string(ms));
@@ -108,6 +109,13 @@
   return answer;
 }
 
+Answer MakeUnsure(std::string_view aReason, Duration aRetryAfter)
+{
+  Answer answer = MakeUnknown(aReason);
+  answer.mRetryAfter = aRetryAfter;
+  return answer;
+}
+
 std::vector<std::string> WriteAnswer(const Answer& aAnswer,
                                      std::string_view aRequestId,
                                      FlowEpoch aEpoch,
--- a/src/caller/Answer.h
+++ b/src/caller/Answer.h
@@ -31,7 +31,7 @@
   Outcome mOutcome = Outcome::Run;
   /** With NotRun and Unknown: the counter's reason. */
   std::string mReason;
-  /** With NotRun: when to come back. */
+  /** When to come back; zero if there is nothing to come back for. */
   Duration mRetryAfter{ 0 };
   std::string mContentType;
   std::string mBody;
@@ -51,6 +51,10 @@
 /** An answer for what may have run, with nothing to come back for. */
 Answer MakeUnknown(std::string_view aReason);
 
+/** A refusal by a process that can't tell whether another one ran the request:
+ * unknown, and when to ask again under the same key. */
+Answer MakeUnsure(std::string_view aReason, Duration aRetryAfter);
+
 /** The datagrams of an answer: one, or one a range if the body is too large.
  * With aRange, only those that cover it. An epoch of 0, where nobody owns the
  * flow, is left out. Thread safe.
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iostream>
 #include <set>
 #include <span>
 #include <string>
@@ -12,6 +13,7 @@
 #include "src/agent/AgentProcess.h"
 #include "src/balancer/BalancerProcess.h"
 #include "src/cli/Commands.h"
+#include "src/replay/Replay.h"
 
 DEFINE_string(settings, "", "file with the process's settings (JSON)");
 DEFINE_bool(fault_injection, false,
@@ -34,6 +36,15 @@
   return RunAgentProcess({ FLAGS_settings, FLAGS_fault_injection });
 }
 
+ExitCode RunReplayCommand(Words aTraces)
+{
+  if (aTraces.empty()) {
+    std::fputs("heatherplank: replay needs a trace; give its file\n", stderr);
+    return ExitCode::Usage;
+  }
+  return static_cast<ExitCode>(RunReplay(aTraces, std::cout));
+}
+
 struct Command
 {
   std::string_view mName;
@@ -79,6 +90,10 @@
       "drains a host, or takes it back",
       RunDrain,
       { "platform", "yes", "undo", "json", "author" } },
+    { "replay",
+      "plays recorded traces into the decisions",
+      RunReplayCommand,
+      {} },
   };
   return kCommands;
 }
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -2,6 +2,18 @@
 
 namespace heatherplank {
 
+const Rule* FindRule(const Service& aService, std::string_view aMethod,
+                     std::string_view aTarget)
+{
+  for (const auto& it : aService.mRules) {
+    bool method = it.mMethod.empty() || it.mMethod == aMethod;
+    if (method && aTarget.starts_with(it.mPathPrefix)) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
 const Service* Configuration::FindByAddress(const Address& aAddress) const
 {
   auto it = mByAddress.find(aAddress);
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -82,6 +82,7 @@
 void AgentMembership::Beat(Time aNow)
 {
   mBeatAt = aNow;
+  mSentAt[(mBeat + 1) % kBeatsRemembered] = aNow;
   Heartbeat beat;
   beat.mRecord.mMember = mSelf;
   beat.mRecord.mRevision = mRevision;
@@ -136,6 +137,11 @@
   if (delta == nullptr) {
     return;
   }
+  std::uint32_t age = mBeat - delta->mAnswersBeat;
+  if (delta->mAnswersBeat != 0 && age < kBeatsRemembered) {
+    mConfirmedAt =
+      std::max(mConfirmedAt, mSentAt[delta->mAnswersBeat % kBeatsRemembered]);
+  }
   bool hosts = delta->mTable == MemberTableId::Hosts;
   MemberTable& table = hosts ? mPeers : mBalancers;
   ServiceId service = hosts ? mSelf.mService : BalancerService();
--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <random>
 #include <vector>
 
@@ -47,6 +48,10 @@
 
   std::vector<SendMembership> TakeActions();
 
+  /** When the latest heartbeat that a balancer answered was sent: until then
+   * this host was surely held alive. Zero before the first. */
+  Time ConfirmedAt() const { return mConfirmedAt; }
+
   const Member& Self() const { return mSelf; }
   /** Members of the host's own service, this host too. */
   MemberViewPtr Peers() const { return mPeers.View(mSelf.mService); }
@@ -68,6 +73,9 @@
   Address AnyBalancer();
   void YieldToNewer(const MemberDelta& aDelta, Time aNow);
 
+  /** An answer to an older beat than this confirms nothing of use. */
+  static constexpr std::uint32_t kBeatsRemembered = 32;
+
   Member mSelf;
   const AgentMembershipOptions mOptions;
   BalancerCheck mBalancerCheck;
@@ -79,6 +87,8 @@
   std::uint32_t mBeat = 0;
   Time mBeatAt{};
   Time mServingSince{};
+  std::array<Time, kBeatsRemembered> mSentAt{};
+  Time mConfirmedAt{};
 };
 
 } // namespace heatherplank
--- a/src/membership/BalancerMembership.cpp
+++ b/src/membership/BalancerMembership.cpp
@@ -106,9 +106,22 @@
     return;
   }
   mAgents[member.mHost] = { member.mControl, member.mService, aNow };
+  Confirm(aBeat);
   RepairAgent(aBeat, aNow);
 }
 
+/** Failure met: an agent that was paused or cut off goes on running its flows
+ * while others take them over. The answer names the heartbeat that it answers,
+ * so that the agent knows how long ago it was surely held alive; without one
+ * for a while it stops deciding. */
+void BalancerMembership::Confirm(const Heartbeat& aBeat)
+{
+  MemberDelta answer;
+  answer.mVersion = mHosts.Version();
+  answer.mAnswersBeat = aBeat.mRecord.mBeat;
+  Send(aBeat.mRecord.mMember.mControl, answer);
+}
+
 /** Failure met: a change on its way to an agent is lost, and the agent goes on
  * handing flows to a host that left. Each heartbeat carries the hash of what
  * its agent holds; where it differs the whole service is sent again. */
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -81,6 +81,7 @@
 
   MembershipReadiness Readiness() const;
   MemberTable& Hosts() { return mHosts; }
+  const MemberTable& Hosts() const { return mHosts; }
   const MemberTable& Balancers() const { return mBalancers; }
 
 private:
@@ -114,6 +115,7 @@
   void Flush(MemberTable& aTable, Time aNow);
   void SendChanges(std::map<std::uint8_t, MemberDelta>& aByTree);
   void TellAgents(Time aNow);
+  void Confirm(const Heartbeat& aBeat);
   void RepairAgent(const Heartbeat& aBeat, Time aNow);
   void SendService(const Address& aTo, const MemberTable& aTable,
                    ServiceId aService, Time aNow);
--- /dev/null
+++ b/src/process/WallClock.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+
+#include "include/heatherplank/Types.h"
+
+namespace heatherplank {
+
+/** Microseconds since the Unix epoch: the incarnation of a process that starts
+ * now. Thread safe.
+ */
+inline Incarnation WallClockMicroseconds()
+{
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(duration_cast<microseconds>(now).count());
+}
+
+} // namespace heatherplank
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -35,6 +35,7 @@
   ConfigRequest = 31,
   ConfigObjects = 32,
   StatusReport = 33,
+  Hello = 40,
 };
 
 using Bytes = std::vector<std::uint8_t>;
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -269,4 +269,75 @@
   return out;
 }
 
+namespace {
+
+MessageKind KindOf(const Heartbeat&)
+{
+  return MessageKind::Heartbeat;
+}
+
+MessageKind KindOf(const MemberDelta&)
+{
+  return MessageKind::MemberDelta;
+}
+
+MessageKind KindOf(const MemberDigest&)
+{
+  return MessageKind::MemberDigest;
+}
+
+MessageKind KindOf(const MemberSnapshotRequest&)
+{
+  return MessageKind::MemberSnapshotRequest;
+}
+
+MessageKind KindOf(const MemberSnapshot&)
+{
+  return MessageKind::MemberSnapshot;
+}
+
+template<typename T>
+Result<MembershipMessage> Widen(Result<T> aMessage)
+{
+  if (!aMessage) {
+    return tl::unexpected(aMessage.error());
+  }
+  return MembershipMessage(std::move(*aMessage));
+}
+
+} // namespace
+
+EncodedMembership EncodeMembership(const MembershipMessage& aMessage)
+{
+  return std::visit(
+    [](const auto& aIt) {
+      return EncodedMembership{ KindOf(aIt), EncodePayload(aIt) };
+    },
+    aMessage);
+}
+
+bool IsMembership(MessageKind aKind)
+{
+  return aKind >= MessageKind::Heartbeat &&
+         aKind <= MessageKind::MemberSnapshot;
+}
+
+Result<MembershipMessage> DecodeMembership(const Frame& aFrame)
+{
+  switch (aFrame.mKind) {
+    case MessageKind::Heartbeat:
+      return Widen(DecodeHeartbeat(aFrame.mPayload));
+    case MessageKind::MemberDelta:
+      return Widen(DecodeMemberDelta(aFrame.mPayload));
+    case MessageKind::MemberDigest:
+      return Widen(DecodeMemberDigest(aFrame.mPayload));
+    case MessageKind::MemberSnapshotRequest:
+      return Widen(DecodeMemberSnapshotRequest(aFrame.mPayload));
+    case MessageKind::MemberSnapshot:
+      return Widen(DecodeMemberSnapshot(aFrame.mPayload));
+    default:
+      return MalformedMessage("membership message");
+  }
+}
+
 } // namespace heatherplank
--- a/src/wire/MembershipCodec.h
+++ b/src/wire/MembershipCodec.h
@@ -2,6 +2,7 @@
 
 #include "include/heatherplank/Error.h"
 #include "src/membership/MemberRecord.h"
+#include "src/membership/MembershipActions.h"
 #include "src/wire/Frame.h"
 
 namespace heatherplank {
@@ -30,4 +31,16 @@
 Result<MemberSnapshotRequest> DecodeMemberSnapshotRequest(ByteView aPayload);
 Result<MemberSnapshot> DecodeMemberSnapshot(ByteView aPayload);
 
+/** Any of them: the frame of a message, and back. Malformed too if the frame
+ * is of another kind. Thread safe. */
+struct EncodedMembership
+{
+  MessageKind mKind{};
+  Bytes mPayload;
+};
+EncodedMembership EncodeMembership(const MembershipMessage& aMessage);
+Result<MembershipMessage> DecodeMembership(const Frame& aFrame);
+/** True for the kinds that DecodeMembership reads. Thread safe. */
+bool IsMembership(MessageKind aKind);
+
 } // namespace heatherplank
