--- a/src/steer/Ownership.cpp
+++ b/src/steer/Ownership.cpp
@@ -31,12 +31,12 @@
   // dispatch for one flow. Others wait for longer than the trust in a view
   // lasts, so whoever finds its own view still trusted has lost nothing, and
   // whoever does not asks before it dispatches again.
-  bool lapses = mState.mOptions.mGuards.mLease && mWasFresh && !mHasLapsed &&
-                !mState.mViews.IsFresh(aNow);
+  bool lapses = mState.mOptions.mGuards.mLease && mWasFresh &&
+                !mState.mHasLapsed && !mState.mViews.IsFresh(aNow);
   if (!lapses) {
     return;
   }
-  mHasLapsed = true;
+  mState.mHasLapsed = true;
   ++mState.mCounters[OwnershipCount::Lapses];
   std::vector<AskResult> ended;
   mAsker.EndAll(ended);
@@ -49,7 +49,7 @@
 bool Ownership::MayDispatch(Time aNow) const
 {
   return !mState.mOptions.mGuards.mLease ||
-         (!mHasLapsed && mState.mViews.IsFresh(aNow));
+         (!mState.mHasLapsed && mState.mViews.IsFresh(aNow));
 }
 
 void Ownership::OnView(ServiceViewPtr aView, Time aConfirmedAt, Time aNow,
@@ -58,8 +58,8 @@
   CheckLease(aNow, aOut);
   mState.mViews.OnView(std::move(aView), aConfirmedAt, aNow);
   mWasFresh = mWasFresh || mState.mViews.IsFresh(aNow);
-  if (mHasLapsed && mState.mViews.IsFresh(aNow)) {
-    mHasLapsed = false;
+  if (mState.mHasLapsed && mState.mViews.IsFresh(aNow)) {
+    mState.mHasLapsed = false;
     ++mState.mLapses;
     mState.mViews.OnLapse(aNow);
   }
@@ -72,6 +72,7 @@
 
 void Ownership::Drain(Time aNow, OwnershipActions& aOut)
 {
+  CheckLease(aNow, aOut);
   mState.mDraining = true;
   mState.mViews.SetDraining();
   Sweep(aNow, aOut);
@@ -516,6 +517,7 @@
 void Ownership::OnRequestEnded(const FlowKey& aFlow, bool aAnswered, Time aNow,
                                OwnershipActions& aOut)
 {
+  CheckLease(aNow, aOut);
   FlowTable::Entry* flow = mState.mFlows.Find(aFlow);
   if (flow == nullptr) {
     return;
@@ -586,9 +588,6 @@
       }
       continue;
     }
-    if (mHasLapsed) {
-      continue;
-    }
     mClaimer.Consider(*flow, aNow, aOut);
     if (mState.mDraining && options.mGuards.mHandOff) {
       mMover.Consider(*flow, aNow, aOut);
--- a/src/steer/Ownership.h
+++ b/src/steer/Ownership.h
@@ -168,7 +168,6 @@
   std::vector<Decliner> mDecliners;
   std::size_t mSweepAt = 0;
   bool mWasFresh = false;
-  bool mHasLapsed = false;
 };
 
 } // namespace heatherplank
--- a/src/steer/OwnershipMessageHandlers.cpp
+++ b/src/steer/OwnershipMessageHandlers.cpp
@@ -81,7 +81,7 @@
   if (flow == nullptr) {
     return false;
   }
-  bool isSure = !mHasLapsed && mState.IsConfirmed(flow->mValue);
+  bool isSure = mState.IsConfirmed(flow->mValue);
   bool isRival = !isSure && aAsk.mPurpose == AskPurpose::Reconfirm &&
                  mAsker.IsAsking(aAsk.mFlow);
   if (isRival) {
@@ -191,8 +191,7 @@
   // of this host: who claims a flow has confirmed it.
   bool isSameLife = flow->mValue.mEpoch == aClaimed.mEpoch;
   bool hasMoved = isSameLife && flow->mValue.mMoves < aClaimed.mMoves;
-  bool isUnsure =
-    !isSameLife && (mHasLapsed || !mState.IsConfirmed(flow->mValue));
+  bool isUnsure = !isSameLife && !mState.IsConfirmed(flow->mValue);
   aClaimed.mAccepted = hasMoved || isUnsure;
   if (aClaimed.mAccepted) {
     AskResult owner;
--- a/src/steer/OwnershipOptions.h
+++ b/src/steer/OwnershipOptions.h
@@ -39,14 +39,14 @@
 {
   OwnershipGuards mGuards;
 
-  /** Longest that two processes' views may differ, with room to spare; at the
-   * start of an agent and after a lapse, every unknown flow is asked about for
-   * as long. Also how long promises last.
+  /** Longest that two processes' views may differ, with room to spare. Also how
+   * long promises last.
    */
   Duration mSettle = std::chrono::seconds(3);
   /** For how long a flow whose arbiter changed is asked about before it is
-   * placed. Longer than mSettle, so that a cut between its owner and the new
-   * arbiter, which keeps claims from getting through, is noticed by an ask.
+   * placed, and every unknown flow after the start of an agent or a lapse.
+   * Longer than mSettle, so that a cut between its owner and the new arbiter,
+   * which keeps claims from getting through, is noticed by an ask.
    */
   Duration mAskWindow = std::chrono::seconds(30);
   /** A view that was not confirmed for this long decides nothing, and its
--- a/src/steer/OwnershipState.h
+++ b/src/steer/OwnershipState.h
@@ -68,7 +68,7 @@
    */
   bool IsConfirmed(const OwnedFlow& aFlow) const
   {
-    return aFlow.mConfirmedIn == mLapses;
+    return !mHasLapsed && aFlow.mConfirmedIn == mLapses;
   }
 
   /** The flow's life as this host knows it, for a message. */
@@ -130,6 +130,8 @@
   OwnershipCounters mCounters;
   /** Lapses of the view so far, by pauses and cuts; see IsConfirmed. */
   std::uint32_t mLapses = 0;
+  /** The view is not trusted at present. */
+  bool mHasLapsed = false;
   bool mDraining = false;
 
 private:
