--- a/tests/ReplayTest.cpp
+++ b/tests/ReplayTest.cpp
@@ -2,9 +2,11 @@
 
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/replay/Trace.h"
+#include "src/settings/JsonReader.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,6 +25,11 @@
   return result ? "played" : result.error().Describe();
 }
 
+std::string PathOf(const std::string& aName)
+{
+  return HEATHERPLANK_SOURCE_DIR "/tests/traces/" + aName + ".jsonl";
+}
+
 bool Has(const std::string& aText, const std::string& aPart)
 {
   return aText.find(aPart) != std::string::npos;
@@ -39,8 +46,7 @@
        { "burst", "busy-callers", "slow-backend-server", "long-among-short",
          "saturation", "saturation-claims", "saturation-documents",
          "cold-start", "lying-endpoints", "retry-storm", "platform-outage" }) {
-    traces.push_back(std::string(HEATHERPLANK_SOURCE_DIR "/tests/traces/") +
-                     name + ".jsonl");
+    traces.push_back(PathOf(name));
   }
   std::ostringstream out;
   const int status = RunReplay(traces, out);
@@ -87,3 +93,29 @@
   CHECK_EQUAL(2, RunReplay(traces, out));
   CHECK_TRUE(Has(out.str(), "/nonexistent.jsonl"));
 }
+
+// What the traces guard against does happen: with the guard off, or with
+// another admission, the same trace misses a stated outcome.
+TEST(Replay, ATraceFailsWithItsGuardOff)
+{
+  const std::pair<const char*, const char*> cases[] = {
+    { "burst", R"("admission":"fifo")" },
+    { "busy-callers", R"("guards_off":["fairness"])" },
+    { "slow-backend-server", R"("outlier":"off")" },
+    { "long-among-short", R"("guards_off":["reservation"])" },
+    { "saturation", R"("admission":"priority")" },
+    { "saturation-claims", R"("guards_off":["early_refusal"])" },
+    { "saturation-documents", R"("admission":"fifo")" },
+    { "cold-start", R"("slow_start":"off")" },
+    { "lying-endpoints", R"("outlier":"off")" },
+    { "retry-storm", R"("guards_off":["spread_returns"])" },
+  };
+  const std::string mark = R"("event":"fleet",)";
+  for (const auto& [name, change] : cases) {
+    std::string text = ReadFile(PathOf(name)).value();
+    text.insert(text.find(mark) + mark.size(), std::string(change) + ",");
+    std::ostringstream out;
+    auto result = replay::PlayTrace(name, text, out);
+    CHECK_TRUE_TEXT(result.has_value() && result->mFailed > 0, name);
+  }
+}
