--- a/bench/RecordBench.cpp
+++ b/bench/RecordBench.cpp
@@ -30,8 +30,8 @@
   ObjectAKey = 0,
   /** Any agent writes any shard. */
   AnyAgent = 1,
-  /** The agent that is home to a shard gets all of its claims; stands for
-   * agents that pass their grants on to it, one hop of 1 ms each way. */
+  /** Each shard has a home among the agents that writes for all; messages take
+   * 1 ms. */
   HomeAgent = 2,
 };
 
@@ -43,17 +43,22 @@
 {
 public:
   explicit ClaimLoad(Mode aMode, std::uint32_t aShards = kShards)
-    : mMode(aMode)
-    , mRandom(1)
+    : mRandom(1)
   {
     RunOnceOptions options;
     options.mShards = aMode == ObjectAKey ? 1U << 30 : aShards;
-    mShards = options.mShards;
     for (int i = 0; i < kAgents; ++i) {
       mAgents.push_back(std::make_unique<RunOnce>(
         HostId{ static_cast<std::uint64_t>(i + 1) }, 1, options, i + 1,
         mNow - std::chrono::hours(1)));
     }
+    std::vector<HostId> homes;
+    for (int i = 0; i < kAgents && aMode == HomeAgent; ++i) {
+      homes.push_back({ static_cast<std::uint64_t>(i + 1) });
+    }
+    for (auto& it : mAgents) {
+      it->SetHomes(homes);
+    }
   }
 
   /** Plays claims of a rate for a time, with an outage from one moment to
@@ -147,17 +152,10 @@
     RequestToken token = ++mClaims;
     std::string key = "claim-" + std::to_string(mRandom());
     auto agent = static_cast<int>(mRandom() % kAgents);
-    Duration hop{};
-    if (mMode == HomeAgent) {
-      agent = static_cast<int>(HashBytes(key) % mShards % kAgents);
-      hop = milliseconds(1);
-    }
     Time asked = mNow;
     mAsked[token] = asked;
-    After(hop, [this, agent, token, key, asked] {
-      mAgents[agent]->Request(token, key, asked + seconds(2), mNow);
-      Act(agent);
-    });
+    mAgents[agent]->Request(token, key, asked + seconds(2), mNow);
+    Act(agent);
   }
 
   void Act(int aAgent)
@@ -179,6 +177,26 @@
         ++mUnknown;
       }
     }
+    for (const HomeMessage& it : mAgents[aAgent]->TakeHomeMessages()) {
+      if (const auto* asked = std::get_if<AskHome>(&it)) {
+        Carry(asked->mHome, [this, all = asked->mWishes](RunOnce& aHome) {
+          aHome.OnWishes(all, mNow);
+        });
+      } else if (const auto* told = std::get_if<TellAgent>(&it)) {
+        Carry(told->mAgent, [this, tell = *told](RunOnce& aAgain) {
+          aAgain.OnOutcomes(tell.mOutcomes, tell.mRetryAfter, mNow);
+        });
+      }
+    }
+  }
+
+  void Carry(HostId aTo, std::function<void(RunOnce&)> aWhat)
+  {
+    int to = static_cast<int>(aTo.mValue) - 1;
+    After(milliseconds(1), [this, to, what = std::move(aWhat)] {
+      what(*mAgents[to]);
+      Act(to);
+    });
   }
 
   double SinceAsked(RequestToken aToken)
@@ -190,8 +208,7 @@
   void Run(int aAgent, const Granted& aGranted)
   {
     ++mGranted;
-    double hop = mMode == HomeAgent ? 1 : 0;
-    mGrantMs.push_back(SinceAsked(aGranted.mRequest) + hop);
+    mGrantMs.push_back(SinceAsked(aGranted.mRequest));
     if (mNow > mDownUntil && mFirstGrantAfter == Time{}) {
       mFirstGrantAfter = mNow;
     }
@@ -248,8 +265,6 @@
     return mVersion;
   }
 
-  Mode mMode;
-  std::uint32_t mShards = 0;
   std::mt19937_64 mRandom;
   Time mNow = Time{} + std::chrono::hours(2);
   Time mEnd{};
@@ -297,7 +312,7 @@
 void Outage(benchmark::State& aState)
 {
   for (auto _ : aState) {
-    ClaimLoad load(AnyAgent);
+    ClaimLoad load(HomeAgent);
     load.Play(20, 60, seconds(20), seconds(40));
     int peak = 0;
     std::int64_t back =
--- a/src/record/RunOnce.cpp
+++ b/src/record/RunOnce.cpp
@@ -21,6 +21,11 @@
   return std::exchange(mActions, {});
 }
 
+std::vector<HomeMessage> RunOnce::TakeHomeMessages()
+{
+  return std::exchange(mHomeMessages, {});
+}
+
 std::uint64_t RunOnce::Count(RunOnceReason aReason) const
 {
   return mCounts[static_cast<std::size_t>(aReason)];
@@ -55,9 +60,10 @@
 {
   KeyState& state = mKeys[aKey];
   state.mWaiters.push_back({ aRequest, aDeadline, WriterOf(aKey).Started() });
-  if (mGate.Refuses(aNow)) {
+  bool homeDown = !IsHome(aKey) && aNow < mHomeDownUntil;
+  if (homeDown || (IsHome(aKey) && mGate.Refuses(aNow))) {
     StartAskingPeers(aKey, state, RunOnceReason::PlatformDown, aNow);
-  } else if (IsTooSlowFor(aKey, aDeadline, aNow)) {
+  } else if (IsHome(aKey) && IsTooSlowFor(aKey, aDeadline, aNow)) {
     StartAskingPeers(aKey, state, RunOnceReason::PlatformSlow, aNow);
   } else {
     Claim(aKey, state, 0, aNow);
@@ -94,24 +100,25 @@
   aState.mPhase = Phase::Claiming;
   aState.mSince = aNow;
   Grant grant{ mHost, mIncarnation, aState.mNonce, false, std::nullopt };
-  WriterOf(aKey).Want(aKey, { ChangeKind::Claim, grant, aReplaces, aNow });
+  auto last = std::ranges::max_element(aState.mWaiters, {}, &Waiter::mDeadline);
+  Want(aKey, { ChangeKind::Claim, grant, aReplaces, aNow, last->mDeadline });
 }
 
 void RunOnce::OnOutcome(const ShardOutcome& aOutcome, Time aNow)
 {
   auto it = mKeys.find(aOutcome.mKey);
-  bool ours =
-    it != mKeys.end() && it->second.mNonce == aOutcome.mChange.mGrant.mNonce;
+  bool ours = it != mKeys.end() && it->second.mNonce == aOutcome.mNonce;
   if (!ours) {
     return;
   }
   KeyState& state = it->second;
-  if (aOutcome.mChange.mKind == ChangeKind::Answer) {
+  if (aOutcome.mKind == ChangeKind::Answer) {
     state.mRecorded = true;
     return;
   }
-  if (aOutcome.mChange.mKind != ChangeKind::Claim ||
-      state.mPhase != Phase::Claiming) {
+  bool awaited =
+    aOutcome.mKind == ChangeKind::Claim && state.mPhase == Phase::Claiming;
+  if (!awaited) {
     return;
   }
   switch (aOutcome.mResult) {
@@ -125,6 +132,12 @@
       UnknownToAll(state, RunOnceReason::KeyTooOld);
       Drop(aOutcome.mKey);
       break;
+    case ChangeResult::Down:
+      StartAskingPeers(aOutcome.mKey, state, RunOnceReason::PlatformDown, aNow);
+      break;
+    case ChangeResult::Slow:
+      StartAskingPeers(aOutcome.mKey, state, RunOnceReason::PlatformSlow, aNow);
+      break;
     default:
       NotRunToAll(state, RunOnceReason::ShardFull, aNow);
       Drop(aOutcome.mKey);
@@ -153,6 +166,12 @@
     Claim(aKey, aState, aPresent.mNonce, aNow);
     return;
   }
+  if (aPresent.mHost == mHost && aPresent.mIncarnation == mIncarnation) {
+    // An earlier attempt of ours, given up, that landed after all: whatever
+    // may still run under this key would be open here.
+    Claim(aKey, aState, aPresent.mNonce, aNow);
+    return;
+  }
   if (aPresent.mHost == mHost) {
     UnknownToAll(aState, RunOnceReason::HolderLost);
     Drop(aKey);
@@ -173,6 +192,8 @@
 KeyReply RunOnce::OnQuestion(const std::string& aKey, Nonce aNonce,
                              Incarnation aIncarnation, Time aNow) const
 {
+  // A process that started lately can't tell whether the key ran here before.
+  KeyKnowledge none = Vouches(aNow) ? KeyKnowledge::None : KeyKnowledge::Unsure;
   auto it = mKeys.find(aKey);
   bool known =
     it != mKeys.end() && (aNonce == 0 || it->second.mNonce == aNonce);
@@ -182,7 +203,7 @@
     return { own ? KeyKnowledge::GivenUp : KeyKnowledge::None, {} };
   }
   if (!known) {
-    return { Vouches(aNow) ? KeyKnowledge::None : KeyKnowledge::Unsure, {} };
+    return { none, {} };
   }
   const KeyState& state = it->second;
   if (state.mPhase == Phase::Ended) {
@@ -190,7 +211,7 @@
              state.mAnswer.value_or("") };
   }
   bool idle = state.mPhase == Phase::AskingPeers;
-  return { idle ? KeyKnowledge::None : KeyKnowledge::Running, {} };
+  return { idle ? none : KeyKnowledge::Running, {} };
 }
 
 void RunOnce::OnReply(const std::string& aKey, const KeyReply& aReply,
@@ -267,6 +288,11 @@
   Drop(aKey);
 }
 
+/** Failure met: the holder sleeps between grant and dispatch, past its
+ * request's deadline (or past the retention of grants), and wakes. Shown as
+ * work that is done for nobody, or a key that ran twice. It holds since the
+ * clock is looked at here, after the sleep, and since each Granted has a nonce
+ * of its own. */
 bool RunOnce::MayDispatch(const std::string& aKey, Nonce aNonce, Time aNow)
 {
   KeyState* state = FindAttempt(aKey, aNonce, Phase::Granted);
@@ -324,8 +350,7 @@
   if (grant.mAnswer && grant.mAnswer->size() > mOptions.mMaxAnswerBytes) {
     grant.mAnswer.reset();
   }
-  WriterOf(aKey).Want(
-    aKey, { ChangeKind::Answer, grant, 0, aNow + mOptions.mAnswerLinger });
+  Want(aKey, { ChangeKind::Answer, grant, 0, aNow + mOptions.mAnswerLinger });
 }
 
 void RunOnce::PassOn(const std::string& aKey, KeyState& aState, Time aNow)
@@ -336,6 +361,11 @@
     Drop(aKey);
     return;
   }
+  if (aState.mPhase != Phase::Claiming) {
+    // Handed out before: a late dispatch under the old nonce must fail.
+    Claim(aKey, aState, aState.mNonce, aNow);
+    return;
+  }
   aState.mPhase = Phase::Granted;
   const Waiter& first = aState.mWaiters.front();
   mActions.emplace_back(
@@ -349,7 +379,11 @@
                        Time aNow)
 {
   Grant grant{ mHost, mIncarnation, aState.mNonce, false, std::nullopt };
-  WriterOf(aKey).GiveUp(aKey, grant, aNow + mOptions.mAnswerLinger);
+  Time due = aNow + mOptions.mAnswerLinger;
+  if (!IsHome(aKey)) {
+    Want(aKey, { ChangeKind::Withdraw, grant, 0, due });
+  }
+  WriterOf(aKey).GiveUp(aKey, grant, due);
 }
 
 void RunOnce::Cancel(RequestToken aRequest, const std::string& aKey, Time aNow)
@@ -365,13 +399,18 @@
   }
   bool wasFirst = waiter == state.mWaiters.begin();
   state.mWaiters.erase(waiter);
-  if (state.mPhase != Phase::Claiming && state.mPhase != Phase::Granted) {
+  bool mayRun =
+    state.mPhase != Phase::Claiming && state.mPhase != Phase::Granted;
+  if (mayRun) {
     SayUnknown(aRequest, RunOnceReason::StillRunning);
-    return;
+  } else {
+    SayNotRun(aRequest, RunOnceReason::Cancelled, aNow);
   }
-  SayNotRun(aRequest, RunOnceReason::Cancelled, aNow);
   if (state.mPhase == Phase::Granted && wasFirst) {
     PassOn(aKey, state, aNow);
+  } else if (state.mWaiters.empty() && state.mPhase != Phase::Running) {
+    Withdraw(aKey, state, aNow);
+    Drop(aKey);
   }
 }
 
--- a/src/record/RunOnce.h
+++ b/src/record/RunOnce.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,12 @@
   /** How long peers may take to answer in an outage. */
   Duration mPeerWait = std::chrono::milliseconds(100);
 
+  /** A home that has not answered is asked again after this long, and after so
+   * many times the shard is written from here. */
+  Duration mHomeWait = std::chrono::milliseconds(60);
+  std::uint32_t mHomeTries = 2;
+  /** A home that said that it has a wish is left alone for this long. */
+  Duration mHomeQueuedWait = std::chrono::milliseconds(400);
   /** A process this old vouches that a key that it does not know never ran at
    * its host; callers repeat a key sooner than that. */
   Duration mVouchAfter = std::chrono::minutes(2);
@@ -68,6 +75,11 @@
   RunOnce(HostId aHost, Incarnation aIncarnation,
           const RunOnceOptions& aOptions, std::uint64_t aSeed, Time aNow);
 
+  /** The agents of the service, this one too: each shard has one of them as its
+   * home, which writes for all, so that they don't run into each other. They
+   * need not agree on it. Without any, each agent writes for itself. */
+  void SetHomes(std::span<const HostId> aHosts);
+
   /** A request that may not be repeated. Precondition: aRequest is not open. */
   void Request(RequestToken aRequest, const std::string& aKey, Time aDeadline,
                Time aNow);
@@ -95,6 +107,12 @@
   void OnPeers(const std::string& aKey, const KeyReply& aReply,
                bool aAllAnswered, Time aNow);
 
+  /** Another agent's wishes, for which this host is the home. */
+  void OnWishes(const std::vector<ShardWish>& aWishes, Time aNow);
+  /** What a home says of this agent's wishes. */
+  void OnOutcomes(const std::vector<ShardOutcome>& aOutcomes,
+                  Duration aRetryAfter, Time aNow);
+
   void OnGet(CallTicket aTicket, const Result<Object>& aResult, Time aNow);
   void OnPut(CallTicket aTicket, const Result<std::uint64_t>& aResult,
              Time aNow);
@@ -103,6 +121,8 @@
 
   /** What is to be done since the last call, in order. */
   std::vector<RunOnceAction> TakeActions();
+  /** Messages to send since the last call; none unless SetHomes was called. */
+  std::vector<HomeMessage> TakeHomeMessages();
 
   /** Keys held here, those that ended too. */
   std::size_t Keys() const { return mKeys.size(); }
@@ -149,6 +169,14 @@
     RunOnceReason mWhy{};
   };
   using KeyMap = std::map<std::string, KeyState>;
+  /** A wish that another host is to write. */
+  struct RemoteWish
+  {
+    std::string mKey;
+    ShardChange mChange;
+    Time mSendAt{};
+    std::uint32_t mTries = 0;
+  };
   struct Flight
   {
     std::uint32_t mShard = 0;
@@ -200,6 +228,16 @@
   bool HasSeenShard(const std::string& aKey, const KeyState& aState);
   bool IsTooSlowFor(const std::string& aKey, Time aDeadline, Time aNow);
 
+  // Homes.
+  HostId HomeOf(const std::string& aKey) const;
+  bool IsHome(const std::string& aKey) const;
+  /** Wants a change written, here or by the key's home. */
+  void Want(const std::string& aKey, const ShardChange& aChange);
+  void SendWishes(Time aNow);
+  void WriteHere(const RemoteWish& aWish);
+  void Tell(const std::vector<ShardOutcome>& aOutcomes, Time aNow);
+  void WithdrawStray(const ShardOutcome& aOutcome, Time aNow);
+
   // Platform.
   std::uint32_t ShardOf(const std::string& aKey) const;
   ShardWriter& WriterOf(const std::string& aKey);
@@ -219,10 +257,16 @@
   PlatformGate mGate;
   std::map<std::uint32_t, ShardWriter> mWriters;
   KeyMap mKeys;
+  std::vector<HostId> mHomes;
+  /** By nonce. */
+  std::map<Nonce, RemoteWish> mRemote;
+  /** Until then a home said to stay away. */
+  Time mHomeDownUntil{};
   std::map<CallTicket, Flight> mFlights;
   CallTicket mNextTicket = 1;
   std::uint32_t mNextShard = 0;
   std::vector<RunOnceAction> mActions;
+  std::vector<HomeMessage> mHomeMessages;
   std::uint64_t mWrites = 0;
   std::uint64_t mReads = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(RunOnceReason::Last) + 1>
--- a/src/record/RunOnceActions.h
+++ b/src/record/RunOnceActions.h
@@ -5,10 +5,12 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/ObjectStore.h"
 #include "src/record/Grant.h"
+#include "src/record/ShardWriter.h"
 
 namespace heatherplank {
 
@@ -118,9 +120,40 @@
   std::string mKey;
 };
 
+/** A change that a shard's home is asked to write. */
+struct ShardWish
+{
+  std::string mKey;
+  ChangeKind mKind = ChangeKind::Claim;
+  Grant mGrant;
+  Nonce mReplaces = 0;
+  /** With Claim: how long its holder waits. */
+  Duration mWithin{};
+};
+
+/** Send wishes to the agent of a shard's home (OnWishes there). They may be
+ * lost or come twice; they are sent again. */
+struct AskHome
+{
+  HostId mHome;
+  std::vector<ShardWish> mWishes;
+};
+
+/** Send outcomes of its wishes to an agent (OnOutcomes there). */
+struct TellAgent
+{
+  HostId mAgent;
+  std::vector<ShardOutcome> mOutcomes;
+  /** With Down: when to ask this home again. */
+  Duration mRetryAfter{};
+};
+
 using RunOnceAction = std::variant<StoreCall, Granted, Duplicate, NotRun,
                                    Unknown, AskHolder, AskPeers>;
 
+/** What agents say to each other where shards have homes. */
+using HomeMessage = std::variant<AskHome, TellAgent>;
+
 /** What a host knows of a key, in reply to a question; a larger one is graver.
  */
 enum class KeyKnowledge : std::uint8_t
--- a/src/record/RunOnceSteps.cpp
+++ b/src/record/RunOnceSteps.cpp
@@ -44,6 +44,7 @@
   ++mCounts[static_cast<std::size_t>(aReason)];
   Duration after = aReason == RunOnceReason::ShardFull ? kFullShardRetry
                                                        : mGate.RetryAfter(aNow);
+  after += std::max(Duration{}, mHomeDownUntil - aNow);
   mActions.emplace_back(NotRun{ aRequest, aReason, after });
 }
 
@@ -182,7 +183,11 @@
 
 bool RunOnce::HasSeenShard(const std::string& aKey, const KeyState& aState)
 {
-  std::uint64_t seenBy = WriterOf(aKey).SeenBy();
+  ShardWriter& writer = WriterOf(aKey);
+  if (!writer.IsClaiming(aKey, aState.mNonce)) {
+    return false;
+  }
+  std::uint64_t seenBy = writer.SeenBy();
   return std::ranges::all_of(aState.mWaiters, [seenBy](const Waiter& aWaiter) {
     return aWaiter.mCallsBefore < seenBy;
   });
@@ -219,6 +224,7 @@
 
 void RunOnce::Pump(Time aNow)
 {
+  SendWishes(aNow);
   // Round robin over the shards: when tokens are short, what waits longest
   // goes first, and the claims that join it meanwhile share its write.
   auto start = mWriters.lower_bound(mNextShard);
@@ -305,6 +311,7 @@
   for (const ShardOutcome& it : aOutcomes) {
     OnOutcome(it, aNow);
   }
+  Tell(aOutcomes, aNow);
 }
 
 /** Requests that wait for a grant when the breaker opens are given up then and
@@ -314,14 +321,19 @@
   if (!mGate.Refuses(aNow)) {
     return;
   }
+  for (auto& [shard, writer] : mWriters) {
+    Tell(writer.RefuseClaims(mHost), aNow);
+  }
   for (auto it = mKeys.begin(); it != mKeys.end();) {
     auto& [key, state] = *it;
     ++it;
-    if (state.mPhase != Phase::Claiming) {
+    bool remote = mRemote.contains(state.mNonce);
+    if (state.mPhase != Phase::Claiming || remote) {
       continue;
     }
+    bool seen = HasSeenShard(key, state);
     Withdraw(key, state, aNow);
-    if (HasSeenShard(key, state)) {
+    if (seen) {
       NotRunToAll(state, RunOnceReason::PlatformDown, aNow);
       Drop(key);
     } else {
--- a/src/record/ShardWriter.cpp
+++ b/src/record/ShardWriter.cpp
@@ -5,32 +5,84 @@
 
 namespace heatherplank {
 
+namespace {
+
+ShardOutcome OutcomeOf(const std::string& aKey, const ShardChange& aChange,
+                       ChangeResult aResult)
+{
+  ShardOutcome outcome;
+  outcome.mKey = aKey;
+  outcome.mKind = aChange.mKind;
+  outcome.mHolder = aChange.mGrant.mHost;
+  outcome.mIncarnation = aChange.mGrant.mIncarnation;
+  outcome.mNonce = aChange.mGrant.mNonce;
+  outcome.mResult = aResult;
+  return outcome;
+}
+
+} // namespace
+
 ShardWriter::ShardWriter(const ShardWriterOptions& aOptions)
   : mOptions(aOptions)
 {
 }
 
-void ShardWriter::Want(const std::string& aKey, const ShardChange& aChange)
+bool ShardWriter::Want(const std::string& aKey, const ShardChange& aChange)
 {
-  mWanted[aKey] = { aChange, mNextStamp++ };
+  Wish& wish = mWanted[{ aKey, aChange.mGrant.mNonce }];
+  bool repeated = wish.mStamp != 0 && wish.mChange.mKind == aChange.mKind;
+  if (!repeated) {
+    wish = { aChange, mNextStamp++ };
+  }
+  return !repeated;
 }
 
 void ShardWriter::GiveUp(const std::string& aKey, const Grant& aGrant,
                          Time aDue)
 {
+  WishKey wish{ aKey, aGrant.mNonce };
   const Grant* present = mSeen.Find(aKey);
   bool landed = present != nullptr && present->mNonce == aGrant.mNonce;
-  if (landed || mLimbo || mBatch.contains(aKey)) {
+  if (landed || mLimbo || mBatch.contains(wish)) {
     Want(aKey, { ChangeKind::Withdraw, aGrant, 0, aDue });
   } else {
-    mWanted.erase(aKey);
+    mWanted.erase(wish);
   }
 }
 
-const ShardChange* ShardWriter::Wanted(const std::string& aKey) const
+bool ShardWriter::IsClaiming(const std::string& aKey, Nonce aNonce) const
+{
+  auto it = mWanted.find({ aKey, aNonce });
+  return it != mWanted.end() && it->second.mChange.mKind == ChangeKind::Claim;
+}
+
+std::vector<ShardOutcome> ShardWriter::RefuseClaims(HostId aExcept)
 {
-  auto it = mWanted.find(aKey);
-  return it == mWanted.end() ? nullptr : &it->second.mChange;
+  std::vector<ShardOutcome> out;
+  for (auto it = mWanted.begin(); it != mWanted.end();) {
+    const ShardChange& change = it->second.mChange;
+    bool refused =
+      change.mKind == ChangeKind::Claim && change.mGrant.mHost != aExcept;
+    if (!refused) {
+      ++it;
+      continue;
+    }
+    out.push_back(OutcomeOf(it->first.mKey, change, ChangeResult::Down));
+    it = mWanted.erase(it);
+  }
+  return out;
+}
+
+/** Failure met: a home takes out a grant whose claim came to it twice, the
+ * second time past its deadline, while its holder runs the key. Shown as a key
+ * that ran twice. So an expired claim is forgotten and never withdrawn: only
+ * its holder can say that a nonce is dead. */
+void ShardWriter::DropExpired(Time aNow)
+{
+  std::erase_if(mWanted, [aNow](const auto& aWish) {
+    const ShardChange& change = aWish.second.mChange;
+    return change.mKind == ChangeKind::Claim && change.mUntil <= aNow;
+  });
 }
 
 bool ShardWriter::IsDue(Time aNow) const
@@ -67,8 +119,9 @@
     if (mBatch.size() == mOptions.mMaxBatch) {
       break;
     }
-    Apply(mProposed, key, wish.mChange);
-    mBatch.emplace_hint(mBatch.end(), key, wish);
+    if (Apply(mProposed, key.mKey, wish.mChange)) {
+      mBatch.emplace_hint(mBatch.end(), key, wish);
+    }
   }
   return { true, mProposed.Encode(), Condition() };
 }
@@ -86,30 +139,31 @@
                        : WriteCondition::IfVersion(mVersion);
 }
 
-void ShardWriter::Apply(GrantShard& aShard, const std::string& aKey,
+bool ShardWriter::Apply(GrantShard& aShard, const std::string& aKey,
                         const ShardChange& aChange) const
 {
   const Grant* present = aShard.Find(aKey);
   bool ours = present != nullptr && present->mNonce == aChange.mGrant.mNonce;
-  switch (aChange.mKind) {
-    case ChangeKind::Claim:
+  if (aChange.mKind == ChangeKind::Claim) {
+    bool free = present == nullptr || ours ||
+                (present->mNonce == aChange.mReplaces && !present->mAnswered);
+    if (free) {
       aShard.Set(aKey, aChange.mGrant);
-      break;
-    case ChangeKind::Answer:
-      if (ours) {
-        Grant answered = aChange.mGrant;
-        if (aShard.EncodedBound() >= mOptions.mAnswersUntil) {
-          answered.mAnswer.reset();
-        }
-        aShard.Set(aKey, answered);
-      }
-      break;
-    case ChangeKind::Withdraw:
-      if (ours) {
-        aShard.Remove(aKey);
-      }
-      break;
+    }
+    return free;
+  }
+  if (ours && aChange.mKind == ChangeKind::Withdraw) {
+    if (!present->mAnswered) {
+      aShard.Remove(aKey);
+    }
+  } else if (ours) {
+    Grant answered = aChange.mGrant;
+    if (aShard.EncodedBound() >= mOptions.mAnswersUntil) {
+      answered.mAnswer.reset();
+    }
+    aShard.Set(aKey, answered);
   }
+  return true;
 }
 
 /** Failure met: grants pile up until the object is full and no claim runs any
@@ -196,7 +250,7 @@
     auto it = mWanted.find(key);
     bool current = it != mWanted.end() && it->second.mStamp == wish.mStamp;
     if (current) {
-      out.push_back({ key, wish.mChange, ChangeResult::Committed, {} });
+      out.push_back(OutcomeOf(key.mKey, wish.mChange, ChangeResult::Committed));
       mWanted.erase(it);
     }
   }
@@ -207,11 +261,12 @@
 std::vector<ShardOutcome> ShardWriter::Review(Time aNow)
 {
   std::vector<ShardOutcome> out;
+  DropExpired(aNow);
   if (!mFresh) {
     return out;
   }
   for (auto it = mWanted.begin(); it != mWanted.end();) {
-    auto settled = Settle(it->first, it->second.mChange, aNow);
+    auto settled = Settle(it->first.mKey, it->second.mChange, aNow);
     if (!settled) {
       ++it;
       continue;
@@ -233,15 +288,17 @@
   }
   const Grant* present = mSeen.Find(aKey);
   bool ours = present != nullptr && present->mNonce == aChange.mGrant.mNonce;
-  if (ours && aChange.mKind == ChangeKind::Answer && present->mAnswered) {
-    return ShardOutcome{ aKey, aChange, ChangeResult::Committed, {} };
+  if (ours && present->mAnswered) {
+    bool answer = aChange.mKind == ChangeKind::Answer;
+    return OutcomeOf(aKey, aChange,
+                     answer ? ChangeResult::Committed : ChangeResult::Gone);
   }
   // While a write of ours may still land, absence is no proof; the next write
   // moves the version on, and then it is.
   if (ours || mLimbo) {
     return std::nullopt;
   }
-  return ShardOutcome{ aKey, aChange, ChangeResult::Gone, {} };
+  return OutcomeOf(aKey, aChange, ChangeResult::Gone);
 }
 
 std::optional<ShardOutcome> ShardWriter::SettleClaim(const std::string& aKey,
@@ -251,20 +308,22 @@
   const Grant* present = mSeen.Find(aKey);
   if (present == nullptr) {
     if (mSeen.HasFaded(aKey)) {
-      return ShardOutcome{ aKey, aChange, ChangeResult::Faded, {} };
+      return OutcomeOf(aKey, aChange, ChangeResult::Faded);
     }
     if (IsFull(aNow)) {
-      return ShardOutcome{ aKey, aChange, ChangeResult::Full, {} };
+      return OutcomeOf(aKey, aChange, ChangeResult::Full);
     }
     return std::nullopt;
   }
   if (present->mNonce == aChange.mGrant.mNonce) {
-    return ShardOutcome{ aKey, aChange, ChangeResult::Committed, {} };
+    return OutcomeOf(aKey, aChange, ChangeResult::Committed);
   }
-  if (MayReplace(*present, aChange)) {
+  if (present->mNonce == aChange.mReplaces && !present->mAnswered) {
     return std::nullopt;
   }
-  return ShardOutcome{ aKey, aChange, ChangeResult::Taken, *present };
+  ShardOutcome taken = OutcomeOf(aKey, aChange, ChangeResult::Taken);
+  taken.mPresent = *present;
+  return taken;
 }
 
 bool ShardWriter::IsFull(Time aNow) const
@@ -273,14 +332,4 @@
   return !rotates && mSeen.EncodedBound() >= mOptions.mFullAt;
 }
 
-bool ShardWriter::MayReplace(const Grant& aPresent,
-                             const ShardChange& aChange) const
-{
-  // Our own earlier attempt that landed after we gave it up: nobody but this
-  // process could dispatch under it, and it claims anew.
-  bool own = aPresent.mHost == aChange.mGrant.mHost &&
-             aPresent.mIncarnation == aChange.mGrant.mIncarnation;
-  return !aPresent.mAnswered && (own || aPresent.mNonce == aChange.mReplaces);
-}
-
 } // namespace heatherplank
--- a/src/record/ShardWriter.h
+++ b/src/record/ShardWriter.h
@@ -34,6 +34,8 @@
   Nonce mReplaces = 0;
   /** When to write it at the latest. */
   Time mDue{};
+  /** With Claim: when its holder gives it up by itself. */
+  Time mUntil = Time::max();
 };
 
 /** How a change came out. */
@@ -49,12 +51,22 @@
   Full,
   /** With Answer or Withdraw: nothing is left to change. */
   Gone,
+  /** With Claim: the platform is down. */
+  Down,
+  /** With Claim: the platform won't answer in time. */
+  Slow,
+  /** Not settled yet; the home has it and will say. */
+  Queued,
 };
 
 struct ShardOutcome
 {
   std::string mKey;
-  ShardChange mChange;
+  ChangeKind mKind = ChangeKind::Claim;
+  /** Whose change it was, and the nonce that it named. */
+  HostId mHolder;
+  Incarnation mIncarnation = 0;
+  Nonce mNonce = 0;
   ChangeResult mResult = ChangeResult::Committed;
   /** With Taken: the grant that is there. */
   Grant mPresent;
@@ -95,17 +107,19 @@
 public:
   explicit ShardWriter(const ShardWriterOptions& aOptions);
 
-  /** Wants a change of a key in place of any that it wanted before. A claim
-   * promises that this process dispatches nothing under any other nonce that
-   * it drew for the key. */
-  void Want(const std::string& aKey, const ShardChange& aChange);
+  /** Wants a change of a key, in place of what it wanted for the same nonce;
+   * false if it is wanted already. */
+  bool Want(const std::string& aKey, const ShardChange& aChange);
   /** No longer wants to claim a key under aGrant's nonce: forgets the claim if
    * no write can have carried it, or else wants it withdrawn by aDue. */
   void GiveUp(const std::string& aKey, const Grant& aGrant, Time aDue);
   /** Settles what the content last seen settles. Call it before Start. */
   std::vector<ShardOutcome> Review(Time aNow);
-  /** What is wanted of a key, or null. */
-  const ShardChange* Wanted(const std::string& aKey) const;
+  /** True if a claim of a key under a nonce waits here. */
+  bool IsClaiming(const std::string& aKey, Nonce aNonce) const;
+  /** Forgets the claims of all holders but one, with Down. A write under way
+   * may still commit them, which is for their holders to undo. */
+  std::vector<ShardOutcome> RefuseClaims(HostId aExcept);
 
   /** True if a call should be made now. */
   bool IsDue(Time aNow) const;
@@ -136,12 +150,19 @@
     /** Grows with each Want, to tell what a write in flight carried. */
     std::uint64_t mStamp = 0;
   };
-  using Wishes = std::map<std::string, Wish>;
+  struct WishKey
+  {
+    std::string mKey;
+    Nonce mNonce = 0;
+    auto operator<=>(const WishKey&) const = default;
+  };
+  using Wishes = std::map<WishKey, Wish>;
 
   ShardCall StartWrite(Time aNow);
   void Adopt(GrantShard aShard, std::uint64_t aVersion, Time aNow);
   void RotateIfDue(GrantShard& aShard, Time aNow);
-  void Apply(GrantShard& aShard, const std::string& aKey,
+  /** Makes the change; false if another grant is in a claim's way. */
+  bool Apply(GrantShard& aShard, const std::string& aKey,
              const ShardChange& aChange) const;
   std::optional<ShardOutcome> Settle(const std::string& aKey,
                                      const ShardChange& aChange,
@@ -150,7 +171,7 @@
                                           const ShardChange& aChange,
                                           Time aNow) const;
   bool IsFull(Time aNow) const;
-  bool MayReplace(const Grant& aPresent, const ShardChange& aChange) const;
+  void DropExpired(Time aNow);
   std::vector<ShardOutcome> SettleBatch();
   WriteCondition Condition() const;
 
--- a/src/wire/keys_generated.h
+++ b/src/wire/keys_generated.h
@@ -22,6 +22,18 @@
 struct KeyAnswer;
 struct KeyAnswerBuilder;
 
+struct ShardWish;
+struct ShardWishBuilder;
+
+struct ShardWishes;
+struct ShardWishesBuilder;
+
+struct ShardOutcome;
+struct ShardOutcomeBuilder;
+
+struct ShardOutcomes;
+struct ShardOutcomesBuilder;
+
 struct KeyQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef KeyQuestionBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -224,6 +236,472 @@
       answer__);
 }
 
+struct ShardWish FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ShardWishBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_KIND = 6,
+    VT_HOST = 8,
+    VT_INCARNATION = 10,
+    VT_NONCE = 12,
+    VT_ANSWERED = 14,
+    VT_ANSWER = 16,
+    VT_REPLACES = 18,
+    VT_WITHIN_MS = 20
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t host() const {
+    return GetField<uint64_t>(VT_HOST, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  bool answered() const {
+    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
+  }
+  const flatbuffers::Vector<uint8_t> *answer() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ANSWER);
+  }
+  uint64_t replaces() const {
+    return GetField<uint64_t>(VT_REPLACES, 0);
+  }
+  uint32_t within_ms() const {
+    return GetField<uint32_t>(VT_WITHIN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_HOST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
+           VerifyOffset(verifier, VT_ANSWER) &&
+           verifier.VerifyVector(answer()) &&
+           VerifyField<uint64_t>(verifier, VT_REPLACES, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WITHIN_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ShardWishBuilder {
+  typedef ShardWish Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(ShardWish::VT_KEY, key);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(ShardWish::VT_KIND, kind, 0);
+  }
+  void add_host(uint64_t host) {
+    fbb_.AddElement<uint64_t>(ShardWish::VT_HOST, host, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ShardWish::VT_INCARNATION, incarnation, 0);
+  }
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(ShardWish::VT_NONCE, nonce, 0);
+  }
+  void add_answered(bool answered) {
+    fbb_.AddElement<uint8_t>(ShardWish::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
+  }
+  void add_answer(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer) {
+    fbb_.AddOffset(ShardWish::VT_ANSWER, answer);
+  }
+  void add_replaces(uint64_t replaces) {
+    fbb_.AddElement<uint64_t>(ShardWish::VT_REPLACES, replaces, 0);
+  }
+  void add_within_ms(uint32_t within_ms) {
+    fbb_.AddElement<uint32_t>(ShardWish::VT_WITHIN_MS, within_ms, 0);
+  }
+  explicit ShardWishBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ShardWish> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ShardWish>(end);
+    fbb_.Required(o, ShardWish::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ShardWish> CreateShardWish(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint8_t kind = 0,
+    uint64_t host = 0,
+    uint64_t incarnation = 0,
+    uint64_t nonce = 0,
+    bool answered = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer = 0,
+    uint64_t replaces = 0,
+    uint32_t within_ms = 0) {
+  ShardWishBuilder builder_(_fbb);
+  builder_.add_replaces(replaces);
+  builder_.add_nonce(nonce);
+  builder_.add_incarnation(incarnation);
+  builder_.add_host(host);
+  builder_.add_within_ms(within_ms);
+  builder_.add_answer(answer);
+  builder_.add_key(key);
+  builder_.add_answered(answered);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ShardWish> CreateShardWishDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint8_t kind = 0,
+    uint64_t host = 0,
+    uint64_t incarnation = 0,
+    uint64_t nonce = 0,
+    bool answered = false,
+    const std::vector<uint8_t> *answer = nullptr,
+    uint64_t replaces = 0,
+    uint32_t within_ms = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto answer__ = answer ? _fbb.CreateVector<uint8_t>(*answer) : 0;
+  return heatherplank::wire::CreateShardWish(
+      _fbb,
+      key__,
+      kind,
+      host,
+      incarnation,
+      nonce,
+      answered,
+      answer__,
+      replaces,
+      within_ms);
+}
+
+struct ShardWishes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ShardWishesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE_ID = 4,
+    VT_WISHES = 6
+  };
+  uint64_t service_id() const {
+    return GetField<uint64_t>(VT_SERVICE_ID, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardWish>> *wishes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardWish>> *>(VT_WISHES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE_ID, 8) &&
+           VerifyOffsetRequired(verifier, VT_WISHES) &&
+           verifier.VerifyVector(wishes()) &&
+           verifier.VerifyVectorOfTables(wishes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ShardWishesBuilder {
+  typedef ShardWishes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service_id(uint64_t service_id) {
+    fbb_.AddElement<uint64_t>(ShardWishes::VT_SERVICE_ID, service_id, 0);
+  }
+  void add_wishes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardWish>>> wishes) {
+    fbb_.AddOffset(ShardWishes::VT_WISHES, wishes);
+  }
+  explicit ShardWishesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ShardWishes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ShardWishes>(end);
+    fbb_.Required(o, ShardWishes::VT_WISHES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ShardWishes> CreateShardWishes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service_id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardWish>>> wishes = 0) {
+  ShardWishesBuilder builder_(_fbb);
+  builder_.add_service_id(service_id);
+  builder_.add_wishes(wishes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ShardWishes> CreateShardWishesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service_id = 0,
+    const std::vector<flatbuffers::Offset<heatherplank::wire::ShardWish>> *wishes = nullptr) {
+  auto wishes__ = wishes ? _fbb.CreateVector<flatbuffers::Offset<heatherplank::wire::ShardWish>>(*wishes) : 0;
+  return heatherplank::wire::CreateShardWishes(
+      _fbb,
+      service_id,
+      wishes__);
+}
+
+struct ShardOutcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ShardOutcomeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_KIND = 6,
+    VT_HOST = 8,
+    VT_INCARNATION = 10,
+    VT_NONCE = 12,
+    VT_RESULT = 14,
+    VT_PRESENT_HOST = 16,
+    VT_PRESENT_INCARNATION = 18,
+    VT_PRESENT_NONCE = 20,
+    VT_PRESENT_ANSWERED = 22,
+    VT_PRESENT_ANSWER = 24
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t host() const {
+    return GetField<uint64_t>(VT_HOST, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  uint64_t present_host() const {
+    return GetField<uint64_t>(VT_PRESENT_HOST, 0);
+  }
+  uint64_t present_incarnation() const {
+    return GetField<uint64_t>(VT_PRESENT_INCARNATION, 0);
+  }
+  uint64_t present_nonce() const {
+    return GetField<uint64_t>(VT_PRESENT_NONCE, 0);
+  }
+  bool present_answered() const {
+    return GetField<uint8_t>(VT_PRESENT_ANSWERED, 0) != 0;
+  }
+  const flatbuffers::Vector<uint8_t> *present_answer() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PRESENT_ANSWER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_HOST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint64_t>(verifier, VT_PRESENT_HOST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PRESENT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PRESENT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PRESENT_ANSWERED, 1) &&
+           VerifyOffset(verifier, VT_PRESENT_ANSWER) &&
+           verifier.VerifyVector(present_answer()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ShardOutcomeBuilder {
+  typedef ShardOutcome Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(ShardOutcome::VT_KEY, key);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(ShardOutcome::VT_KIND, kind, 0);
+  }
+  void add_host(uint64_t host) {
+    fbb_.AddElement<uint64_t>(ShardOutcome::VT_HOST, host, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ShardOutcome::VT_INCARNATION, incarnation, 0);
+  }
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(ShardOutcome::VT_NONCE, nonce, 0);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(ShardOutcome::VT_RESULT, result, 0);
+  }
+  void add_present_host(uint64_t present_host) {
+    fbb_.AddElement<uint64_t>(ShardOutcome::VT_PRESENT_HOST, present_host, 0);
+  }
+  void add_present_incarnation(uint64_t present_incarnation) {
+    fbb_.AddElement<uint64_t>(ShardOutcome::VT_PRESENT_INCARNATION, present_incarnation, 0);
+  }
+  void add_present_nonce(uint64_t present_nonce) {
+    fbb_.AddElement<uint64_t>(ShardOutcome::VT_PRESENT_NONCE, present_nonce, 0);
+  }
+  void add_present_answered(bool present_answered) {
+    fbb_.AddElement<uint8_t>(ShardOutcome::VT_PRESENT_ANSWERED, static_cast<uint8_t>(present_answered), 0);
+  }
+  void add_present_answer(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> present_answer) {
+    fbb_.AddOffset(ShardOutcome::VT_PRESENT_ANSWER, present_answer);
+  }
+  explicit ShardOutcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ShardOutcome> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ShardOutcome>(end);
+    fbb_.Required(o, ShardOutcome::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ShardOutcome> CreateShardOutcome(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint8_t kind = 0,
+    uint64_t host = 0,
+    uint64_t incarnation = 0,
+    uint64_t nonce = 0,
+    uint8_t result = 0,
+    uint64_t present_host = 0,
+    uint64_t present_incarnation = 0,
+    uint64_t present_nonce = 0,
+    bool present_answered = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> present_answer = 0) {
+  ShardOutcomeBuilder builder_(_fbb);
+  builder_.add_present_nonce(present_nonce);
+  builder_.add_present_incarnation(present_incarnation);
+  builder_.add_present_host(present_host);
+  builder_.add_nonce(nonce);
+  builder_.add_incarnation(incarnation);
+  builder_.add_host(host);
+  builder_.add_present_answer(present_answer);
+  builder_.add_key(key);
+  builder_.add_present_answered(present_answered);
+  builder_.add_result(result);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ShardOutcome> CreateShardOutcomeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint8_t kind = 0,
+    uint64_t host = 0,
+    uint64_t incarnation = 0,
+    uint64_t nonce = 0,
+    uint8_t result = 0,
+    uint64_t present_host = 0,
+    uint64_t present_incarnation = 0,
+    uint64_t present_nonce = 0,
+    bool present_answered = false,
+    const std::vector<uint8_t> *present_answer = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto present_answer__ = present_answer ? _fbb.CreateVector<uint8_t>(*present_answer) : 0;
+  return heatherplank::wire::CreateShardOutcome(
+      _fbb,
+      key__,
+      kind,
+      host,
+      incarnation,
+      nonce,
+      result,
+      present_host,
+      present_incarnation,
+      present_nonce,
+      present_answered,
+      present_answer__);
+}
+
+struct ShardOutcomes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ShardOutcomesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE_ID = 4,
+    VT_OUTCOMES = 6,
+    VT_RETRY_AFTER_MS = 8
+  };
+  uint64_t service_id() const {
+    return GetField<uint64_t>(VT_SERVICE_ID, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardOutcome>> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardOutcome>> *>(VT_OUTCOMES);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE_ID, 8) &&
+           VerifyOffsetRequired(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
+           verifier.VerifyVectorOfTables(outcomes()) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ShardOutcomesBuilder {
+  typedef ShardOutcomes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service_id(uint64_t service_id) {
+    fbb_.AddElement<uint64_t>(ShardOutcomes::VT_SERVICE_ID, service_id, 0);
+  }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardOutcome>>> outcomes) {
+    fbb_.AddOffset(ShardOutcomes::VT_OUTCOMES, outcomes);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(ShardOutcomes::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit ShardOutcomesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ShardOutcomes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ShardOutcomes>(end);
+    fbb_.Required(o, ShardOutcomes::VT_OUTCOMES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ShardOutcomes> CreateShardOutcomes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service_id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<heatherplank::wire::ShardOutcome>>> outcomes = 0,
+    uint32_t retry_after_ms = 0) {
+  ShardOutcomesBuilder builder_(_fbb);
+  builder_.add_service_id(service_id);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_outcomes(outcomes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ShardOutcomes> CreateShardOutcomesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service_id = 0,
+    const std::vector<flatbuffers::Offset<heatherplank::wire::ShardOutcome>> *outcomes = nullptr,
+    uint32_t retry_after_ms = 0) {
+  auto outcomes__ = outcomes ? _fbb.CreateVector<flatbuffers::Offset<heatherplank::wire::ShardOutcome>>(*outcomes) : 0;
+  return heatherplank::wire::CreateShardOutcomes(
+      _fbb,
+      service_id,
+      outcomes__,
+      retry_after_ms);
+}
+
 }  // namespace wire
 }  // namespace heatherplank
 
--- a/tests/MembershipCodecTest.cpp
+++ b/tests/MembershipCodecTest.cpp
@@ -2,6 +2,7 @@
 #include <functional>
 #include <random>
 
+#include "src/wire/HomeCodec.h"
 #include "src/wire/KeyCodec.h"
 #include "src/wire/MembershipCodec.h"
 
@@ -113,4 +114,23 @@
                     question) > 1000);
   KeyAnswer said{ 1, { 2 }, "key", { KeyKnowledge::Answered, "yes" } };
   CHECK_TRUE(Damage(EncodePayload(said), answer) > 1000);
+  Grant grant{ { 1 }, 2, 3, true, "answer" };
+  ShardWishes wishes{
+    { 1 }, { { "key", ChangeKind::Answer, grant, 4, std::chrono::seconds(1) } }
+  };
+  CHECK_TRUE(DecodeShardWishes(EncodePayload(wishes))->mWishes[0].mGrant ==
+             grant);
+  CHECK_TRUE(Damage(EncodePayload(wishes), [](ByteView aBytes) {
+               return !!DecodeShardWishes(aBytes);
+             }) > 1000);
+  ShardOutcome outcome;
+  outcome.mResult = ChangeResult::Taken;
+  outcome.mPresent = grant;
+  ShardOutcomes outcomes{ { 1 }, { outcome }, {} };
+  CHECK_TRUE(
+    DecodeShardOutcomes(EncodePayload(outcomes))->mOutcomes[0].mPresent ==
+    grant);
+  CHECK_TRUE(Damage(EncodePayload(outcomes), [](ByteView aBytes) {
+               return !!DecodeShardOutcomes(aBytes);
+             }) > 1000);
 }
--- a/tests/RunOnceTest.cpp
+++ b/tests/RunOnceTest.cpp
@@ -101,5 +101,5 @@
 
   // The check before dispatch would hide this one, so it is off as well.
   options.mDropGivenUp = false;
-  CHECK_TRUE(Explore(1000, options).mFalseNotRun > 0);
+  CHECK_TRUE(Explore(3000, options).mFalseNotRun > 0);
 }
--- a/tests/RunOnceWorld.cpp
+++ b/tests/RunOnceWorld.cpp
@@ -25,6 +25,7 @@
   : mRandom(aSeed)
   , mOptions(aOptions)
   , mFaults(aFaults)
+  , mHomes(Chance(aFaults.mHomes))
 {
 }
 
@@ -94,6 +95,10 @@
   ++agent.mIncarnation;
   agent.mRunOnce = std::make_unique<RunOnce>(HostOf(aAgent), agent.mIncarnation,
                                              mOptions, mRandom(), mNow - aAge);
+  if (mHomes) {
+    std::vector<HostId> homes{ HostOf(0), HostOf(1), HostOf(2) };
+    agent.mRunOnce->SetHomes(homes);
+  }
 }
 
 void RunOnceWorld::Crash(int aAgent)
@@ -142,6 +147,9 @@
   for (const RunOnceAction& it : mAgents[aAgent].mRunOnce->TakeActions()) {
     std::visit([&](const auto& aAction) { Do(aAgent, aAction); }, it);
   }
+  for (const HomeMessage& it : mAgents[aAgent].mRunOnce->TakeHomeMessages()) {
+    std::visit([&](const auto& aMessage) { Do(aAgent, aMessage); }, it);
+  }
 }
 
 Result<Object> RunOnceWorld::Read(const std::string& aName) const
@@ -327,6 +335,29 @@
   });
 }
 
+void RunOnceWorld::Carry(HostId aTo, const std::function<void(RunOnce&)>& aWhat)
+{
+  int to = static_cast<int>(aTo.mValue) - 1;
+  for (int copies = Chance(5) ? 2 : 1; copies > 0; --copies) {
+    if (!Chance(mFaults.mLostMessage)) {
+      AtAgent(Chance(10) ? Below(400) : 1, to, aWhat);
+    }
+  }
+}
+
+void RunOnceWorld::Do(int, const AskHome& aAsk)
+{
+  Carry(aAsk.mHome,
+        [this, aAsk](RunOnce& aHome) { aHome.OnWishes(aAsk.mWishes, mNow); });
+}
+
+void RunOnceWorld::Do(int, const TellAgent& aTell)
+{
+  Carry(aTell.mAgent, [this, aTell](RunOnce& aAgent) {
+    aAgent.OnOutcomes(aTell.mOutcomes, aTell.mRetryAfter, mNow);
+  });
+}
+
 void RunOnceWorld::Judge()
 {
   for (const auto& [key, runs] : mRuns) {
--- a/tests/RunOnceWorld.h
+++ b/tests/RunOnceWorld.h
@@ -27,6 +27,8 @@
   int mPause = 35;
   int mLostSight = 5;
   int mServerRefuses = 5;
+  /** Worlds in which shards have homes. */
+  int mHomes = 50;
 };
 
 /** Three agents, a platform and callers on a simulated clock, played by seed:
@@ -99,6 +101,10 @@
   void Do(int aAgent, const Unknown& aUnknown);
   void Do(int aAgent, const AskHolder& aAsk);
   void Do(int aAgent, const AskPeers& aAsk);
+  void Do(int aAgent, const AskHome& aAsk);
+  void Do(int aAgent, const TellAgent& aTell);
+  /** Hands a message to an agent, or loses, delays or doubles it. */
+  void Carry(HostId aTo, const std::function<void(RunOnce&)>& aWhat);
   void Dispatch(RunOnce& aRunOnce, int aAgent, const Granted& aGranted);
   Result<Object> Read(const std::string& aName) const;
   Result<std::uint64_t> Write(const StoreCall& aCall);
@@ -121,6 +127,7 @@
   std::map<std::string, Object> mObjects;
   std::uint64_t mVersion = 0;
   bool mOutage = false;
+  bool mHomes = false;
 };
 
 } // namespace heatherplank
