--- a/src/cli/ConfigurationCommands.cpp
+++ b/src/cli/ConfigurationCommands.cpp
@@ -44,25 +44,6 @@
            : std::optional(static_cast<std::uint64_t>(FLAGS_if_version));
 }
 
-/** What an edit began from: the version that the file names, else the newest
- * one, which it then replaces. */
-Result<ConfigurationPtr> FindBase(CommandContext& aContext,
-                                  std::uint64_t aVersion,
-                                  const ConfigurationPtr& aNewest)
-{
-  if (aVersion == 0 || (aNewest && aNewest->mVersion == aVersion)) {
-    return aNewest;
-  }
-  auto base = aContext.Configurations().ReadVersion(aVersion);
-  if (!base && base.error().mKind == ErrorKind::NotFound) {
-    return Fail(ErrorKind::Conflict,
-                "version " + std::to_string(aVersion) +
-                  ", which the file began from, is not kept any more",
-                "`get` the newest version, redo the change in it, and apply");
-  }
-  return base;
-}
-
 /** What the change would do to the newest version, for the operator to see.
  * A lost race shows here already. */
 Result<ConfigurationPtr> Preview(const ConfigurationPtr& aBase,
@@ -190,8 +171,8 @@
   if (!newest) {
     return ReportError("apply", newest.error());
   }
-  auto base = FindBase(**context, (*wanted)->mVersion,
-                       *newest ? (*newest)->mConfiguration : nullptr);
+  auto base = (*context)->Configurations().FindBase(
+    (*wanted)->mVersion, *newest ? (*newest)->mConfiguration : nullptr);
   if (!base) {
     return ReportError("apply", base.error());
   }
--- a/src/cli/StatusCommands.cpp
+++ b/src/cli/StatusCommands.cpp
@@ -1,19 +1,16 @@
 #include "src/cli/Commands.h"
 
-#include <algorithm>
 #include <chrono>
-#include <iomanip>
 #include <iostream>
-#include <map>
-#include <vector>
+#include <utility>
 
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "src/cli/CommandContext.h"
 #include "src/cli/Flags.h"
-#include "src/cli/StatusView.h"
+#include "src/status/StatusReader.h"
+#include "src/status/StatusView.h"
 
 namespace heatherplank {
 
@@ -28,32 +25,6 @@
     .count();
 }
 
-/** All status objects, put together. */
-Result<StatusObject> ReadStatusObjects(SyncObjectStore& aPlatform)
-{
-  auto names = aPlatform.List(kStatusPrefix);
-  if (!names) {
-    return tl::unexpected(names.error());
-  }
-  std::vector<std::string> keys;
-  for (const auto& it : *names) {
-    keys.push_back(it.mKey);
-  }
-  auto objects = aPlatform.GetAll(keys);
-  if (!objects) {
-    return tl::unexpected(objects.error());
-  }
-  StatusObject out;
-  for (const auto& it : *objects) {
-    auto status = ParseStatus(it.mValue);
-    if (!status) {
-      return tl::unexpected(status.error());
-    }
-    AddStatus(out, *status);
-  }
-  return out;
-}
-
 struct Read
 {
   StoredConfiguration mNewest;
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -119,6 +119,19 @@
   return out;
 }
 
+Result<ConfigurationHead> ConfigurationStore::ReadNewestHead()
+{
+  auto out = ReadHead();
+  if (!out) {
+    return tl::unexpected(out.error());
+  }
+  if (!*out) {
+    return Fail(ErrorKind::NotFound, "the platform holds no configuration yet",
+                "apply one first");
+  }
+  return std::move((*out)->mHead);
+}
+
 Result<ConfigurationPtr> ConfigurationStore::ReadVersion(std::uint64_t aVersion)
 {
   auto object = mStore->Get(config_keys::History(aVersion));
@@ -132,6 +145,22 @@
   return ReadParts(*head);
 }
 
+Result<ConfigurationPtr> ConfigurationStore::FindBase(
+  std::uint64_t aVersion, const ConfigurationPtr& aNewest)
+{
+  if (aVersion == 0 || (aNewest && aNewest->mVersion == aVersion)) {
+    return aNewest;
+  }
+  auto base = ReadVersion(aVersion);
+  if (!base && base.error().mKind == ErrorKind::NotFound) {
+    return Fail(ErrorKind::Conflict,
+                "version " + std::to_string(aVersion) +
+                  ", which the change began from, is not kept any more",
+                "`get` the newest version, redo the change in it, and apply");
+  }
+  return base;
+}
+
 Result<ConfigurationPtr> ConfigurationStore::Rebase(
   const ConfigurationChange& aChange, const StoredConfiguration& aCurrent) const
 {
--- a/src/config/ConfigurationStore.h
+++ b/src/config/ConfigurationStore.h
@@ -80,9 +80,18 @@
   /** The newest version; none if there never was one. */
   Result<std::optional<StoredConfiguration>> Read();
 
+  /** The newest version's head alone; NotFound if there is none. */
+  Result<ConfigurationHead> ReadNewestHead();
+
   /** An older version that is still kept; NotFound if it is not. */
   Result<ConfigurationPtr> ReadVersion(std::uint64_t aVersion);
 
+  /** What an edit began from: the version that its text names or, with
+   * aVersion 0, the newest, which it then replaces. Conflict if that version is
+   * not kept any more. */
+  Result<ConfigurationPtr> FindBase(std::uint64_t aVersion,
+                                    const ConfigurationPtr& aNewest);
+
   /** Has a change accepted. Edits of others to other services since its base
    * stay in force. Conflict: the message names the newer version, its author
    * and time, and the remedy; nothing of the change took effect. Timeout: it
--- a/src/cli/StatusView.cpp
+++ b/src/status/StatusView.cpp
@@ -1,4 +1,4 @@
-#include "src/cli/StatusView.h"
+#include "src/status/StatusView.h"
 
 #include <algorithm>
 #include <iomanip>
@@ -111,21 +111,6 @@
   });
 }
 
-void AddStatus(StatusObject& aTo, const StatusObject& aFrom)
-{
-  for (const auto& [name, process] : aFrom.mProcesses) {
-    auto [it, isNew] = aTo.mProcesses.try_emplace(name, process);
-    if (!isNew && it->second.mSeenMs < process.mSeenMs) {
-      it->second = process;
-    }
-  }
-  for (const auto& [name, figures] : aFrom.mFigures) {
-    PolicyFigures& sum = aTo.mFigures[name];
-    sum.mName = name;
-    sum.Add(figures);
-  }
-}
-
 StatusView MakeStatusView(const ConfigurationHead& aAccepted,
                           const StatusObject& aStatus, std::int64_t aNowMs)
 {
--- a/src/cli/StatusView.h
+++ b/src/status/StatusView.h
@@ -32,9 +32,6 @@
   bool IsLagging() const;
 };
 
-/** Adds what one status object holds to another. Thread safe. */
-void AddStatus(StatusObject& aTo, const StatusObject& aFrom);
-
 /** Pure, as all below; thread safe. */
 StatusView MakeStatusView(const ConfigurationHead& aAccepted,
                           const StatusObject& aStatus, std::int64_t aNowMs);
--- a/tests/CommandsTest.cpp
+++ b/tests/CommandsTest.cpp
@@ -9,7 +9,7 @@
 #include <gflags/gflags.h>
 
 #include "src/cli/Flags.h"
-#include "src/cli/StatusView.h"
+#include "src/status/StatusView.h"
 #include "tests/HttpPlatform.h"
 
 #include <CppUTest/TestHarness.h>
