The lab's children inherit none of its sockets; details in the report

Cause: in backend-restart the stand-in could not come back at its port (commands.backend.failed 2): processes that were started later held its listening socket open. And `if (!co_await f(temporary))` is miscompiled by g++ 12 (SIGILL, seen in gdb at Faults::Restart). Ruled out: a port in TIME_WAIT; the socket allows reuse. Change: a child closes all but its standard descriptors; awaited values get a name first; a process that did not become ready gets no packets; lines on what was lost, refused, unknown or broken in the report.

--- a/lab/Faults.cpp
+++ b/lab/Faults.cpp
@@ -109,8 +109,13 @@
 
 Awaitable<void> Faults::Restart(std::string aName)
 {
+  mGone.insert(aName);
   co_await mWorld->mFleet->Start(aName);
-  co_await mWorld->mFleet->WaitReady(aName, kReadyTimeout);
+  bool ready = co_await mWorld->mFleet->WaitReady(aName, kReadyTimeout);
+  if (!ready) {
+    ++mWorld->mCommands["start.not_ready"];
+    co_return;
+  }
   mGone.erase(aName);
   SpreadPackets();
 }
@@ -119,7 +124,8 @@
 {
   std::vector<Address> balancers;
   for (const auto& [name, node] : mWorld->mFleet->Nodes()) {
-    if (node.IsBalancer() && node.mProcess && !mGone.contains(name)) {
+    bool runs = node.mProcess && !node.mProcess->Poll();
+    if (node.IsBalancer() && runs && !mGone.contains(name)) {
       balancers.push_back(node.mTunnel);
     }
   }
--- a/lab/Flow.cpp
+++ b/lab/Flow.cpp
@@ -161,6 +161,7 @@
   aPending->mRepeat = kFirstRepeat;
   aPending->mId = mPrefix + std::to_string(aPending->mSequence) + "." +
                   std::to_string(aPending->mAttempt);
+  aPending->mRecord->mLastId = aPending->mId;
   mPending[aPending->mId] = aPending;
   Send(*aPending);
   aPending->mNextRepeat = std::chrono::steady_clock::now() + kFirstRepeat;
--- a/lab/Process.cpp
+++ b/lab/Process.cpp
@@ -26,6 +26,9 @@
   dup2(null, STDIN_FILENO);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
+  // Sockets of the lab that a child held open would keep a dead stand-in's
+  // port and connections alive.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   std::vector<char*> arguments;
   arguments.reserve(aArguments.size() + 1);
   for (const auto& it : aArguments) {
--- a/lab/Record.h
+++ b/lab/Record.h
@@ -25,6 +25,8 @@
   const LoadSpec* mLoad = nullptr;
   std::size_t mFlow = 0;
   std::string mKey;
+  /** Id of the last attempt. */
+  std::string mLastId;
   std::string mPolicy;
   Time mStart;
   Time mEnd;
--- a/lab/Report.cpp
+++ b/lab/Report.cpp
@@ -229,6 +229,93 @@
   return ToObject(counts);
 }
 
+/** Lines on what went wrong, a bounded number of each kind. */
+class Details
+{
+public:
+  explicit Details(const Evidence& aEvidence)
+    : mEvidence(&aEvidence)
+  {
+  }
+
+  json::array Collect()
+  {
+    for (const auto& it : mEvidence->mCallers->mFlows) {
+      if (it.mBroken) {
+        Add("broken", it.mWhy);
+      }
+    }
+    for (const auto& it : mEvidence->mCallers->mRequests) {
+      if (it.mFinal == FinalAnswer::None) {
+        Add("lost", Describe(it));
+      }
+      if (it.mFinal == FinalAnswer::NotRun) {
+        Add("refused", Describe(it));
+      }
+      if (it.mFinal == FinalAnswer::Unknown) {
+        Add("unknown", Describe(it));
+      }
+    }
+    for (const auto& [key, history] : CollectKeys(*mEvidence)) {
+      if (history.mRuns > 1) {
+        Add("run twice", Describe(key));
+      }
+      if (history.mRuns > 0 && history.mLast == FinalAnswer::NotRun) {
+        Add("falsely not run", Describe(key));
+      }
+    }
+    return std::move(mLines);
+  }
+
+private:
+  void Add(const std::string& aKind, const std::string& aWhat)
+  {
+    constexpr int kMost = 10;
+    if (++mCounts[aKind] <= kMost) {
+      mLines.emplace_back(aKind + ": " + aWhat);
+    }
+  }
+
+  std::string At(Time aTime) const
+  {
+    auto start = mEvidence->mCallers->mRequests.front().mStart;
+    auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTime - start);
+    return std::to_string(ms.count()) + " ms";
+  }
+
+  std::string Describe(const RequestRecord& aRecord) const
+  {
+    static const char* const kFinals[] = { "nothing", "run", "not-run",
+                                           "unknown" };
+    return aRecord.mLastId + " " + aRecord.mKey + " asked at " +
+           At(aRecord.mStart) + ", " +
+           kFinals[static_cast<std::size_t>(aRecord.mFinal)] + " at " +
+           At(aRecord.mEnd) + " " + aRecord.mReason;
+  }
+
+  std::string Describe(const std::string& aKey) const
+  {
+    std::string line;
+    for (const auto& it : *mEvidence->mExecutions) {
+      if (it.mKey == aKey) {
+        line += it.mRequestId + " ran on " + it.mHost + " at " + At(it.mStart) +
+                (it.mDone ? "; " : " (cut); ");
+      }
+    }
+    for (const auto& it : mEvidence->mCallers->mRequests) {
+      if (it.mKey == aKey) {
+        line += Describe(it) + "; ";
+      }
+    }
+    return line;
+  }
+
+  const Evidence* mEvidence;
+  std::map<std::string, int> mCounts;
+  json::array mLines;
+};
+
 /** The value of a dotted key; 0 if there is none. */
 double Lookup(const json::object& aReport, std::string_view aKey)
 {
@@ -275,6 +362,7 @@
   report["refusals"] = ToObject(aEvidence.mCallers->mRefusals);
   report["retries"] = ToObject(aEvidence.mCallers->mRetries);
   report["no_retry_after"] = aEvidence.mCallers->mNoRetryAfter;
+  report["details"] = Details(aEvidence).Collect();
   report["executions"] = aEvidence.mExecutions->size();
   report["per_policy"] = DescribePolicies(aEvidence);
   return report;
@@ -316,8 +404,11 @@
       << value("wrong_answer") << " wrong answers\n"
       << "imbalance " << value("imbalance") << "\n";
   for (const auto& it : aReport.at("latency_ms").as_object()) {
-    out << "latency   " << it.key() << ": p50 " << it.value().at("p50")
-        << " ms, p99 " << it.value().at("p99") << " ms\n";
+    auto at = [&](const char* aName) {
+      return it.value().at(aName).to_number<double>();
+    };
+    out << "latency   " << it.key() << ": p50 " << at("p50") << " ms, p99 "
+        << at("p99") << " ms\n";
   }
   return out.str();
 }
--- a/lab/Run.cpp
+++ b/lab/Run.cpp
@@ -119,7 +119,8 @@
 
 Awaitable<bool> Play::StartAll()
 {
-  if (co_await mWorld->Apply({}) != 0) {
+  int code = co_await mWorld->Apply({});
+  if (code != 0) {
     std::cerr << "lab: the configuration was not accepted; see operator.log "
                  "(--keep)\n";
     co_return false;
@@ -133,7 +134,8 @@
     }
   }
   for (const auto& name : started) {
-    if (!co_await mWorld->mFleet->WaitReady(name, kReadyTimeout)) {
+    bool ready = co_await mWorld->mFleet->WaitReady(name, kReadyTimeout);
+    if (!ready) {
       std::cerr << "lab: " << name << " did not become ready; see " << name
                 << ".log (--keep)\n";
       co_return false;
