--- a/bench/RecordBench.cpp
+++ b/bench/RecordBench.cpp
@@ -104,6 +104,7 @@
   int mClaims = 0;
   int mGranted = 0;
   int mNotRun = 0;
+  int mNotRunAfter = 0;
   int mUnknown = 0;
   std::vector<double> mGrantMs;
   std::vector<double> mRefusalMs;
@@ -172,6 +173,7 @@
         });
       } else if (const auto* refused = std::get_if<NotRun>(&it)) {
         ++mNotRun;
+        mNotRunAfter += mNow >= mDownUntil ? 1 : 0;
         mRefusalMs.push_back(SinceAsked(refused->mRequest));
       } else if (std::get_if<Unknown>(&it) != nullptr) {
         ++mUnknown;
@@ -328,6 +330,7 @@
     Duration late = load.mFirstGrantAfter - load.mDownUntil;
     aState.counters["refused"] = load.mNotRun;
     aState.counters["unknown"] = load.mUnknown;
+    aState.counters["refused_after_its_end"] = load.mNotRunAfter;
     aState.counters["refusal_ms_p50"] =
       ClaimLoad::Quantile(load.mRefusalMs, 0.5);
     aState.counters["refusal_ms_p99"] =
--- a/src/record/PlatformGate.h
+++ b/src/record/PlatformGate.h
@@ -18,7 +18,9 @@
    * caller's deadline leaves time for about three. */
   std::uint32_t mFailuresToOpen = 3;
   Duration mFirstBackoff = std::chrono::milliseconds(250);
-  Duration mMaxBackoff = std::chrono::seconds(8);
+  /** Short, since claims are refused until a probe finds the platform up, and
+   * few agents probe: those that are asked for a never-repeat request. */
+  Duration mMaxBackoff = std::chrono::seconds(2);
 };
 
 /** Decides when the platform may be called: a token bucket for each rate, and
