--- a/include/heatherplank/Configuration.h
+++ b/include/heatherplank/Configuration.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
@@ -41,6 +42,8 @@
   Duration mDeadline = std::chrono::seconds(2);
   /** Most requests of this rule that wait at one host. */
   std::uint32_t mQueueLimit = 64;
+
+  bool operator==(const Rule&) const = default;
 };
 
 /** A host that the inventory expects, by name. */
@@ -49,6 +52,8 @@
   std::string mName;
   std::string mDataCentre;
   std::uint16_t mWeight = 100;
+
+  bool operator==(const ExpectedHost&) const = default;
 };
 
 /** A service of the inventory. */
@@ -61,8 +66,15 @@
   std::vector<ExpectedHost> mHosts;
   std::uint16_t mSlotsPerHost = 2;
   std::vector<Rule> mRules;
+
+  bool operator==(const Service&) const = default;
 };
 
+/** The rule that a request meets: the first that matches, or null. Thread safe.
+ */
+const Rule* FindRule(const Service& aService, std::string_view aMethod,
+                     std::string_view aTarget);
+
 /** The balancing policy in force. */
 struct PolicyChoice
 {
@@ -71,6 +83,8 @@
   /** Weights of the score: broken flows against imbalance. */
   double mBrokenFlowsWeight = 1.0;
   double mImbalanceWeight = 1.0;
+
+  bool operator==(const PolicyChoice&) const = default;
 };
 
 /** Inventory, rules and policy, accepted as one version. Immutable once made;
--- /dev/null
+++ b/src/balancer/MemberPlane.cpp
@@ -0,0 +1,167 @@
+#include "src/balancer/MemberPlane.h"
+
+#include <set>
+#include <string>
+#include <utility>
+
+#include "src/metrics/Metrics.h"
+#include "src/process/ControlLinks.h"
+#include "src/wire/MembershipCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+BalancerMembershipOptions MakeOptions(std::vector<Address> aSeeds)
+{
+  BalancerMembershipOptions options;
+  options.mSeeds = std::move(aSeeds);
+  // Ranks come from the full weight: one that grows would move the arbiters of
+  // flows for as long as a host starts. Slow start is the agents' choice.
+  options.mTable.mSlowStart = Duration::zero();
+  return options;
+}
+
+} // namespace
+
+/** Asks the inventory in force. Before the first one every host is taken in,
+ * and judged when it comes: a balancer that starts in an outage of the platform
+ * learns of its peers, and from them of the inventory, by this membership. */
+class MemberPlane::ConfiguredInventory final : public InventoryCheck
+{
+public:
+  bool Allows(const Member& aMember) const override
+  {
+    return !mIsSet || mHosts.contains({ aMember.mHost, aMember.mService });
+  }
+
+  void Set(const Configuration& aConfiguration)
+  {
+    mIsSet = true;
+    mHosts.clear();
+    for (const auto& [id, service] : aConfiguration.mServices) {
+      for (const auto& host : service.mHosts) {
+        mHosts.insert({ MakeHostId(host.mName), id });
+      }
+    }
+  }
+
+private:
+  bool mIsSet = false;
+  std::set<std::pair<HostId, ServiceId>> mHosts;
+};
+
+MemberPlane::MemberPlane(Parts aParts, const Member& aSelf,
+                         std::vector<Address> aSeeds)
+  : mParts(std::move(aParts))
+  , mInventory(std::make_unique<ConfiguredInventory>())
+  , mSelf(aSelf.mHost)
+  , mMembership(aSelf, *mInventory, MakeOptions(std::move(aSeeds)),
+                MixHash(aSelf.mHost.mValue, aSelf.mIncarnation),
+                mParts.mClock.Now())
+  , mExported(static_cast<std::size_t>(MemberEvent::Last) + 1)
+{
+}
+
+MemberPlane::~MemberPlane() = default;
+
+void MemberPlane::SetConfiguration(const Configuration& aConfiguration)
+{
+  {
+    std::lock_guard lock(mLock);
+    mInventory->Set(aConfiguration);
+    mMembership.OnInventory(mParts.mClock.Now());
+  }
+  Flush();
+}
+
+void MemberPlane::OnFrame(const Frame& aFrame)
+{
+  auto message = DecodeMembership(aFrame);
+  if (!message) {
+    mParts.mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\"")
+      .Add();
+    return;
+  }
+  {
+    std::lock_guard lock(mLock);
+    mMembership.OnMessage(*message, mParts.mClock.Now());
+  }
+  Flush();
+}
+
+void MemberPlane::Tick()
+{
+  {
+    std::lock_guard lock(mLock);
+    mMembership.OnTick(mParts.mClock.Now());
+    ExportCounters();
+  }
+  Flush();
+}
+
+void MemberPlane::Leave()
+{
+  {
+    std::lock_guard lock(mLock);
+    mMembership.Leave(mParts.mClock.Now());
+  }
+  Flush();
+}
+
+void MemberPlane::Flush()
+{
+  std::vector<SendMembership> actions;
+  std::vector<ServiceId> changed;
+  std::vector<MemberViewPtr> views;
+  {
+    std::lock_guard lock(mLock);
+    actions = mMembership.TakeActions();
+    changed = mMembership.Hosts().TakeChangedServices();
+    for (const auto& it : changed) {
+      views.push_back(mMembership.Hosts().View(it));
+    }
+  }
+  for (const auto& it : actions) {
+    auto encoded = EncodeMembership(it.mMessage);
+    mParts.mLinks.Send(it.mTo, encoded.mKind, encoded.mPayload);
+  }
+  if (!changed.empty()) {
+    mParts.mViewsChanged(views, changed);
+  }
+}
+
+void MemberPlane::ExportCounters()
+{
+  for (std::size_t i = 0; i < mExported.size(); ++i) {
+    auto event = static_cast<MemberEvent>(i);
+    auto total = mMembership.Hosts().Count(event);
+    std::string label = "event=\"";
+    label.append(ToString(event)).append("\"");
+    mParts.mMetrics.GetCounter("membership_events_total", label)
+      .Add(total - mExported[i]);
+    mExported[i] = total;
+  }
+}
+
+MembershipReadiness MemberPlane::Readiness() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.Readiness();
+}
+
+std::vector<Member> MemberPlane::Balancers() const
+{
+  std::lock_guard lock(mLock);
+  auto all = mMembership.Balancers().View(BalancerService())->mMembers;
+  std::erase_if(all, [&](const Member& aIt) { return aIt.mHost == mSelf; });
+  return all;
+}
+
+std::size_t MemberPlane::Size() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.Hosts().Size();
+}
+
+} // namespace heatherplank
--- a/src/config/ConfigurationParser.cpp
+++ b/src/config/ConfigurationParser.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
+#include <string>
 #include <utility>
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "src/config/ConfigurationCheck.h"
+#include "src/decide/BalancingPolicy.h"
 #include "src/net/Endpoint.h"
 
 namespace heatherplank {
@@ -15,9 +19,6 @@
 
 constexpr std::array<std::string_view, 4> kImportances{ "low", "normal", "high",
                                                         "critical" };
-constexpr std::array<std::string_view, 4> kPolicies{ "random", "rendezvous",
-                                                     "two-choices",
-                                                     "least-latency" };
 constexpr std::int64_t kMaxSlots = 4096;
 constexpr std::int64_t kMaxWeight = 10000;
 constexpr std::int64_t kMaxDeadlineMs = 600000;
@@ -26,6 +27,7 @@
 /** A service's canonical JSON must fit one part object with room to spare. */
 constexpr std::size_t kMaxHostsPerService = 4000;
 constexpr std::size_t kMaxNameBytes = 63;
+constexpr std::int64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
 
 /** Names stand in URLs, metrics labels and keys, so only plain characters. */
 bool IsPlainName(std::string_view aName)
@@ -47,17 +49,17 @@
   {
   }
 
-  void Read(JsonReader& aReader)
+  void ReadGeneral(JsonReader& aReader)
   {
     mOut->mDataCentres = aReader.Strings("data_centres");
     CheckDataCentres(aReader);
     aReader.Object("policy", [this](JsonReader& aIt) { ReadPolicy(aIt); });
-    aReader.Objects("services", [this](JsonReader& aIt) { ReadService(aIt); });
-    if (mOut->mServices.empty()) {
-      aReader.AddFault("services", "no service", "list at least one service");
-    }
     mOut->mDrainedHosts = aReader.Strings("drained_hosts");
-    CheckDrainedHosts(aReader);
+  }
+
+  void ReadServices(JsonReader& aReader)
+  {
+    aReader.Objects("services", [this](JsonReader& aIt) { ReadService(aIt); });
   }
 
 private:
@@ -92,7 +94,7 @@
   void ReadPolicy(JsonReader& aReader)
   {
     PolicyChoice& policy = mOut->mPolicy;
-    policy.mName = aReader.Choice("name", kPolicies, policy.mName);
+    policy.mName = aReader.Choice("name", BalancingPolicyNames(), policy.mName);
     policy.mBrokenFlowsWeight = aReader.Number(
       "broken_flows_weight", 0, kMaxScoreWeight, policy.mBrokenFlowsWeight);
     policy.mImbalanceWeight = aReader.Number(
@@ -264,24 +266,6 @@
     }
   }
 
-  void CheckDrainedHosts(JsonReader& aReader)
-  {
-    std::set<std::string_view> seen;
-    for (const auto& it : mOut->mDrainedHosts) {
-      if (!mHosts.contains(MakeHostId(it))) {
-        aReader.AddFault("drained_hosts",
-                         "\"" + it +
-                           "\" is not in the "
-                           "inventory",
-                         "name a host of a service");
-      }
-      if (!seen.insert(it).second) {
-        aReader.AddFault("drained_hosts", "\"" + it + "\" stands twice",
-                         "list it once");
-      }
-    }
-  }
-
   Configuration* mOut;
   std::map<Address, std::string> mAddressOf;
   std::map<HostId, std::string> mHosts;
@@ -295,7 +279,15 @@
   auto out = std::make_shared<Configuration>();
   out->mVersion = aVersion;
   Reading reading(*out);
-  ReadJsonDocument(aText, aFaults, [&](JsonReader& aIt) { reading.Read(aIt); });
+  ReadJsonDocument(aText, aFaults, [&](JsonReader& aReader) {
+    std::int64_t version = aReader.Integer("version", 0, kMaxVersion, 0);
+    if (aVersion == 0) {
+      out->mVersion = static_cast<std::uint64_t>(version);
+    }
+    reading.ReadGeneral(aReader);
+    reading.ReadServices(aReader);
+    CheckWhole(*out, aFaults);
+  });
   if (!aFaults.IsEmpty()) {
     return nullptr;
   }
@@ -303,6 +295,31 @@
   return out;
 }
 
+void ReadGeneralPart(std::string_view aText, Configuration& aOut,
+                     JsonFaults& aFaults)
+{
+  Reading reading(aOut);
+  ReadJsonDocument(aText, aFaults,
+                   [&](JsonReader& aReader) { reading.ReadGeneral(aReader); });
+}
+
+std::vector<Service> ReadServicePart(
+  std::string_view aText, const std::vector<std::string>& aDataCentres,
+  JsonFaults& aFaults)
+{
+  Configuration part;
+  part.mDataCentres = aDataCentres;
+  Reading reading(part);
+  ReadJsonDocument(aText, aFaults,
+                   [&](JsonReader& aReader) { reading.ReadServices(aReader); });
+  std::vector<Service> out;
+  out.reserve(part.mServices.size());
+  for (auto& it : part.mServices) {
+    out.push_back(std::move(it.second));
+  }
+  return out;
+}
+
 Result<ConfigurationPtr> ParseConfiguration(std::string_view aText,
                                             std::uint64_t aVersion,
                                             const std::string& aFile)
--- a/src/steer/ViewHistory.cpp
+++ b/src/steer/ViewHistory.cpp
@@ -10,7 +10,7 @@
   : mSelf(aSelf)
   , mOptions(aOptions)
   , mConfirmedAt(aStart)
-  , mDistrustUntil(aStart + aOptions.mSettle)
+  , mDistrustUntil(aStart + aOptions.mAskWindow)
   , mLapseOver(aStart)
 {
 }
@@ -27,20 +27,24 @@
     mEarlier.push_back({ std::move(mPresent), aNow });
   }
   if (mEarlier.size() > kMaxEarlier) {
-    // Views come faster than they settle. The one that is dropped may name an
-    // owner that no other does, so nothing is placed unasked for a while.
-    mEarlier.erase(mEarlier.begin() + 1);
-    DistrustUntil(aNow + mOptions.mSettle);
+    if (aNow - mEarlier.front().mUntil < mOptions.mSettle) {
+      // Views come faster than they settle. The one that is dropped may name an
+      // owner that no other does, so nothing is placed unasked for a while.
+      DistrustUntil(aNow + mOptions.mAskWindow);
+    }
+    mEarlier.erase(mEarlier.begin());
   }
   mPresent = std::move(aView);
   mHasView = true;
+  const Member* self = Find(mSelf.mHost);
+  mShowsSelf = self != nullptr && self->mIncarnation == mSelf.mIncarnation;
 }
 
 void ViewHistory::OnLapse(Time aNow)
 {
   ++mGeneration;
   mLapseOver = aNow + mOptions.mSettle;
-  DistrustUntil(mLapseOver);
+  DistrustUntil(aNow + mOptions.mAskWindow);
 }
 
 void ViewHistory::DistrustUntil(Time aUntil)
@@ -51,14 +55,14 @@
 void ViewHistory::Forget(Time aNow)
 {
   auto isOld = [&](const Earlier& aIt) {
-    return aIt.mUntil + mOptions.mSettle <= aNow;
+    return aIt.mUntil + mOptions.mAskWindow <= aNow;
   };
   std::erase_if(mEarlier, isOld);
 }
 
 bool ViewHistory::IsFresh(Time aNow) const
 {
-  return mHasView && aNow - mConfirmedAt <= mOptions.mViewTrust;
+  return mShowsSelf && aNow - mConfirmedAt <= mOptions.mViewTrust;
 }
 
 bool ViewHistory::IsSelf(const Member* aMember) const
@@ -72,7 +76,7 @@
     return false;
   }
   auto agrees = [&](const Earlier& aIt) {
-    return aIt.mUntil + mOptions.mSettle <= aNow ||
+    return aIt.mUntil + mOptions.mAskWindow <= aNow ||
            IsSelf(aIt.mView->Arbiter(aFlowHash));
   };
   return std::all_of(mEarlier.begin(), mEarlier.end(), agrees);
