policy shows the one in force; get --at_version

Cause: an operator asks which policy is in force more often than they set one. Ruled out: showing it in `status` only, which also needs status objects. Change: `policy` without words; the flag of `get` renamed from version_wanted.

--- a/src/cli/ConfigurationCommands.cpp
+++ b/src/cli/ConfigurationCommands.cpp
@@ -99,6 +99,26 @@
   return Apply(**context, aCommand, base, *wanted, std::move(*newest));
 }
 
+ExitCode ShowPolicy()
+{
+  auto context = CommandContext::Make();
+  if (!context) {
+    return ReportError("policy", context.error());
+  }
+  auto newest = (*context)->ReadNewest();
+  if (!newest) {
+    return ReportError("policy", newest.error());
+  }
+  const PolicyChoice& policy = newest->mConfiguration->mPolicy;
+  json::object out;
+  out["policy"] = policy.mName;
+  out["version"] = newest->mHead.mVersion;
+  std::cout << (FLAGS_json ? json::serialize(out) + "\n"
+                           : policy.mName + ", in " +
+                               DescribeHead(newest->mHead) + "\n");
+  return ExitCode::Ok;
+}
+
 } // namespace
 
 std::string_view CommandUsage(std::string_view aCommand)
@@ -107,8 +127,8 @@
     { "check", "heatherplank check FILE [--json]" },
     { "apply", "heatherplank apply FILE --platform IP:PORT [--yes] "
                "[--if_version N] [--author NAME] [--json]" },
-    { "get", "heatherplank get --platform IP:PORT [--version_wanted N]" },
-    { "policy", "heatherplank policy set NAME --platform IP:PORT [--yes] "
+    { "get", "heatherplank get --platform IP:PORT [--at_version N]" },
+    { "policy", "heatherplank policy [set NAME] --platform IP:PORT [--yes] "
                 "[--if_version N] [--json]" },
     { "drain", "heatherplank drain HOST --platform IP:PORT [--undo] [--yes] "
                "[--json]" },
@@ -189,9 +209,9 @@
     return ReportError("get", context.error());
   }
   ConfigurationPtr config;
-  if (FLAGS_version_wanted > 0) {
+  if (FLAGS_at_version > 0) {
     auto old = (*context)->Configurations().ReadVersion(
-      static_cast<std::uint64_t>(FLAGS_version_wanted));
+      static_cast<std::uint64_t>(FLAGS_at_version));
     if (old) {
       config = *old;
     } else if (old.error().mKind != ErrorKind::NotFound) {
@@ -204,8 +224,8 @@
       return ReportError("get", newest.error());
     }
     config = newest->mConfiguration;
-    if (FLAGS_version_wanted > 0 &&
-        config->mVersion != static_cast<std::uint64_t>(FLAGS_version_wanted)) {
+    if (FLAGS_at_version > 0 &&
+        config->mVersion != static_cast<std::uint64_t>(FLAGS_at_version)) {
       return ReportError(
         "get", { ErrorKind::NotFound, "that version is not kept",
                  "the newest is " + std::to_string(config->mVersion) });
@@ -219,6 +239,9 @@
 
 ExitCode RunPolicy(std::span<const std::string> aArgs)
 {
+  if (aArgs.empty()) {
+    return ShowPolicy();
+  }
   if (aArgs.size() != 2 || aArgs[0] != "set") {
     return UsageError("policy");
   }
--- a/src/cli/Flags.cpp
+++ b/src/cli/Flags.cpp
@@ -16,5 +16,5 @@
              "accept the change only if this version is in force; 0: only if "
              "none is (apply, policy, drain)");
 DEFINE_bool(undo, false, "end the drain of the host (drain)");
-DEFINE_int64(version_wanted, 0,
+DEFINE_int64(at_version, 0,
              "show this older version instead of the newest (get)");
--- a/src/cli/Flags.h
+++ b/src/cli/Flags.h
@@ -9,4 +9,4 @@
 DECLARE_bool(json);
 DECLARE_int64(if_version);
 DECLARE_bool(undo);
-DECLARE_int64(version_wanted);
+DECLARE_int64(at_version);
