--- /dev/null
+++ b/src/agent/MemberFeed.cpp
@@ -0,0 +1,154 @@
+#include "src/agent/MemberFeed.h"
+
+#include <utility>
+
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+#include "src/process/ControlLinks.h"
+#include "src/wire/MembershipCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+/** Five fit into the silence that raises a suspicion, and the answer to the
+ * second to last still keeps the trust in a view. */
+constexpr auto kHeartbeatEvery = std::chrono::milliseconds(300);
+
+AgentMembershipOptions MakeOptions(const std::vector<Address>& aSeeds)
+{
+  AgentMembershipOptions options;
+  options.mSeeds = aSeeds;
+  options.mHeartbeatEvery = kHeartbeatEvery;
+  return options;
+}
+
+} // namespace
+
+/** Balancers send an agent members of its own service only; anything else is a
+ * mistake and is kept out. */
+struct MemberFeed::OwnService final : public InventoryCheck
+{
+  explicit OwnService(ServiceId aService)
+    : mService(aService)
+  {
+  }
+
+  bool Allows(const Member& aMember) const override
+  {
+    return aMember.mService == mService;
+  }
+
+  ServiceId mService;
+};
+
+MemberFeed::MemberFeed(Parts aParts, const Member& aSelf,
+                       const std::vector<Address>& aSeeds)
+  : mParts(std::move(aParts))
+  , mOwnService(std::make_unique<OwnService>(aSelf.mService))
+  , mMembership(aSelf, *mOwnService, MakeOptions(aSeeds),
+                MixHash(aSelf.mHost.mValue, aSelf.mIncarnation),
+                mParts.mClock.Now())
+{
+}
+
+MemberFeed::~MemberFeed() = default;
+
+void MemberFeed::Announce()
+{
+  {
+    std::lock_guard lock(mLock);
+    if (mAnnounced) {
+      return;
+    }
+    mAnnounced = true;
+  }
+  SetState(HostState::Serving);
+}
+
+void MemberFeed::SetState(HostState aState)
+{
+  {
+    std::lock_guard lock(mLock);
+    if (aState <= mMembership.Self().mState) {
+      return;
+    }
+    mMembership.SetState(aState, mParts.mClock.Now());
+  }
+  LogEvent(LogLevel::Info, "host_state", { { "state", ToString(aState) } });
+  Flush();
+}
+
+void MemberFeed::OnFrame(const Frame& aFrame)
+{
+  auto message = DecodeMembership(aFrame);
+  if (!message) {
+    mParts.mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\"")
+      .Add();
+    return;
+  }
+  {
+    std::lock_guard lock(mLock);
+    mMembership.OnMessage(*message, mParts.mClock.Now());
+  }
+  Flush();
+}
+
+void MemberFeed::Tick()
+{
+  {
+    std::lock_guard lock(mLock);
+    if (!mAnnounced) {
+      return;
+    }
+    mMembership.OnTick(mParts.mClock.Now());
+  }
+  Flush();
+}
+
+void MemberFeed::Flush()
+{
+  std::vector<SendMembership> actions;
+  ServiceViewPtr view;
+  Time confirmedAt;
+  {
+    std::lock_guard lock(mLock);
+    actions = mMembership.TakeActions();
+    MemberViewPtr fresh = mMembership.Peers();
+    bool changed = !mMemberView || mMemberView->mVersion != fresh->mVersion;
+    if (changed) {
+      mMemberView = fresh;
+      mView = MakeServiceView(mMembership.Self().mService, fresh->mVersion,
+                              fresh->mMembers);
+    }
+    confirmedAt = mMembership.ConfirmedAt();
+    bool confirmed = confirmedAt > mConfirmedAt;
+    mConfirmedAt = confirmedAt;
+    // Before the first answer the view holds this host alone, by its own word.
+    if (confirmedAt != Time{} && (changed || confirmed)) {
+      view = mView;
+    }
+  }
+  for (const auto& it : actions) {
+    auto encoded = EncodeMembership(it.mMessage);
+    mParts.mLinks.Send(it.mTo, encoded.mKind, encoded.mPayload);
+  }
+  if (view) {
+    mParts.mOnView(std::move(view), confirmedAt);
+  }
+}
+
+bool MemberFeed::IsInView() const
+{
+  std::lock_guard lock(mLock);
+  return mConfirmedAt != Time{} &&
+         mView->Find(mMembership.Self().mHost) != nullptr;
+}
+
+std::vector<Member> MemberFeed::Balancers() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.Balancers()->mMembers;
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/balancer/Balancer.cpp
@@ -0,0 +1,249 @@
+#include "src/balancer/Balancer.h"
+
+#include <atomic>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/balancer/ConfigPlane.h"
+#include "src/balancer/MemberPlane.h"
+#include "src/balancer/PacketRouter.h"
+#include "src/balancer/RouteTable.h"
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+#include "src/net/CutList.h"
+#include "src/net/DatagramSocket.h"
+#include "src/platform/HttpObjectStore.h"
+#include "src/process/AdminServer.h"
+#include "src/process/ControlLinks.h"
+#include "src/process/ProcessRuntime.h"
+#include "src/process/WallClock.h"
+#include "src/wire/MembershipCodec.h"
+#include "src/wire/SteerCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kLinksTick = std::chrono::seconds(1);
+/** How long a balancer goes on routing after it said that it stops: the fabric
+ * looks at /readyz every second or two, and what it sends until it has seen
+ * must not be lost. */
+constexpr auto kStopAfter = std::chrono::milliseconds(2500);
+
+Member MakeSelf(const BalancerSettings& aSettings)
+{
+  Member self;
+  self.mHost = MakeHostId(aSettings.mName);
+  self.mDataCentre = MakeDataCentreId(aSettings.mDataCentre);
+  self.mIncarnation = WallClockMicroseconds();
+  self.mTunnel = aSettings.mTunnel;
+  self.mControl = aSettings.mControl;
+  return self;
+}
+
+} // namespace
+
+struct Balancer::Impl
+{
+  explicit Impl(const BalancerSettings& aSettings)
+    : mSettings(aSettings)
+    , mSelf(MakeSelf(aSettings))
+    , mMalformed(
+        mMetrics.GetCounter("packets_refused_total", "reason=\"malformed\""))
+    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+             { mSelf.mHost, mSelf.mControl },
+             [this](const Hello& aFrom, const Frame& aFrame) {
+               OnFrame(aFrom, aFrame);
+             })
+    , mRouter(mMetrics, aSettings.mTunnel, aSettings.mMaxHints)
+    , mStore(mRuntime.Executor(), aSettings.mPlatform, {})
+    , mMembers({ mClock, mMetrics, mLinks,
+                 [this](auto aViews, auto aServices) {
+                   mRouter.SetRoutes(mRoutes.SetViews(aViews, aServices));
+                 } },
+               mSelf, aSettings.mPeers)
+    , mConfig({ mClock, mMetrics, mLinks, mStore,
+                [this](ConfigurationPtr aConfiguration) {
+                  mMembers.SetConfiguration(*aConfiguration);
+                  mRouter.SetRoutes(
+                    mRoutes.SetConfiguration(std::move(aConfiguration)));
+                } },
+              mSelf)
+    , mAdmin(mMetrics, [this] { return Ready(); })
+  {
+  }
+
+  const BalancerSettings mSettings;
+  const Member mSelf;
+  SteadyClock mClock;
+  MetricsRegistry mMetrics;
+  CutList mCuts;
+  ProcessRuntime mRuntime;
+  Counter& mMalformed;
+  ControlLinks mLinks;
+  RouteTable mRoutes;
+  PacketRouter mRouter;
+  HttpObjectStore mStore;
+  MemberPlane mMembers;
+  ConfigPlane mConfig;
+  AdminServer mAdmin;
+  std::shared_ptr<DatagramSocket> mTunnel;
+  std::atomic<bool> mStopping{ false };
+
+  Result<void> Ready()
+  {
+    if (mStopping) {
+      return Fail(ErrorKind::Unavailable, "stopping",
+                  "send packets to another balancer");
+    }
+    if (!mConfig.Current()) {
+      return Fail(ErrorKind::Unavailable, "no configuration yet",
+                  "apply one, or look at the platform and the peers");
+    }
+    MembershipReadiness members = mMembers.Readiness();
+    if (members != MembershipReadiness::Ready) {
+      return Fail(ErrorKind::Unavailable,
+                  "membership is " + std::string(ToString(members)),
+                  "wait for a peer's snapshot or for heartbeats, or mend the "
+                  "network");
+    }
+    return {};
+  }
+
+  Result<void> Open(bool aFaultInjection)
+  {
+    auto executor = mRuntime.Executor();
+    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+    if (!tunnel) {
+      return tl::unexpected(tunnel.error());
+    }
+    mTunnel = *tunnel;
+    auto listening = mLinks.Listen();
+    if (!listening) {
+      return listening;
+    }
+    if (aFaultInjection) {
+      mAdmin.MountFaults(mCuts);
+    }
+    return mAdmin.Start(executor, mSettings.mAdmin);
+  }
+
+  void Start()
+  {
+    mTunnel->Start(
+      [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
+    mRuntime.Every(kTick, [this] { Tick(); });
+    mRuntime.Every(kLinksTick, [this] { mLinks.Tick(); });
+    mRuntime.OnStop([this] { Stop(); });
+    LogEvent(LogLevel::Info, "started",
+             { { "tunnel", mSettings.mTunnel.ToString() },
+               { "control", mSettings.mControl.ToString() },
+               { "admin", mSettings.mAdmin.ToString() } });
+  }
+
+  void Tick()
+  {
+    mMembers.Tick();
+    mConfig.SetPeers(mMembers.Balancers());
+    mConfig.Tick();
+    // What a balancer can't judge yet it drops like a lost datagram: told "no
+    // such service" by one that just started, a caller would give up a request
+    // that its copy to another balancer may have brought to a host.
+    mRouter.SetUsable(mConfig.Current() != nullptr &&
+                      mMembers.Readiness() != MembershipReadiness::Starting);
+    mMetrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
+    mMetrics.GetGauge("control_bytes_sent")
+      .Set(static_cast<double>(mLinks.BytesSent()));
+    mMetrics.GetGauge("control_bytes_received")
+      .Set(static_cast<double>(mLinks.BytesReceived()));
+  }
+
+  void OnDatagram(ByteView aDatagram)
+  {
+    auto frame = DecodeDatagram(aDatagram);
+    if (!frame) {
+      mMalformed.Add();
+      return;
+    }
+    if (frame->mKind == MessageKind::Packet) {
+      OnPacket(frame->mPayload);
+    } else if (frame->mKind == MessageKind::Hint) {
+      OnHint(*frame);
+    } else {
+      mMalformed.Add();
+    }
+  }
+
+  void OnPacket(ByteView aPayload)
+  {
+    auto packet = DecodePacket(aPayload);
+    if (!packet) {
+      mMalformed.Add();
+      return;
+    }
+    if (auto out = mRouter.OnPacket(*packet)) {
+      mTunnel->Send(out->mDatagram, out->mTo);
+    }
+  }
+
+  void OnHint(const Frame& aFrame)
+  {
+    auto message = DecodeOwnershipMessage(aFrame.mKind, aFrame.mPayload);
+    const Hint* hint = message ? std::get_if<Hint>(&*message) : nullptr;
+    if (hint == nullptr) {
+      mMalformed.Add();
+      return;
+    }
+    mRouter.OnHint(hint->mFlow,
+                   { hint->mOwner.mHost, hint->mOwner.mIncarnation });
+  }
+
+  void OnFrame(const Hello& aFrom, const Frame& aFrame)
+  {
+    if (IsMembership(aFrame.mKind)) {
+      mMembers.OnFrame(aFrame);
+      return;
+    }
+    mConfig.OnFrame(aFrom, aFrame);
+  }
+
+  void Stop()
+  {
+    mStopping = true;
+    mMembers.Leave();
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      mRuntime.Executor(), kStopAfter);
+    timer->async_wait([this, timer](boost::system::error_code) {
+      LogEvent(LogLevel::Info, "stopped", {});
+      mRuntime.Quit();
+    });
+  }
+};
+
+Balancer::Balancer(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Balancer::~Balancer() = default;
+
+Result<std::unique_ptr<Balancer>> Balancer::Make(
+  const BalancerSettings& aSettings, bool aFaultInjection)
+{
+  auto impl = std::make_unique<Impl>(aSettings);
+  auto opened = impl->Open(aFaultInjection);
+  if (!opened) {
+    return tl::unexpected(opened.error());
+  }
+  return std::unique_ptr<Balancer>(new Balancer(std::move(impl)));
+}
+
+void Balancer::Run()
+{
+  mImpl->Start();
+  mImpl->mRuntime.Run(mImpl->mSettings.mThreads);
+}
+
+} // namespace heatherplank
--- a/src/decide/ReservationAdmission.h
+++ b/src/decide/ReservationAdmission.h
@@ -37,6 +37,8 @@
               Time aNow, Actions& aOut) override;
   bool OnCancel(RequestId aId, Time aNow, Actions& aOut) override;
   void OnSlots(std::uint32_t aSlots, Time aNow, Actions& aOut) override;
+  void OnOptions(const AdmissionOptions& aOptions, Time aNow,
+                 Actions& aOut) override;
   void OnPeers(std::span<const Candidate> aPeers, Time aNow,
                Actions& aOut) override;
   void OnDrain(Time aNow, Actions& aOut) override;
@@ -49,11 +51,14 @@
   bool HasFreeSlot(Time aNow) const;
   double LoadPerSlotNow() const;
   void BoundReservations();
+  std::vector<std::uint16_t> ReplaceClasses(const AdmissionOptions& aOptions);
+  std::vector<Waiting*> TakeAllWaiting();
 
   // At the door.
   std::optional<RefusalReason> Judge(const Request& aRequest, Time aNow);
   std::optional<RefusalReason> JudgeWait(const Request& aRequest, Time aNow);
   Duration Tolerated(const Request& aRequest, Time aNow) const;
+  bool IsBusyCaller(const ClassState& aClass, const Request& aRequest) const;
   bool TakeProbe(ClassState& aClass, Time aNow);
 
   // From the queues to the slots.
@@ -80,6 +85,7 @@
 
   void NoteResult(const RunningSlot& aSlot, RunResult aResult,
                   Duration aServiceTime, Time aNow);
+  void NoteServiceTime(Duration aTime, Time aNow);
   void NoteFailure();
   void Pause(Time aNow);
 
@@ -98,7 +104,12 @@
   Time mPausedUntil;
   std::uint32_t mPausesInARow = 0;
   Time mNextReview;
+  /** When the last event came. */
+  Time mSeenAt;
   Duration mLatency{};
+  Duration mServiceTime{};
+  std::uint32_t mServiceCount = 0;
+  Time mServiceSeenAt;
   double mFailing = 0;
   std::uint64_t mResults = 0;
 };
--- a/src/decide/ReservationDoor.cpp
+++ b/src/decide/ReservationDoor.cpp
@@ -12,15 +12,31 @@
 // A lane holds at most twice the room that is left: one busy caller alone gets
 // two thirds of the queue, and there is always room for another caller.
 constexpr std::uint32_t kLaneShare = 2;
-// A queue that did not empty for this long is no burst: callers arrive faster
-// than the slots serve, and waiting longer only makes every answer later.
-constexpr Duration kBurst = 500ms;
+// What is tolerated of the time left, once a queue did not empty for a whole
+// deadline. A burst of which all can be answered in time is gone by then; what
+// is left is more than the slots can serve, and a longer queue would make
+// every answer later and not one more of them.
 constexpr int kStandingShare = 4;
+// Work that may wait is let in for three quarters of its time: it must not be
+// lost if what goes before it grows.
+constexpr double kMayWaitShare = 0.75;
+// How long before its deadline work that may wait goes first, in times that
+// nineteen of twenty answers come within: slots have to come free for it, and
+// with lengths by the exponential law, one in 700 still took longer than two.
+constexpr int kUrgentMargin = 4;
 // How often hopeless work may be tried. Four a second are at most a tenth of
 // what two slots of 50 ms serve, and a host that has recovered is known again
 // within twenty answers.
 constexpr Duration kProbeEvery = 250ms;
 
+// Work that may wait and that another host let in: to refuse it here for want
+// of room would break what that host promised. It runs at its latest start, as
+// it would have there.
+bool IsPromised(const ClassState& aClass, const Request& aRequest)
+{
+  return aClass.mOptions.mMayWait && aRequest.mHops > 0;
+}
+
 } // namespace
 
 std::optional<RefusalReason> ReservationAdmission::Judge(
@@ -30,6 +46,10 @@
     return mDraining ? RefusalReason::Draining : RefusalReason::NoHost;
   }
   const ClassState& state = ClassOf(aRequest);
+  const Duration run = state.mTimes.Mean(aRequest.mSize);
+  if (IsPromised(state, aRequest) && aNow + run <= aRequest.mDeadline) {
+    return std::nullopt;
+  }
   const std::uint32_t size = state.mQueue.Size();
   const std::uint32_t limit = state.mOptions.mQueueLimit;
   if (size >= limit) {
@@ -52,7 +72,7 @@
   ClassState& state = ClassOf(aRequest);
   const HostView view = View();
   const std::size_t index = aRequest.mClass;
-  const std::uint32_t ahead = state.mQueue.Ahead(aRequest.mCaller);
+  const std::uint32_t ahead = state.Ahead(aRequest.mCaller);
   const Duration wait = ExpectedWait(view, index, ahead, aNow);
   if (wait == Duration{}) {
     const Duration run = state.mTimes.Mean(aRequest.mSize);
@@ -66,12 +86,21 @@
   if (wait <= tolerated) {
     return std::nullopt;
   }
-  // Would a caller that has nothing here have been let in?
-  const std::uint32_t fewest = std::min(ahead, state.mQueue.Lanes());
-  const bool isOwnFault = mOptions.mGuards.mFairness && fewest < ahead &&
-                          ExpectedWait(view, index, fewest, aNow) <= tolerated;
-  return isOwnFault ? RefusalReason::OverShare
-                    : RefusalReason::DeadlineUnreachable;
+  return IsBusyCaller(state, aRequest) ? RefusalReason::OverShare
+                                       : RefusalReason::DeadlineUnreachable;
+}
+
+// True if the caller has more than twice as much waiting as callers have on
+// average, so that it is refused for its own work rather than for the others'.
+bool ReservationAdmission::IsBusyCaller(const ClassState& aClass,
+                                        const Request& aRequest) const
+{
+  const FairQueue& queue = aClass.mQueue;
+  if (!mOptions.mGuards.mFairness || queue.Lanes() < 2) {
+    return mOptions.mGuards.mFairness && queue.Size() > 0 &&
+           queue.Depth(aRequest.mCaller) == queue.Size();
+  }
+  return queue.Depth(aRequest.mCaller) * queue.Lanes() > 2 * queue.Size();
 }
 
 // How long the request may wait and still be let in.
@@ -81,9 +110,13 @@
   const ClassState& state = *mClasses[aRequest.mClass];
   const Duration run = state.mTimes.High(aRequest.mSize);
   const Duration slack = aRequest.mDeadline - aNow - run;
-  const bool stands = state.mQueue.Size() > 0 && aNow - state.mEmptyAt > kBurst;
-  const bool shorten =
-    mOptions.mGuards.mStandingQueue && stands && !state.mOptions.mMayWait;
+  if (state.mOptions.mMayWait) {
+    return std::chrono::duration_cast<Duration>(slack * kMayWaitShare);
+  }
+  const bool isEmpty = state.mQueue.Size() == 0;
+  const bool stands =
+    !isEmpty && aNow - state.mEmptyAt > state.mOptions.mDeadline;
+  const bool shorten = mOptions.mGuards.mStandingQueue && stands;
   return shorten ? slack / kStandingShare : slack;
 }
 
@@ -100,6 +133,7 @@
 
 void ReservationAdmission::Fill(Time aNow, Actions& aOut)
 {
+  mSeenAt = aNow;
   if (mOptions.mGuards.mEarlyRefusal) {
     RefuseHopeless(aNow, aOut);
   }
@@ -141,7 +175,7 @@
   if (state == nullptr) {
     return nullptr;
   }
-  return state->mQueue.Pop();
+  return state->TakeNext();
 }
 
 // Work that may wait starts before more important work once its latest start
@@ -156,7 +190,8 @@
     if (!state.mOptions.mMayWait || it == nullptr) {
       continue;
     }
-    const Duration margin = 2 * state.mTimes.High(it->mRequest.mSize);
+    const Duration margin =
+      kUrgentMargin * state.mTimes.High(it->mRequest.mSize);
     const bool isNear = aNow + margin >= it->mRequest.mDeadline;
     if (isNear && MayTakeSlot(mClasses, i, free)) {
       state.mQueue.Remove(*it);
