--- a/src/steer/FlowAsker.cpp
+++ b/src/steer/FlowAsker.cpp
@@ -9,10 +9,12 @@
 namespace {
 
 /** Larger goes first; see FlowAsker::OnRival. */
-auto Precedence(AskPurpose aPurpose, const FlowKey& aFlow, const Peer& aPeer)
+auto Precedence(const Ask& aAsk)
 {
-  return std::make_tuple(aPurpose, MixHash(HashFlow(aFlow), aPeer.mHost.mValue),
-                         aPeer.mHost, aPeer.mIncarnation);
+  const Peer& from = aAsk.mFrom;
+  return std::make_tuple(aAsk.mPurpose, aAsk.mEpoch,
+                         MixHash(HashFlow(aAsk.mFlow), from.mHost.mValue),
+                         from.mHost, from.mIncarnation);
 }
 
 } // namespace
@@ -28,7 +30,10 @@
 
 Ask FlowAsker::MakeAsk(const Rounds::Entry& aEntry) const
 {
-  return { aEntry.mFlow, mSelf, aEntry.mValue.mId, aEntry.mValue.mPurpose };
+  const Round& round = aEntry.mValue;
+  bool owned = round.mPurpose == AskPurpose::Reconfirm;
+  return { aEntry.mFlow, mSelf, round.mId, round.mPurpose,
+           owned ? round.mEpoch : FlowEpoch{ 0 } };
 }
 
 void FlowAsker::AskPeer(const Rounds::Entry& aEntry, const Peer& aPeer,
@@ -156,7 +161,11 @@
   bool isOutdated = aRound.mPurpose == AskPurpose::Reconfirm &&
                     aReply.mEpoch == aRound.mEpoch &&
                     aReply.mMoves <= aRound.mMoves;
-  return !isOutdated &&
+  // Of two lives that are to be confirmed the later one holds; see OnRival.
+  bool isEarlier = aRound.mPurpose == AskPurpose::Reconfirm &&
+                   aReply.mVerdict == AskVerdict::Unconfirmed &&
+                   aReply.mEpoch < aRound.mEpoch;
+  return !isOutdated && !isEarlier &&
          mViews.StatusOf(aReply.mOwner, aNow, aNow) != PeerStatus::Gone;
 }
 
@@ -211,8 +220,7 @@
 std::optional<AskResult> FlowAsker::OnRival(const Ask& aAsk)
 {
   Rounds::Entry& entry = *mRounds.Find(aAsk.mFlow);
-  auto mine = Precedence(entry.mValue.mPurpose, aAsk.mFlow, mSelf);
-  if (mine > Precedence(aAsk.mPurpose, aAsk.mFlow, aAsk.mFrom)) {
+  if (Precedence(MakeAsk(entry)) > Precedence(aAsk)) {
     return std::nullopt;
   }
   return End(entry, AskOutcome::Yield, aAsk.mFrom);
--- a/src/steer/FlowAsker.h
+++ b/src/steer/FlowAsker.h
@@ -89,7 +89,8 @@
   /** Another agent asks about a flow that this one asks about too. Gives the
    * end of the round here if the other goes first, and nothing if this one
    * does. The order is total and the same everywhere: who owned the flow goes
-   * before who wants to place it, then the better rank, then the name.
+   * before who wants to place it, then the later life, since it began after the
+   * earlier one was looked for in vain, then the better rank, then the name.
    * Precondition: asking about the flow.
    */
   std::optional<AskResult> OnRival(const Ask& aAsk);
--- a/src/steer/FlowClaimer.cpp
+++ b/src/steer/FlowClaimer.cpp
@@ -104,7 +104,7 @@
     ++mState.mCounters[OwnershipCount::ClaimConflicts];
     return true;
   }
-  Ask ask{ aKnown.mFlow, mState.mSelf, kVerifyRound, AskPurpose::Place };
+  Ask ask{ aKnown.mFlow, mState.mSelf, kVerifyRound, AskPurpose::Place, 0 };
   aOut.push_back(SendMessage{ aKnown.mValue.mOwner.mTunnel, ask });
   return false;
 }
--- a/src/steer/OwnershipMessageHandlers.cpp
+++ b/src/steer/OwnershipMessageHandlers.cpp
@@ -283,8 +283,21 @@
   const FlowKey& key = aHandOff.mFlow;
   if (FlowTable::Entry* flow = mState.mFlows.Find(key)) {
     bool isSame = flow->mValue.mEpoch == aHandOff.mEpoch;
-    mState.mCounters[OwnershipCount::ClaimConflicts] += isSame ? 0 : 1;
-    return true;
+    if (isSame && flow->mValue.mMoves >= aHandOff.mMoves) {
+      return true;
+    }
+    if (!isSame && mState.IsConfirmed(flow->mValue)) {
+      ++mState.mCounters[OwnershipCount::ClaimConflicts];
+      return false;
+    }
+    // It is on its way to the sender, who has it by now and wants to be rid of
+    // it too; or it was taken over during a lapse of this host.
+    AskResult owner;
+    owner.mFlow = key;
+    owner.mOwner = aHandOff.mFrom;
+    owner.mEpoch = aHandOff.mEpoch;
+    owner.mMoves = static_cast<std::uint16_t>(aHandOff.mMoves - 1);
+    LetGo(*flow, owner, aNow, aOut);
   }
   OwnerTable::Entry* moved = mState.mMoved.Find(key);
   if (moved != nullptr && moved->mValue.mEpoch == aHandOff.mEpoch &&
--- a/src/steer/OwnershipMessages.h
+++ b/src/steer/OwnershipMessages.h
@@ -37,6 +37,8 @@
   /** Comes back in the answer; new for each round of asking. */
   std::uint64_t mRound = 0;
   AskPurpose mPurpose = AskPurpose::Place;
+  /** With Reconfirm: the life that the asker owned. */
+  FlowEpoch mEpoch = 0;
 };
 
 /** What an asked agent knows of a flow. */
--- a/src/steer/RankTable.cpp
+++ b/src/steer/RankTable.cpp
@@ -135,6 +135,24 @@
   return ToMembers(out);
 }
 
+std::uint16_t RankTable::First(std::uint64_t aFlowHash) const
+{
+  if (!mBuckets.empty() || !mSameWeights) {
+    Ranks best = BestAdoptable(aFlowHash, 1);
+    return best.empty() ? kNobody : best.front();
+  }
+  std::uint64_t most = 0;
+  std::uint16_t first = kNobody;
+  for (const Host& it : mHosts) {
+    std::uint64_t hash = MixHash(aFlowHash, it.mHash);
+    if (it.mAdoptable && (first == kNobody || hash > most)) {
+      most = hash;
+      first = it.mMember;
+    }
+  }
+  return first;
+}
+
 Ranks RankTable::ToMembers(Ranks aHosts) const
 {
   for (std::uint16_t& it : aHosts) {
--- a/src/steer/RankTable.h
+++ b/src/steer/RankTable.h
@@ -44,6 +44,11 @@
   /** The best aCount of those that can adopt. */
   Ranks BestAdoptable(std::uint64_t aFlowHash, std::size_t aCount) const;
 
+  /** The first of BestAdoptable, or kNobody: a balancer needs no more. */
+  std::uint16_t First(std::uint64_t aFlowHash) const;
+
+  static constexpr std::uint16_t kNobody = 0xffff;
+
   /** Bytes of the tables. */
   std::size_t MemoryUse() const;
 
--- a/src/steer/ServiceView.cpp
+++ b/src/steer/ServiceView.cpp
@@ -53,8 +53,8 @@
 
 const Member* ServiceView::Arbiter(std::uint64_t aFlowHash) const
 {
-  auto best = mRanks.BestAdoptable(aFlowHash, 1);
-  return best.empty() ? nullptr : &mMembers[best.front()];
+  std::uint16_t first = mRanks.First(aFlowHash);
+  return first == RankTable::kNobody ? nullptr : &mMembers[first];
 }
 
 std::size_t ServiceView::MemoryUse() const
--- a/src/wire/SteerCodec.cpp
+++ b/src/wire/SteerCodec.cpp
@@ -61,7 +61,8 @@
   auto flow = heatherplank::ToWire(aAsk.mFlow);
   auto from = ToWire(aAsk.mFrom);
   aBuilder.Finish(wire::CreateAsk(aBuilder, &flow, &from, aAsk.mRound,
-                                  static_cast<std::uint8_t>(aAsk.mPurpose)));
+                                  static_cast<std::uint8_t>(aAsk.mPurpose),
+                                  aAsk.mEpoch));
 }
 
 void Build(Builder& aBuilder, const AskReply& aReply)
@@ -122,7 +123,8 @@
     return MalformedMessage("purpose of an ask");
   }
   return Ask{ heatherplank::FromWire(*aFrom.flow()), FromWire(*aFrom.from()),
-              aFrom.round(), static_cast<AskPurpose>(aFrom.purpose()) };
+              aFrom.round(), static_cast<AskPurpose>(aFrom.purpose()),
+              aFrom.epoch() };
 }
 
 Result<OwnershipMessage> Read(const wire::AskReply& aFrom)
--- a/src/wire/steer_generated.h
+++ b/src/wire/steer_generated.h
@@ -122,7 +122,8 @@
     VT_FLOW = 4,
     VT_FROM = 6,
     VT_ROUND = 8,
-    VT_PURPOSE = 10
+    VT_PURPOSE = 10,
+    VT_EPOCH = 12
   };
   const heatherplank::wire::WireFlow *flow() const {
     return GetStruct<const heatherplank::wire::WireFlow *>(VT_FLOW);
@@ -136,12 +137,16 @@
   uint8_t purpose() const {
     return GetField<uint8_t>(VT_PURPOSE, 0);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyFieldRequired<heatherplank::wire::WireFlow>(verifier, VT_FLOW, 8) &&
            VerifyFieldRequired<heatherplank::wire::WirePeer>(verifier, VT_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
            VerifyField<uint8_t>(verifier, VT_PURPOSE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
 };
@@ -162,6 +167,9 @@
   void add_purpose(uint8_t purpose) {
     fbb_.AddElement<uint8_t>(Ask::VT_PURPOSE, purpose, 0);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(Ask::VT_EPOCH, epoch, 0);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -180,8 +188,10 @@
     const heatherplank::wire::WireFlow *flow = nullptr,
     const heatherplank::wire::WirePeer *from = nullptr,
     uint64_t round = 0,
-    uint8_t purpose = 0) {
+    uint8_t purpose = 0,
+    uint64_t epoch = 0) {
   AskBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_round(round);
   builder_.add_from(from);
   builder_.add_flow(flow);
--- a/tests/SteerCodecTest.cpp
+++ b/tests/SteerCodecTest.cpp
@@ -24,7 +24,7 @@
   std::vector<ClaimedFlow> flows{ { flow, 8, 2, true },
                                   { TestFlow(8), 9, 3, false } };
   return {
-    Ask{ flow, from, 11, AskPurpose::Reconfirm },
+    Ask{ flow, from, 11, AskPurpose::Reconfirm, 12 },
     AskReply{ flow, from, 11, AskVerdict::Asking, owner, 12, 13, true },
     Claim{ from, flows },
     ClaimAck{ from, flows },
