Run-once lets go of shard contents that were not used for a minute

Cause: 64 full shards held for ever take more than the memory of the process. Ruled out: a bound by bytes over all shards (more code, for the same effect at today's loads). Change: ShardWriter::ReleaseIfIdle, called on each tick; the next claim reads.

--- a/src/record/RunOnceSteps.cpp
+++ b/src/record/RunOnceSteps.cpp
@@ -85,6 +85,9 @@
     TickKey(it->first, it->second, aNow);
     it = next;
   }
+  for (auto& [shard, writer] : mWriters) {
+    writer.ReleaseIfIdle(aNow);
+  }
   Pump(aNow);
 }
 
--- a/src/record/ShardWriter.cpp
+++ b/src/record/ShardWriter.cpp
@@ -85,6 +85,17 @@
   });
 }
 
+void ShardWriter::ReleaseIfIdle(Time aNow)
+{
+  bool idle = !mBusy && mWanted.empty() && mFresh &&
+              aNow - mSeenAt >= mOptions.mKeepContent;
+  if (idle) {
+    mFresh = false;
+    mSeen = {};
+    mProposed = {};
+  }
+}
+
 bool ShardWriter::IsDue(Time aNow) const
 {
   if (mBusy) {
@@ -183,6 +194,7 @@
   mSeen = std::move(aShard);
   mVersion = aVersion;
   mFresh = true;
+  mSeenAt = aNow;
   mSeenBy = mStarted;
   if (mGenerationSeen != mSeen.Generation()) {
     mGenerationSeen = mSeen.Generation();
--- a/src/record/ShardWriter.h
+++ b/src/record/ShardWriter.h
@@ -92,6 +92,9 @@
   /** A generation lasts at least this long; a grant is kept in full for one to
    * two of them and as a hash for one more. */
   Duration mGeneration = std::chrono::hours(24);
+  /** Content that was not used for this long is let go, since 64 full shards
+   * would take more memory than the process has; it is read again. */
+  Duration mKeepContent = std::chrono::minutes(1);
   /** Guard switch: off, writes are unconditional. */
   bool mConditional = true;
   /** Guard switch: off, a write of unknown effect counts as done. */
@@ -134,6 +137,10 @@
   std::vector<ShardOutcome> OnPut(const Result<std::uint64_t>& aResult,
                                   Time aNow);
 
+  /** Lets the content go if it was not used for long. */
+  void ReleaseIfIdle(Time aNow);
+  /** True if the content last seen is held. */
+  bool HoldsContent() const { return mFresh; }
   bool IsBusy() const { return mBusy; }
   /** Calls started so far, and the one whose answer gave the content last
    * seen: a call that was started before some moment proves nothing of it. */
@@ -181,6 +188,7 @@
   bool mBusy = false;
   /** The content last seen, at mVersion (0 for absent), is worth a write. */
   bool mFresh = false;
+  Time mSeenAt{};
   GrantShard mSeen;
   std::uint64_t mVersion = 0;
   /** The write in flight: its content and the wishes that it carries. */
--- a/tests/ShardWriterTest.cpp
+++ b/tests/ShardWriterTest.cpp
@@ -60,6 +60,13 @@
   }
   CHECK_EQUAL(100, Settle(writer).size());
   CHECK_EQUAL(1, mVersion);
+  writer.ReleaseIfIdle(mClock.Now());
+  CHECK_TRUE(writer.HoldsContent());
+  mClock.Advance(1min);
+  writer.ReleaseIfIdle(mClock.Now());
+  CHECK_FALSE(writer.HoldsContent());
+  writer.Want("key-1", Claim(200));
+  CHECK_TRUE(Settle(writer).front().mResult == ChangeResult::Taken);
 }
 
 // The write's call times out, and lands after the writer has read the object
