--- a/src/config/ConfigDistribution.cpp
+++ b/src/config/ConfigDistribution.cpp
@@ -88,7 +88,8 @@
 {
   std::uint64_t mine = Version();
   if (aVersion < mine) {
-    ++mCounters.mRefusedOlder;
+    // A balancer that has none yet offers 0; that is a question.
+    mCounters.mRefusedOlder += aVersion != 0 ? 1 : 0;
     return !mOptions.mRefuseOlder && aVersion != 0;
   }
   if (aVersion == mine) {
