When a process reports, and who keeps its shard's board

Cause: status and reports need senders, and a keeper that nobody has to name. Ruled out: a report every few seconds from everybody (2,430 processes a data centre would send their keepers 97 KB/s); one keeper a data centre.

--- a/tests/ConfigDistributionTest.cpp
+++ b/tests/ConfigDistributionTest.cpp
@@ -137,6 +137,24 @@
   CHECK_TRUE(world.AllRun(2));
 }
 
+// A balancer is cut off through several changes and healed. The offers that it
+// meets then begin from versions that it never had, and its watch skips them.
+TEST(ConfigDistribution, ABalancerThatMissedVersionsCatchesUp)
+{
+  ConfigWorld world(mOptions);
+  PublishAndWait(world, 2);
+  for (auto* it : world.Balancers()) {
+    it->mIsCut = true;
+    for (int i = 0; i < 3; ++i) {
+      PublishAndWait(world, 3 + i);
+    }
+    it->mIsCut = false;
+    world.Run(4s);
+    CHECK_EQUAL(world.mHead.mVersion, it->mVersion);
+  }
+  LONGS_EQUAL(0, world.Reverted());
+}
+
 // Freezes, cuts, restarts, stale replicas and peers in any order: no process
 // ever reports a lower version than before. With the guard off some do.
 TEST(ConfigDistribution, NoScheduleBringsALowerVersion)
--- a/tests/StatusTest.cpp
+++ b/tests/StatusTest.cpp
@@ -1,8 +1,13 @@
 #include "src/status/StatusBoard.h"
 
+#include <algorithm>
+#include <iterator>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "src/status/StatusPublisher.h"
+#include "src/status/StatusReporter.h"
 #include "src/wire/StatusCodec.h"
 #include "tests/FakeObjectStore.h"
 
@@ -152,3 +157,40 @@
   weights.mImbalanceWeight = 1;
   DOUBLES_EQUAL((4 * 0.5 + 10) / 5, figures.Score(weights), 1e-9);
 }
+
+TEST(Status, ReportsAreDueAfterAChangeWithFiguresAndAsASignOfLife)
+{
+  StatusReporter reporter{ StatusReporter::Options() };
+  CHECK_TRUE(reporter.Tick(mNow).has_value());
+  reporter.OnInForce(7, 1000, mNow + 5s);
+  reporter.OnInForce(8, 1200, mNow + 5s + 200ms);
+  CHECK_FALSE(reporter.Tick(mNow + 5s + 900ms).has_value());
+  LONGS_EQUAL(8, reporter.Tick(mNow + 6s)->mProcess.mVersion);
+  CHECK_FALSE(reporter.Tick(mNow + 65s).has_value());
+  CHECK_TRUE(reporter.Tick(mNow + 66s).has_value());
+  reporter.Figures("random").mFlowsOpened += 3;
+  CHECK_FALSE(reporter.Tick(mNow + 75s).has_value());
+  LONGS_EQUAL(3, reporter.Tick(mNow + 76s)->mFigures[0].mFlowsOpened);
+  CHECK_TRUE(reporter.Tick(mNow + 200s)->mFigures.empty());
+}
+
+TEST(Status, AKeepersLossMovesItsShardOnly)
+{
+  std::vector<HostId> all;
+  all.reserve(200);
+  for (int i = 0; i < 200; ++i) {
+    all.push_back(MakeHostId("b" + std::to_string(i)));
+  }
+  LONGS_EQUAL(8, CountStatusShards(all.size()));
+  LONGS_EQUAL(1, CountStatusShards(3));
+  HostId gone = ChooseStatusKeeper(0, all);
+  std::vector<HostId> left;
+  std::ranges::copy_if(all, std::back_inserter(left),
+                       [&](HostId aId) { return aId != gone; });
+  CHECK_FALSE(ChooseStatusKeeper(0, left) == gone);
+  for (std::uint32_t shard = 1; shard < 8; ++shard) {
+    HostId before = ChooseStatusKeeper(shard, all);
+    CHECK_TRUE(before == gone || before == ChooseStatusKeeper(shard, left));
+  }
+  CHECK_TRUE(ChooseStatusKeeper(0, {}).IsNone());
+}
