Slow start shows in the view, and can be switched off for cold hosts too

Cause: a heartbeat moved a starting host to its next step without marking its view changed, so hosts that beat stayed at a fifth of their weight in the view; and with slow start off a cold host still had a fifth. Ruled out: nothing. Change: Place marks the view when the step moves; mSlowStart of 0 is full weight in every state. Conclusion: found by the test that was missing.

--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -251,8 +251,12 @@
   Unlink(mGone, aEntry, aEntry.mGoneHook);
   aEntry.mJudgedHere = false;
   Watch(aEntry, aNow);
-  aEntry.mStep = StepOf(aEntry, aNow);
-  if (aEntry.mStep < mOptions.mSlowStartSteps) {
+  std::uint16_t step = StepOf(aEntry, aNow);
+  if (step != aEntry.mStep) {
+    aEntry.mStep = step;
+    MarkChanged(aEntry);
+  }
+  if (step < mOptions.mSlowStartSteps) {
     mStarting.push_back(aEntry);
   }
 }
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -72,7 +72,8 @@
   bool mCapDeaths = true;
   /** Off where another process judges silence (agents). */
   bool mJudgesSilence = true;
-  /** Weight grows from the first step to all of it over this time. */
+  /** Weight grows from the first step to all of it over this time; 0 for full
+   * weight from the start, cold hosts too. */
   Duration mSlowStart = std::chrono::seconds(10);
   std::uint16_t mSlowStartSteps = 5;
   /** How long a host that left or died is remembered; longer than a cut
--- a/src/membership/MemberTableTime.cpp
+++ b/src/membership/MemberTableTime.cpp
@@ -131,6 +131,9 @@
 std::uint16_t MemberTable::StepOf(const MemberEntry& aEntry, Time aNow) const
 {
   HostState state = aEntry.mRecord.mMember.mState;
+  if (mOptions.mSlowStart == Duration{}) {
+    return mOptions.mSlowStartSteps;
+  }
   if (state == HostState::Cold) {
     return 1;
   }
--- a/tests/MemberTableTest.cpp
+++ b/tests/MemberTableTest.cpp
@@ -74,6 +74,29 @@
   CHECK_EQUAL(10, InView());
 }
 
+// A host that has just started takes its share in steps; one whose table was
+// told to leave slow start to others shows its full weight, cold or not.
+TEST(MemberTable, WeightGrowsWithAgeUnlessSwitchedOff)
+{
+  MemberTableOptions off;
+  off.mSlowStart = {};
+  MemberTable flat(MemberTableId::Hosts, kAllowAll, off);
+  Heartbeat cold = Beat(1, 1, 1, HostState::Cold);
+  mTable.OnHeartbeat(cold, mClock.Now());
+  flat.OnHeartbeat(cold, mClock.Now());
+  CHECK_EQUAL(20, mTable.View(kService)->mMembers[0].mWeight);
+  CHECK_EQUAL(100, flat.View(kService)->mMembers[0].mWeight);
+  Heartbeat warm = Beat(1, 2);
+  warm.mRecord.mAge = {};
+  mTable.OnHeartbeat(warm, mClock.Now());
+  std::uint64_t version = mTable.View(kService)->mVersion;
+  mClock.Advance(5s);
+  mTable.OnHeartbeat(Beat(1, 3), mClock.Now());
+  mTable.OnTick(mClock.Now());
+  CHECK_EQUAL(60, mTable.View(kService)->mMembers[0].mWeight);
+  CHECK_TRUE(mTable.View(kService)->mVersion > version);
+}
+
 TEST(MemberTable, RefusesWhatTheInventoryDoesNotGive)
 {
   Heartbeat beat = Beat(1, 1);
