Membership messages with misplaced vectors are refused

Cause: UBSan shows reads of 8-byte values at addresses that are not aligned, for damaged offsets that the FlatBuffers verifier lets pass. Ruled out: copying each record first (a cost for every good message). Change: the decoder refuses vectors whose place in the payload is not aligned.

--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -96,10 +96,20 @@
   return aBuilder.CreateVectorOfStructs(out);
 }
 
+/** Failure met: a damaged offset points a vector of 8-byte values to where they
+ * can't be read as such on every machine; the verifier looks at the alignment
+ * of its length only. Shown by UBSan. Refused by its place in the payload. */
+bool IsAligned(ByteView aPayload, const std::uint8_t* aData)
+{
+  return (aData - aPayload.data()) % 8 == 0;
+}
+
 /** Reads records; false if there are too many or one can't be. */
-bool TakeRecords(const RecordVector& aFrom, std::vector<MemberRecord>& aOut)
+bool TakeRecords(ByteView aPayload, const RecordVector& aFrom,
+                 std::vector<MemberRecord>& aOut)
 {
-  if (aFrom.size() > kMaxRecordsPerMessage) {
+  if (aFrom.size() > kMaxRecordsPerMessage ||
+      !IsAligned(aPayload, aFrom.Data())) {
     return false;
   }
   aOut.reserve(aFrom.size());
@@ -206,7 +216,7 @@
   out.mIsComplete = from.is_complete();
   out.mAnswersBeat = from.answers_beat();
   if (!IsPossibleTable(from.table_id()) ||
-      !TakeRecords(*from.records(), out.mRecords)) {
+      !TakeRecords(aPayload, *from.records(), out.mRecords)) {
     return MalformedMessage("member delta");
   }
   return out;
@@ -221,7 +231,7 @@
   const wire::MemberDigest& from = **read;
   std::size_t n = from.hashes()->size();
   if (!IsPossibleTable(from.table_id()) || !std::has_single_bit(n) ||
-      n > kMaxDigestRanges) {
+      !IsAligned(aPayload, from.hashes()->Data()) || n > kMaxDigestRanges) {
     return MalformedMessage("member digest");
   }
   return MemberDigest{ static_cast<MemberTableId>(from.table_id()),
@@ -263,7 +273,7 @@
   out.mFirst = { from.first() };
   out.mLast = { from.last() };
   if (!IsPossibleTable(from.table_id()) || from.first() > from.last() ||
-      !TakeRecords(*from.records(), out.mRecords)) {
+      !TakeRecords(aPayload, *from.records(), out.mRecords)) {
     return MalformedMessage("member snapshot");
   }
   return out;
