Refuse messages whose vectors of structs are misaligned

Cause: under UndefinedBehaviorSanitizer a damaged status report made us read a struct at a misaligned address; FlatBuffers' verifier checks the place and length of such a vector, but not the alignment of its elements. Ruled out: copying each element first (the generated code reads in place). Change: IsAligned in src/wire/Alignment.h, used by both codecs. Conclusion: the other codecs that read vectors of structs want the same check.

--- a/src/wire/ConfigCodec.cpp
+++ b/src/wire/ConfigCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "src/wire/Alignment.h"
 #include "src/wire/WireAddress.h"
 #include "src/wire/config_generated.h"
 
@@ -116,7 +117,7 @@
   out.mAuthor = Text(from.author());
   out.mTimeMs = from.time_ms();
   out.mNonce = from.nonce();
-  if (SizeOf(from.changes()) > kMaxEntries ||
+  if (SizeOf(from.changes()) > kMaxEntries || !IsAligned(from.changes()) ||
       out.mAuthor.size() > kMaxAuthorBytes) {
     return MalformedMessage("configuration offer");
   }
@@ -140,7 +141,7 @@
   out.mService = { from.service_id() };
   out.mRoot = FromWire(from.root());
   out.mWantsHead = from.wants_head();
-  if (SizeOf(from.parts()) > kMaxEntries) {
+  if (SizeOf(from.parts()) > kMaxEntries || !IsAligned(from.parts())) {
     return MalformedMessage("configuration request");
   }
   for (std::size_t i = 0; i < SizeOf(from.parts()); ++i) {
--- a/src/wire/StatusCodec.cpp
+++ b/src/wire/StatusCodec.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "src/wire/Alignment.h"
 #include "src/wire/WireAddress.h"
 #include "src/wire/status_generated.h"
 
@@ -101,6 +102,16 @@
   return out;
 }
 
+bool IsPossible(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::NamedBins>>* aLatency)
+{
+  return aLatency == nullptr ||
+         (IsSmall(aLatency) &&
+          std::all_of(aLatency->begin(), aLatency->end(), [](const auto* aIt) {
+            return IsSmall(aIt->bins()) && IsAligned(aIt->bins());
+          }));
+}
+
 /** A number that can be added to others; damage must not spoil a sum. */
 bool IsSum(double aNumber)
 {
@@ -111,7 +122,7 @@
 {
   return IsName(aFigures.name()) && aFigures.name()->size() > 0 &&
          IsSmall(aFigures.refusals()) && IsSmall(aFigures.retries()) &&
-         IsSmall(aFigures.latency()) && IsSum(aFigures.seconds()) &&
+         IsPossible(aFigures.latency()) && IsSum(aFigures.seconds()) &&
          IsSum(aFigures.imbalance_sum());
 }
 
