Ownership: given-up offers and verifying asks; large files split

Cause: two of 400,000 schedules had two owners. A host that took an offer after its sender had given it up saw the same number of moves as the new owner; an ask that only verified an entry replaced a promise to an owner that lived. Ruled out: nothing else fitted the two schedules' logs. Change: an offer that is given up counts as a move; a verifying ask changes nothing.

--- a/src/steer/FlowMover.cpp
+++ b/src/steer/FlowMover.cpp
@@ -5,6 +5,18 @@
 
 namespace heatherplank {
 
+namespace {
+
+/** Counts the flow's moves past those of the offer that is given up. If its
+ * receiver took it after all, and wakes later, it sees that its is the older.
+ */
+void PassOffer(OwnedFlow& aFlow)
+{
+  aFlow.mMoves = static_cast<std::uint16_t>(aFlow.mMoves + 2);
+}
+
+} // namespace
+
 void FlowMover::Consider(FlowTable::Entry& aFlow, Time aNow,
                          OwnershipActions& aOut)
 {
@@ -99,6 +111,7 @@
   if (!aAck.mAccepted) {
     ++mState.mCounters[OwnershipCount::HandOffsRefused];
     move->mValue.mRefusedBy.push_back(aAck.mFrom.mHost);
+    PassOffer(flow->mValue);
     Retarget(*move, *flow, aNow, aOut);
     return;
   }
@@ -156,6 +169,7 @@
       mState.mViews.StatusOf(move->mValue.mTo, move->mValue.mStart, aNow);
     if (status == PeerStatus::Gone) {
       move->mValue.mRefusedBy.push_back(move->mValue.mTo.mHost);
+      PassOffer(flow.mValue);
       Retarget(*move, flow, aNow, aOut);
     } else {
       Offer(*move, flow, aNow, aOut);
--- a/src/steer/Ownership.h
+++ b/src/steer/Ownership.h
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
+#include <span>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
--- a/src/steer/OwnershipMessageHandlers.cpp
+++ b/src/steer/OwnershipMessageHandlers.cpp
@@ -64,7 +64,10 @@
   reply.mFlow = aAsk.mFlow;
   reply.mFrom = mState.mSelf;
   reply.mRound = aAsk.mRound;
+  // An ask that only verifies an entry must change nothing: a promise to its
+  // sender would replace one to an owner that lives.
   bool isAnswered = AnswerAsOwner(aAsk, reply, aNow, aOut) ||
+                    aAsk.mRound == FlowClaimer::kVerifyRound ||
                     AnswerAsRival(aAsk, reply, aNow, aOut) ||
                     AnswerFromEntries(aAsk, reply, aNow) ||
                     Promise(aAsk.mFlow, aAsk.mFrom, aNow);
--- /dev/null
+++ b/src/steer/OwnershipRounds.cpp
@@ -0,0 +1,235 @@
+// The part of Ownership that asks who owns a flow, and places flows.
+
+#include <span>
+#include <utility>
+
+#include "src/steer/Ownership.h"
+
+namespace heatherplank {
+
+void Ownership::StartAsking(const PacketEvent& aPacket,
+                            const ClaimedFlow& aLife, AskPurpose aPurpose,
+                            Time aNow, OwnershipActions& aOut)
+{
+  if (mAsker.IsFull()) {
+    mState.Refuse(aPacket, OwnershipRefusal::TooManyAsks, aOut);
+    return;
+  }
+  ++mState.mCounters[OwnershipCount::RoundsAsked];
+  PromiseTable::Entry* promise = FindPromise(aPacket.mFlow, aNow);
+  const Peer* also = promise != nullptr ? &promise->mValue.mTo : nullptr;
+  auto ended = mAsker.Start(aLife, aPurpose, also, aNow, aOut);
+  if (!ended) {
+    Hold(aPacket, aOut);
+    return;
+  }
+  ended->mHeld.push_back(aPacket);
+  Settle(std::move(*ended), aNow, aOut);
+}
+
+void Ownership::StartConfirming(FlowTable::Entry& aFlow, Time aNow,
+                                OwnershipActions& aOut)
+{
+  if (mAsker.IsFull() || mAsker.IsAsking(aFlow.mFlow) || !MayDispatch(aNow)) {
+    return;
+  }
+  ++mState.mCounters[OwnershipCount::RoundsAsked];
+  auto ended = mAsker.Start(mState.Describe(aFlow), AskPurpose::Reconfirm,
+                            nullptr, aNow, aOut);
+  if (ended) {
+    Settle(std::move(*ended), aNow, aOut);
+  }
+}
+
+void Ownership::Settle(AskResult aResult, Time aNow, OwnershipActions& aOut)
+{
+  mState.Observe(aResult.mEpoch);
+  if (!mState.mOptions.mGuards.mSilentPeer &&
+      aResult.mOutcome == AskOutcome::Silent) {
+    aResult.mOutcome = AskOutcome::Nobody;
+  }
+  if (aResult.mOutcome == AskOutcome::Silent) {
+    ++mState.mCounters[OwnershipCount::RoundsSilent];
+    RefuseHeld(aResult, OwnershipRefusal::PeerSilent,
+               mState.mOptions.mRetryAfter, aOut);
+    return;
+  }
+  if (FlowTable::Entry* flow = mState.mFlows.Find(aResult.mFlow)) {
+    if (aResult.mPurpose == AskPurpose::Reconfirm) {
+      SettleConfirm(aResult, *flow, aNow, aOut);
+      return;
+    }
+    for (const PacketEvent& it : aResult.mHeld) {
+      OnPacket(it, aNow, aOut);
+    }
+    return;
+  }
+  if (aResult.mPurpose == AskPurpose::Reconfirm) {
+    RefuseHeld(aResult, OwnershipRefusal::Moving, mState.mOptions.mRetryAfter,
+               aOut);
+    return;
+  }
+  if (aResult.mOutcome == AskOutcome::Nobody) {
+    SettleNobody(aResult, aNow, aOut);
+    return;
+  }
+  if (aResult.mOutcome == AskOutcome::Yield) {
+    ++mState.mCounters[OwnershipCount::RoundsYielded];
+    Promise(aResult.mFlow, aResult.mOwner, aNow);
+    for (const PacketEvent& it : aResult.mHeld) {
+      mState.Forward(it, aResult.mOwner, PacketDirective::Route, 0, aOut);
+    }
+    return;
+  }
+  Time placedUntil =
+    aResult.mJustPlaced ? aNow + mState.mOptions.mSettle : Time{};
+  if (OwnerTable::Entry* entry = mState.mDirectory.Put(aResult.mFlow, aNow)) {
+    entry->mValue = { aResult.mOwner, aResult.mEpoch, aNow, placedUntil, {},
+                      aResult.mMoves };
+  }
+  PacketDirective directive =
+    aResult.mJustPlaced ? PacketDirective::Adopt : PacketDirective::Deliver;
+  for (const PacketEvent& it : aResult.mHeld) {
+    mState.Forward(it, aResult.mOwner, directive, aResult.mEpoch, aOut);
+  }
+}
+
+void Ownership::SettleNobody(const AskResult& aResult, Time aNow,
+                             OwnershipActions& aOut)
+{
+  Duration fence = mState.mViews.FenceLeft(HashFlow(aResult.mFlow), aNow);
+  if (fence > Duration{}) {
+    RefuseHeld(aResult, OwnershipRefusal::PeerFenced, fence, aOut);
+    return;
+  }
+  ++mState.mCounters[OwnershipCount::PlacedAfterAsking];
+  ClaimedFlow life{ aResult.mFlow, aResult.mEpoch, aResult.mMoves, false };
+  if (life.mEpoch != 0 && !mState.mDraining) {
+    AdoptHere(life, mState.mSelf.mHost, aResult.mHeld, aNow, aOut);
+  } else {
+    Place(aResult.mFlow, aResult.mHeld, aNow, aOut);
+  }
+}
+
+void Ownership::SettleConfirm(const AskResult& aResult, FlowTable::Entry& aFlow,
+                              Time aNow, OwnershipActions& aOut)
+{
+  if (aResult.mOutcome != AskOutcome::Nobody) {
+    LetGo(aFlow, aResult, aNow, aOut);
+    return;
+  }
+  Duration fence = mState.mViews.FenceLeft(HashFlow(aResult.mFlow), aNow);
+  if (fence > Duration{}) {
+    RefuseHeld(aResult, OwnershipRefusal::PeerFenced, fence, aOut);
+    return;
+  }
+  aFlow.mValue.mConfirmedIn = mState.mLapses;
+  for (const PacketEvent& it : aResult.mHeld) {
+    OnOwnedPacket(it, aFlow, aNow, aOut);
+  }
+}
+
+void Ownership::LetGo(FlowTable::Entry& aFlow, const AskResult& aResult,
+                      Time aNow, OwnershipActions& aOut)
+{
+  ++mState.mCounters[OwnershipCount::FlowsLetGo];
+  // A round that goes on to confirm the flow would revive it.
+  auto ended = mAsker.EndWithOwner(aResult.mFlow, aResult.mOwner,
+                                   aResult.mEpoch, aResult.mMoves);
+  mState.RememberMove(aResult.mFlow, aResult.mOwner, aResult.mEpoch,
+                      aResult.mMoves, aNow);
+  mMover.Cancel(aResult.mFlow, aResult.mOwner, aResult.mEpoch, aOut);
+  mState.Drop(aFlow, aOut);
+  for (const PacketEvent& it : aResult.mHeld) {
+    mState.Forward(it, aResult.mOwner, PacketDirective::Deliver, aResult.mEpoch,
+                   aOut);
+  }
+  if (ended) {
+    RefuseHeld(*ended, OwnershipRefusal::Moving, mState.mOptions.mRetryAfter,
+               aOut);
+  }
+}
+
+void Ownership::RefuseHeld(const AskResult& aResult, OwnershipRefusal aReason,
+                           Duration aRetryAfter, OwnershipActions& aOut)
+{
+  for (const PacketEvent& it : aResult.mHeld) {
+    mState.Refuse(it, aReason, aRetryAfter, aOut);
+  }
+}
+
+const Member* Ownership::PickOwner(std::uint64_t aFlowHash, Time aNow)
+{
+  RankedMembers candidates = mState.mViews.Candidates(aFlowHash);
+  RankedMembers willing;
+  for (const Member* it : candidates) {
+    if (!HasDeclined(it->mHost, aNow)) {
+      willing.push_back(it);
+    }
+  }
+  const RankedMembers& from = willing.empty() ? candidates : willing;
+  if (from.empty()) {
+    return nullptr;
+  }
+  std::size_t pick =
+    mState.mPolicy.Pick({ from.data(), from.size() }, aFlowHash, aNow);
+  return from[pick < from.size() ? pick : 0];
+}
+
+void Ownership::Place(const FlowKey& aFlow,
+                      std::span<const PacketEvent> aPackets, Time aNow,
+                      OwnershipActions& aOut)
+{
+  const Member* owner = PickOwner(HashFlow(aFlow), aNow);
+  bool isSelf = owner != nullptr && owner->mHost == mState.mSelf.mHost;
+  OwnerTable::Entry* entry = nullptr;
+  if (owner != nullptr && !isSelf) {
+    entry = mState.mDirectory.Put(aFlow, aNow);
+  }
+  if (entry != nullptr) {
+    Peer to = ToPeer(*owner);
+    FlowEpoch epoch = mState.NextEpoch(to, aNow);
+    entry->mValue = { to, epoch, aNow, aNow + mState.mOptions.mSettle, {}, 0 };
+    for (const PacketEvent& it : aPackets) {
+      mState.Forward(it, to, PacketDirective::Adopt, epoch, aOut);
+    }
+    return;
+  }
+  bool hasNoRoom = owner != nullptr && !isSelf;
+  mState.mCounters[OwnershipCount::DirectoryFull] += hasNoRoom ? 1 : 0;
+  if (owner != nullptr && !mState.mDraining) {
+    // A flow that the arbiter owns itself needs no entry.
+    FlowEpoch epoch = mState.NextEpoch(mState.mSelf, aNow);
+    AdoptHere({ aFlow, epoch }, mState.mSelf.mHost, aPackets, aNow, aOut);
+    return;
+  }
+  for (const PacketEvent& it : aPackets) {
+    mState.Refuse(it, OwnershipRefusal::NoCandidate, aOut);
+  }
+}
+
+void Ownership::AdoptHere(const ClaimedFlow& aLife, HostId aArbiter,
+                          std::span<const PacketEvent> aPackets, Time aNow,
+                          OwnershipActions& aOut)
+{
+  FlowTable::Entry* flow =
+    mState.Adopt(aLife.mFlow, aLife.mEpoch, aLife.mMoves, aNow, aOut);
+  if (flow == nullptr) {
+    for (const PacketEvent& it : aPackets) {
+      TellArbiter(it, true, aOut);
+      mState.Refuse(it, OwnershipRefusal::FlowTableFull, aOut);
+    }
+    return;
+  }
+  const Member* arbiter = mState.mViews.Arbiter(HashFlow(aLife.mFlow));
+  if (arbiter != nullptr && arbiter->mHost == aArbiter) {
+    flow->mValue.mClaimedIn = mState.mViews.Generation();
+    flow->mValue.mClaimedTo = aArbiter;
+    flow->mValue.mClaimAt = aNow;
+  }
+  for (const PacketEvent& it : aPackets) {
+    mState.Dispatch(it, *flow, aNow, aOut);
+  }
+}
+
+} // namespace heatherplank
--- a/tests/OwnershipExplorationTest.cpp
+++ b/tests/OwnershipExplorationTest.cpp
@@ -78,10 +78,11 @@
 // Schedules that found a fault while the rules were made, beyond those above.
 TEST(OwnershipExploration, SchedulesThatOnceFailedPass)
 {
-  for (std::uint64_t seed :
-       { 109291,  111033,  112556,  116907,  124451,  125034, 134347, 227053,
-         230696,  244843,  259398,  265647,  284983,  285045, 287750, 293731,
-         1031361, 1077770, 1112212, 1193797, 1253241, 1257738 }) {
+  for (std::uint64_t seed : { 109291,  111033,  112556,  116907,  124451,
+                              125034,  134347,  227053,  230696,  244843,
+                              259398,  265647,  284983,  285045,  287750,
+                              293731,  1031361, 1077770, 1112212, 1193797,
+                              1253241, 1257738, 2126658, 2283702 }) {
     for (bool cuts : { false, true }) {
       WorldOptions options;
       options.mCuts = cuts;
