--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -2,6 +2,7 @@
 // counters are bytes or counts, which do not depend on the machine's load.
 #include <malloc.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 #include "src/wire/LoadCodec.h"
 #include "src/wire/MembershipCodec.h"
 #include "src/wire/PacketCodec.h"
+#include "src/wire/StatusCodec.h"
 #include "src/wire/SteerCodec.h"
 
 namespace heatherplank {
@@ -240,6 +242,17 @@
   aState.counters["claim_1"] = size(EncodeOwnershipMessage(one));
   aState.counters["claim_16"] = size(EncodeOwnershipMessage(full));
   aState.counters["hint"] = size(EncodeOwnershipMessage(hint));
+  StatusReport report;
+  report.mProcess = {
+    "host-10000", "agent", "dc-01", 5100, 1, 1, "10.2.1.1:9"
+  };
+  aState.counters["status_empty"] = size(EncodeStatusReport(report));
+  report.mFigures.resize(1);
+  report.mFigures[0].mName = "two-choices";
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    report.mFigures[0].mLatency["normal"].mBins[20 + i] = 1;
+  }
+  aState.counters["status_busy"] = size(EncodeStatusReport(report));
   aState.counters["load"] = size(EncodeLoad(LoadMessage{}));
 }
 BENCHMARK(MessageBytes);
@@ -396,5 +409,137 @@
   ->Iterations(1)
   ->Unit(benchmark::kMillisecond);
 
+/** The same in several data centres, one of which is lost. */
+class DataCentres
+{
+public:
+  DataCentres(int aBalancers, int aHosts, int aDataCentres,
+              std::size_t aMonitors)
+  {
+    BalancerMembershipOptions balancer;
+    balancer.mMonitors = aMonitors;
+    AgentMembershipOptions agent;
+    agent.mMonitors = aMonitors;
+    for (int i = 0; i < aDataCentres; ++i) {
+      balancer.mSeeds.push_back(AddressOf(i));
+    }
+    agent.mSeeds = balancer.mSeeds;
+    for (int i = 0; i < aBalancers; ++i) {
+      Member self =
+        MakeMember("balancer-" + std::to_string(i), BalancerService(), i);
+      self.mDataCentre = DataCentreOf(i % aDataCentres);
+      mBalancers[self.mControl] = std::make_unique<BalancerMembership>(
+        self, kAllowAll, balancer, i + 1, mNow);
+      mPlace[self.mControl] = i % aDataCentres;
+    }
+    for (int i = 0; i < aHosts; ++i) {
+      Member self = MakeMember("host-" + std::to_string(i),
+                               MakeServiceId("service"), kFirstHost + i);
+      self.mDataCentre = DataCentreOf(i % aDataCentres);
+      auto made =
+        std::make_unique<AgentMembership>(self, kAllowAll, agent, i + 1, mNow);
+      made->SetState(HostState::Serving, mNow);
+      mAgents[self.mControl] = std::move(made);
+      mPlace[self.mControl] = i % aDataCentres;
+    }
+  }
+
+  void Play(int aSeconds)
+  {
+    for (int step = 0; step < aSeconds * 20; ++step) {
+      mNow += milliseconds(50);
+      TickAll(mBalancers);
+      TickAll(mAgents);
+    }
+  }
+
+  void Lose(int aDataCentre)
+  {
+    auto isThere = [&](const auto& aIt) {
+      return mPlace[aIt.first] == aDataCentre;
+    };
+    std::erase_if(mBalancers, isThere);
+    std::erase_if(mAgents, isThere);
+  }
+
+  /** Hosts in the view of the first balancer. */
+  double InView()
+  {
+    auto& hosts = mBalancers.begin()->second->Hosts();
+    return static_cast<double>(
+      hosts.View(MakeServiceId("service"))->mMembers.size());
+  }
+
+private:
+  static constexpr std::int64_t kFirstHost = 100000;
+
+  static DataCentreId DataCentreOf(int aNumber)
+  {
+    return MakeDataCentreId("dc-" + std::to_string(aNumber));
+  }
+
+  template<typename Nodes>
+  void TickAll(Nodes& aNodes)
+  {
+    for (auto& [address, it] : aNodes) {
+      it->OnTick(mNow);
+      Deliver(it->TakeActions());
+    }
+  }
+
+  template<typename Nodes>
+  bool Give(Nodes& aNodes, const SendMembership& aSend)
+  {
+    auto found = aNodes.find(aSend.mTo);
+    if (found == aNodes.end()) {
+      return false;
+    }
+    found->second->OnMessage(aSend.mMessage, mNow);
+    Deliver(found->second->TakeActions());
+    return true;
+  }
+
+  void Deliver(const std::vector<SendMembership>& aAll)
+  {
+    for (const auto& it : aAll) {
+      if (!Give(mBalancers, it)) {
+        Give(mAgents, it);
+      }
+    }
+  }
+
+  Time mNow = Time{} + seconds(100);
+  std::map<Address, std::unique_ptr<BalancerMembership>> mBalancers;
+  std::map<Address, std::unique_ptr<AgentMembership>> mAgents;
+  std::map<Address, int> mPlace;
+};
+
+/** Three data centres of four balancers and ten hosts; the third is lost, and
+ * whoever is left is asked a minute later how many of its hosts are in view.
+ * Argument: monitors of a host, 0 for all balancers. */
+void LostDataCentre(benchmark::State& aState)
+{
+  constexpr int kBalancers = 12;
+  constexpr int kHosts = 30;
+  constexpr int kDataCentres = 3;
+  for (auto _ : aState) {
+    DataCentres world(kBalancers, kHosts, kDataCentres,
+                      static_cast<std::size_t>(aState.range(0)));
+    world.Play(15);
+    aState.counters["before"] = world.InView();
+    world.Lose(kDataCentres - 1);
+    for (int second : { 5, 60 }) {
+      world.Play(second == 5 ? 5 : 55);
+      aState.counters["after_" + std::to_string(second) + "_s"] =
+        world.InView();
+    }
+  }
+}
+BENCHMARK(LostDataCentre)
+  ->Arg(0)
+  ->Arg(3)
+  ->Iterations(1)
+  ->Unit(benchmark::kMillisecond);
+
 } // namespace
 } // namespace heatherplank
