--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -220,16 +220,43 @@
   ->Arg(7000)
   ->Unit(benchmark::kMicrosecond);
 
+LoadMessage MakeLoad()
+{
+  LoadMessage message;
+  message.mHost = MakeHostId("host");
+  message.mIncarnation = message.mSequence = 9;
+  HostLoad& load = message.mLoad;
+  load.mQueued = load.mBusy = 9;
+  load.mSlots = 2;
+  load.mLatency = load.mServiceTime = milliseconds(9);
+  load.mFailing = 0.5;
+  load.mResults = 9;
+  return message;
+}
+
 /** Bytes of the messages that grow with flows, headers of ours included. */
 void MessageBytes(benchmark::State& aState)
 {
+  // Defaults are left out of a message, so each field gets another value.
+  FlowKey flow{ AddressOf(1), AddressOf(2) };
+  Peer peer{ MakeHostId("host"), 9, AddressOf(3) };
   Packet packet;
-  Ask ask;
+  packet.mFlow = flow;
+  packet.mService = MakeServiceId("service");
+  packet.mReturnTo = packet.mHintTo = AddressOf(4);
+  packet.mHops = 1;
+  packet.mDirective = PacketDirective::Adopt;
+  packet.mArbiter = peer.mHost;
+  packet.mEpoch = 9;
+  Ask ask{ flow, peer, 9, AskPurpose::Reconfirm };
+  AskReply reply{ flow, peer, 9, AskVerdict::Owner, peer, 9, 9, true };
   Claim one;
-  one.mFlows.resize(1);
+  one.mFrom = peer;
+  one.mFlows = { { flow, 9, 9, true } };
   Claim full;
-  full.mFlows.resize(kMaxClaims);
-  Hint hint;
+  full.mFrom = peer;
+  full.mFlows.assign(kMaxClaims, { flow, 9, 9, true });
+  Hint hint{ flow, peer.mHost, peer, 9, true };
   for (auto _ : aState) {
     benchmark::DoNotOptimize(EncodeOwnershipMessage(ask));
   }
@@ -238,7 +265,7 @@
   };
   aState.counters["packet"] = size(EncodePacket(packet));
   aState.counters["ask"] = size(EncodeOwnershipMessage(ask));
-  aState.counters["ask_reply"] = size(EncodeOwnershipMessage(AskReply{}));
+  aState.counters["ask_reply"] = size(EncodeOwnershipMessage(reply));
   aState.counters["claim_1"] = size(EncodeOwnershipMessage(one));
   aState.counters["claim_16"] = size(EncodeOwnershipMessage(full));
   aState.counters["hint"] = size(EncodeOwnershipMessage(hint));
@@ -253,7 +280,7 @@
     report.mFigures[0].mLatency["normal"].mBins[20 + i] = 1;
   }
   aState.counters["status_busy"] = size(EncodeStatusReport(report));
-  aState.counters["load"] = size(EncodeLoad(LoadMessage{}));
+  aState.counters["load"] = size(EncodeLoad(MakeLoad()));
 }
 BENCHMARK(MessageBytes);
 
@@ -377,7 +404,7 @@
   for (auto _ : aState) {
     ControlWorld world(aState.range(0), aState.range(1),
                        static_cast<std::size_t>(aState.range(2)));
-    world.Play(15);
+    world.Play(60);
     world.Watch(aState.range(3) == 0 ? ControlWorld::FirstAgent()
                                      : ControlWorld::FirstBalancer());
     world.Play(kSeconds);
