--- a/include/heatherplank/Configuration.h
+++ b/include/heatherplank/Configuration.h
@@ -41,7 +41,7 @@
   /** Longest wait for an answer when the caller states no deadline. */
   Duration mDeadline = std::chrono::seconds(2);
   /** Most requests of this rule that wait at one host. */
-  std::uint32_t mQueueLimit = 64;
+  std::uint32_t mQueueLimit = 256;
 
   bool operator==(const Rule&) const = default;
 };
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -10,7 +10,9 @@
 #include "src/agent/ConfigFeed.h"
 #include "src/agent/FlowFront.h"
 #include "src/agent/MemberFeed.h"
+#include "src/agent/Outliers.h"
 #include "src/agent/PeerLoads.h"
+#include "src/agent/PolicyMeter.h"
 #include "src/agent/RequestPipeline.h"
 #include "src/agent/RunOnceRecorder.h"
 #include "src/agent/SlowStarts.h"
@@ -22,9 +24,11 @@
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
 #include "src/process/ProcessRuntime.h"
+#include "src/process/StatusSender.h"
 #include "src/process/WallClock.h"
 #include "src/wire/LoadCodec.h"
 #include "src/wire/MembershipCodec.h"
+#include "src/wire/StatusCodec.h"
 
 namespace heatherplank {
 
@@ -35,6 +39,7 @@
 constexpr auto kConfigTick = std::chrono::milliseconds(100);
 constexpr auto kMembersTick = std::chrono::milliseconds(50);
 constexpr auto kLinksTick = std::chrono::seconds(1);
+constexpr auto kStatusPeriod = std::chrono::seconds(1);
 /** Five figures a second keep a choice among loads well within the second that
  * picks count for at most. */
 constexpr auto kLoadPeriod = std::chrono::milliseconds(200);
@@ -59,6 +64,15 @@
   return self;
 }
 
+/** A shard of grants has one call at a time: one that hangs for longer than
+ * this would use up the deadlines of all claims behind it. */
+HttpObjectStore::Options StoreOptions()
+{
+  HttpObjectStore::Options options;
+  options.mTimeout = std::chrono::milliseconds(400);
+  return options;
+}
+
 } // namespace
 
 struct Agent::Impl
@@ -99,7 +113,10 @@
   MemberFeed mMembers;
   ConfigFeed mConfig;
   PeerLoads mLoads;
+  PolicyMeter mMeter{ mClock };
+  StatusSender mStatus{ mSettings, "agent" };
   SlowStarts mSlowStarts;
+  Outliers mOutliers;
   AdminServer mAdmin;
   std::mt19937_64 mRandom;
   std::shared_ptr<DatagramSocket> mTunnel;
@@ -181,14 +198,15 @@
                         },
                         [this](const Address& aTo, const Bytes& aPayload) {
                           mLinks.Send(aTo, MessageKind::HandOff, aPayload);
-                        } },
+                        },
+                        mMeter },
       options);
     mStore = std::make_shared<HttpObjectStore>(
-      mRuntime.Executor(), mSettings.mPlatform, HttpObjectStore::Options{});
+      mRuntime.Executor(), mSettings.mPlatform, StoreOptions());
     RunOnceOptions recording;
     recording.mPrefix = "grants/" + mSettings.mService;
     mGrants = std::make_unique<RunOnceRecorder>(
-      RunOnceRecorder::Parts{ mClock, mMetrics, mStore, *mTunnel,
+      RunOnceRecorder::Parts{ mClock, mMetrics, mStore, *mTunnel, mLinks,
                               [this] { return View(); } },
       mSelf, recording);
     mPipeline = std::make_unique<RequestPipeline>(
@@ -214,6 +232,7 @@
       mConfig.Tick();
     });
     mRuntime.Every(kLoadPeriod, [this] { TellLoad(); });
+    mRuntime.Every(kStatusPeriod, [this] { TellStatus(); });
   }
 
   void OnConfiguration(const Configuration& aConfiguration)
@@ -225,6 +244,8 @@
                  { "version", aConfiguration.mVersion } });
       return;
     }
+    mMeter.SetPolicy(aConfiguration.mPolicy.mName);
+    mStatus.OnInForce(aConfiguration.mVersion, mClock.Now());
     mFront->SetService(*service, aConfiguration.mPolicy.mName);
     mPipeline->SetService(*service);
     mMembers.Announce();
@@ -238,12 +259,14 @@
   void OnView(const ServiceViewPtr& aView, Time aConfirmedAt)
   {
     mSlowStarts.OnView(*aView, mClock.Now());
+    mOutliers.OnView(*aView);
     {
       std::lock_guard lock(mViewLock);
       mView = aView;
     }
     if (mFront) {
       mFront->OnView(aView, aConfirmedAt);
+      mGrants->OnView(*aView);
     }
   }
 
@@ -260,7 +283,9 @@
     candidate.mLoad = aMember.mHost == mSelf.mHost
                         ? mPipeline->Load()
                         : mLoads.Find(aMember.mHost, aNow);
-    candidate.mWeight = mSlowStarts.Share(aMember.mHost, aNow);
+    candidate.mWeight = mOutliers.IsOut(aMember.mHost, aNow)
+                          ? 0
+                          : mSlowStarts.Share(aMember.mHost, aNow);
     return candidate;
   }
 
@@ -275,6 +300,7 @@
       auto load = DecodeLoad(frame->mPayload);
       if (load) {
         mLoads.OnLoad(*load, mClock.Now());
+        mOutliers.OnFigures(load->mHost, load->mLoad, mClock.Now());
       } else {
         mMalformed.Add();
       }
@@ -289,6 +315,8 @@
   {
     if (aFrame.mKind == MessageKind::HandOff) {
       mFront->OnHandOffFrame(aFrame.mPayload);
+    } else if (mGrants->OnFrame(aFrame)) {
+      return;
     } else if (IsMembership(aFrame.mKind)) {
       mMembers.OnFrame(aFrame);
     } else {
@@ -307,6 +335,7 @@
     message.mIncarnation = mSelf.mIncarnation;
     message.mSequence = ++mLoadSequence;
     message.mLoad = mPipeline->Load();
+    mOutliers.OnFigures(mSelf.mHost, message.mLoad, mClock.Now());
     Bytes datagram = EncodeLoad(message);
     std::vector<Member> others;
     std::vector<Candidate> peers;
@@ -324,6 +353,19 @@
     }
     mLoads.Retain(view->Members());
     mPipeline->SetPeers(peers);
+    peers.push_back(Observe(mSelf, now));
+    mMeter.OnLoads(peers);
+  }
+
+  /** Tells the balancer that keeps this process's status what it runs and how
+   * the policy fares here. What can't be told now is counted on. */
+  void TellStatus()
+  {
+    mStatus.Add(mMeter.Take());
+    if (auto due = mStatus.Tick(mMembers.Balancers(), mClock.Now())) {
+      mLinks.Send(due->mKeeper.mControl, MessageKind::StatusReport,
+                  EncodeStatusReport(due->mReport));
+    }
   }
 
   /** Takes no new flow from now on, and hands over those it has. */
--- a/src/agent/ConfigFeed.cpp
+++ b/src/agent/ConfigFeed.cpp
@@ -15,6 +15,7 @@
 ConfigFeed::ConfigFeed(Parts aParts, ServiceId aService,
                        std::span<const Address> aSeeds)
   : mParts(std::move(aParts))
+  , mRelay(mParts.mOnChange)
   , mConfiguration({ aService })
 {
   for (const auto& it : aSeeds) {
@@ -45,10 +46,10 @@
     auto encoded = EncodeConfigMessage(message);
     mParts.mLinks.Send(to, encoded.mKind, encoded.mPayload);
   }
-  for (auto& it : changes) {
+  for (const auto& it : changes) {
     LogEvent(LogLevel::Info, "configuration_in_force",
              { { "version", it->mVersion } });
-    mParts.mOnChange(std::move(it));
+    mRelay.Deliver(it);
   }
 }
 
--- a/src/agent/ConfigFeed.h
+++ b/src/agent/ConfigFeed.h
@@ -8,6 +8,7 @@
 
 #include "include/heatherplank/Member.h"
 #include "src/config/AgentConfiguration.h"
+#include "src/config/InForceRelay.h"
 #include "src/wire/HelloCodec.h"
 
 namespace heatherplank {
@@ -27,8 +28,8 @@
     const Clock& mClock;
     MetricsRegistry& mMetrics;
     ControlLinks& mLinks;
-    /** Called with no lock held for each version, in order. */
-    std::function<void(ConfigurationPtr)> mOnChange;
+    /** Called for each version, in order; it must not call the feed. */
+    InForceRelay::OnChange mOnChange;
   };
 
   /** aSeeds: control addresses of balancers to begin with. */
@@ -53,6 +54,7 @@
   bool IsKnown(const Address& aControl) const;
 
   Parts mParts;
+  InForceRelay mRelay;
   mutable std::mutex mLock;
   AgentConfiguration mConfiguration;
   ConfigCounters mExported;
--- a/src/agent/FlowFront.cpp
+++ b/src/agent/FlowFront.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/agent/PolicyMeter.h"
 #include "src/caller/Answer.h"
 #include "src/metrics/Metrics.h"
 #include "src/net/DatagramSocket.h"
@@ -69,6 +70,8 @@
   , mOptions(aOptions)
   , mMalformed(mParts.mMetrics.GetCounter("packets_refused_total",
                                           "reason=\"malformed\""))
+  , mNotReady(mParts.mMetrics.GetCounter("packets_refused_total",
+                                         "reason=\"not_ready\""))
   , mWrongService(mParts.mMetrics.GetCounter("packets_refused_total",
                                              "reason=\"wrong_service\""))
   , mRepeats(mParts.mMetrics.GetCounter("requests_repeated_total",
@@ -141,6 +144,12 @@
   OnDatagram({ MessageKind::HandOff, aPayload });
 }
 
+bool FlowFront::IsConfigured() const
+{
+  std::lock_guard lock(mServiceLock);
+  return !mAddresses.empty();
+}
+
 bool FlowFront::IsForThisService(const Packet& aPacket) const
 {
   // Checked a second time, after the balancer: an address may have moved to
@@ -155,10 +164,21 @@
 
 void FlowFront::OnPacket(const Packet& aPacket)
 {
+  // Packets for the host's former life reach a process that just started and
+  // can't judge them: dropped, they come again by way of an agent that can.
+  if (!IsConfigured()) {
+    mNotReady.Add();
+    return;
+  }
   Effects effects;
+  FlowShard& shard = ShardOf(aPacket.mFlow);
   if (!IsForThisService(aPacket)) {
     mWrongService.Add();
-    RefusePayload(Hold(aPacket), "wrong_service", kWrongServiceRetry, effects);
+    {
+      std::lock_guard lock(shard.mLock);
+      RefuseRequest(shard, Hold(aPacket), "wrong_service", kWrongServiceRetry,
+                    effects);
+    }
     Perform(effects);
     return;
   }
@@ -166,7 +186,6 @@
     RunLent(aPacket);
     return;
   }
-  FlowShard& shard = ShardOf(aPacket.mFlow);
   {
     std::lock_guard lock(shard.mLock);
     PacketToken token = mNextToken++;
@@ -412,12 +431,16 @@
 {
   auto held = aShard.mHeld.extract(aRefuse.mToken);
   if (!held.empty()) {
-    RefusePayload(held.mapped(), ToString(aRefuse.mReason), aRefuse.mRetryAfter,
-                  aEffects);
+    RefuseRequest(aShard, held.mapped(), ToString(aRefuse.mReason),
+                  aRefuse.mRetryAfter, aEffects);
   }
 }
 
-void FlowFront::RefusePayload(const HeldPacket& aPacket,
+/** Failure met: copies of one request queue up while this process is paused.
+ * The first is refused, the view becomes fresh, and the next copy is taken in
+ * as a new request: its caller was told "not run", and it ran. It holds since
+ * the refusal is kept under the request's id like any other answer. */
+void FlowFront::RefuseRequest(FlowShard& aShard, const HeldPacket& aPacket,
                               std::string_view aReason, Duration aRetryAfter,
                               Effects& aEffects)
 {
@@ -426,8 +449,27 @@
     mMalformed.Add();
     return;
   }
-  PutAnswer(aPacket, MakeNotRun(503, aReason, aRetryAfter), parsed->mRequestId,
-            0, {}, aEffects);
+  PendingRequest request;
+  request.mRequest = std::move(*parsed);
+  const std::string& id = request.mRequest.mRequestId;
+  RequestState state = aShard.mAnswers.Begin(aPacket.mFlow, id);
+  if (state == RequestState::InProgress) {
+    mRepeats.Add();
+    return;
+  }
+  if (state == RequestState::New) {
+    // This host does not own the flow. The one that does may have run a claim
+    // before it was paused or cut off, so "not run" could be false; the record
+    // will tell when the caller asks again under its key.
+    bool mayHaveRun =
+      !mPipeline->Classify(request) || request.mRule.mNeverRepeat;
+    aShard.mAnswers.Finish(aPacket.mFlow, id,
+                           mayHaveRun ? MakeUnsure(aReason, aRetryAfter)
+                                      : MakeNotRun(503, aReason, aRetryAfter),
+                           mParts.mClock.Now());
+  }
+  PutAnswer(aPacket, *aShard.mAnswers.Find(aPacket.mFlow, id), id, 0, {},
+            aEffects);
 }
 
 void FlowFront::PutAnswer(const HeldPacket& aPacket, const Answer& aAnswer,
@@ -472,6 +514,8 @@
   {
     std::lock_guard lock(shard.mLock);
     Time now = mParts.mClock.Now();
+    mParts.mMeter.OnAnswer(aRequest->mRule.mImportance, aAnswer,
+                           now - aRequest->mArrival);
     bool ran = aAnswer.mOutcome != Outcome::NotRun;
     shard.mAnswers.Finish(aRequest->mFlow, id, std::move(aAnswer), now);
     if (!aRequest->mLent) {
@@ -587,6 +631,12 @@
         isRefusal ? "packets_refused_total" : "ownership_events_total", label)
       .Add(totals[i] - mExported[i]);
   }
+  auto grown = [&](OwnershipCount aCount) {
+    auto i = static_cast<std::size_t>(aCount);
+    return totals[i] - mExported[i];
+  };
+  mParts.mMeter.OnFlows(grown(OwnershipCount::Adopted),
+                        grown(OwnershipCount::FlowsLetGo));
   mExported = std::move(totals);
   mParts.mMetrics.GetGauge("flows_owned").Set(static_cast<double>(flows));
 }
--- a/src/agent/FlowFront.h
+++ b/src/agent/FlowFront.h
@@ -13,6 +13,7 @@
 namespace heatherplank {
 
 class DatagramSocket;
+class PolicyMeter;
 
 /** The agent's first filters, from a datagram to a request that this host owns
  * (receive, own), and its last, from an answer to the caller. It carries out
@@ -33,6 +34,7 @@
     /** Sends a hand-off that is too large for a datagram to the control
      * address of a member. */
     std::function<void(const Address&, const Bytes&)> mSendByControl;
+    PolicyMeter& mMeter;
   };
   struct Options
   {
@@ -84,6 +86,7 @@
   FlowShard& ShardOf(const FlowKey& aFlow);
   void OnPacket(const Packet& aPacket);
   void OnMessage(const OwnershipMessage& aMessage);
+  bool IsConfigured() const;
   bool IsForThisService(const Packet& aPacket) const;
   void RunLent(const Packet& aPacket);
   void Carry(FlowShard& aShard, const OwnershipActions& aActions,
@@ -99,8 +102,9 @@
                Effects& aEffects);
   void RefuseHeld(FlowShard& aShard, const RefusePacket& aRefuse,
                   Effects& aEffects);
-  void RefusePayload(const HeldPacket& aPacket, std::string_view aReason,
-                     Duration aRetryAfter, Effects& aEffects);
+  void RefuseRequest(FlowShard& aShard, const HeldPacket& aPacket,
+                     std::string_view aReason, Duration aRetryAfter,
+                     Effects& aEffects);
   void PutAnswer(const HeldPacket& aPacket, const Answer& aAnswer,
                  const std::string& aRequestId, FlowEpoch aEpoch,
                  const std::optional<ByteRange>& aRange, Effects& aEffects);
@@ -123,6 +127,7 @@
   ServiceViewPtr mView;
 
   Counter& mMalformed;
+  Counter& mNotReady;
   Counter& mWrongService;
   Counter& mRepeats;
   Counter& mResent;
--- /dev/null
+++ b/src/agent/Outliers.cpp
@@ -0,0 +1,46 @@
+#include "src/agent/Outliers.h"
+
+#include <utility>
+
+#include "src/decide/OutlierDetector.h"
+
+namespace heatherplank {
+
+Outliers::Outliers()
+  : mDetector(std::move(*MakeOutlierDetector("compared")))
+{
+}
+
+Outliers::~Outliers() = default;
+
+void Outliers::OnView(const ServiceView& aView)
+{
+  std::set<HostId> present;
+  for (const auto& it : aView.Members()) {
+    present.insert(it.mHost);
+  }
+  std::lock_guard lock(mLock);
+  for (const auto& it : mHosts) {
+    if (!present.contains(it)) {
+      mDetector->Remove(it);
+    }
+  }
+  for (const auto& it : present) {
+    mDetector->Add(it);
+  }
+  mHosts = std::move(present);
+}
+
+void Outliers::OnFigures(HostId aHost, const HostLoad& aLoad, Time aNow)
+{
+  std::lock_guard lock(mLock);
+  mDetector->OnFigures(aHost, aLoad, aNow);
+}
+
+bool Outliers::IsOut(HostId aHost, Time aNow) const
+{
+  std::lock_guard lock(mLock);
+  return mDetector->IsOut(aHost, aNow);
+}
+
+} // namespace heatherplank
--- a/src/agent/RequestPipeline.cpp
+++ b/src/agent/RequestPipeline.cpp
@@ -11,20 +11,6 @@
 namespace {
 
 constexpr std::string_view kAdmission = "reservation";
-constexpr std::string_view kFallbackAdmission = "priority";
-
-std::unique_ptr<AdmissionPolicy> MakeAdmission(const Service& aService,
-                                               std::uint32_t aSlots,
-                                               std::uint64_t aSeed)
-{
-  AdmissionOptions options = MakeAdmissionOptions(aService, aSeed);
-  options.mSlots = aSlots;
-  auto policy = MakeAdmissionPolicy(kAdmission, options);
-  if (!policy) {
-    policy = MakeAdmissionPolicy(kFallbackAdmission, options);
-  }
-  return std::move(*policy);
-}
 
 unsigned StatusOf(RefusalReason aReason)
 {
@@ -50,11 +36,10 @@
   : mParts(aParts)
   , mHost(std::move(aHost))
   , mSlots(aSlots)
+  , mSeed(HashBytes(mHost))
   , mAnswered(aParts.mMetrics.GetCounter("requests_answered_total"))
   , mUnknown(aParts.mMetrics.GetCounter("requests_unknown_total"))
   , mDispatched(aParts.mMetrics.GetCounter("requests_dispatched_total"))
-  , mHandedOn(aParts.mMetrics.GetCounter("requests_retried_total",
-                                         "reason=\"lighter_host\""))
   , mLatency(aParts.mMetrics.GetHistogram("request_milliseconds"))
 {
   for (std::size_t i = 0; i < kRefusalReasons; ++i) {
@@ -62,6 +47,11 @@
     mRefusals[i] = &aParts.mMetrics.GetCounter("requests_refused_total",
                                                "reason=\"" + name + "\"");
   }
+  for (std::size_t i = 0; i < kRetryReasons; ++i) {
+    std::string name(ToString(static_cast<RetryReason>(i)));
+    mRetried[i] = &aParts.mMetrics.GetCounter("requests_retried_total",
+                                              "reason=\"" + name + "\"");
+  }
 }
 
 RequestPipeline::~RequestPipeline() = default;
@@ -73,57 +63,28 @@
   {
     std::lock_guard lock(mLock);
     mService = aService;
-    ++mRulesGeneration;
-    decisions = MoveToNewRules(now);
+    AdmissionOptions options = MakeAdmissionOptions(mService, mSeed);
+    options.mSlots = mSlots;
+    Actions actions;
+    if (mAdmission) {
+      mAdmission->OnOptions(options, now, actions);
+    } else {
+      mAdmission = std::move(*MakeAdmissionPolicy(kAdmission, options));
+      if (mDraining) {
+        mAdmission->OnDrain(now, actions);
+      }
+    }
+    decisions = Collect(actions);
   }
   CarryOut(decisions);
 }
 
-RequestPipeline::Decisions RequestPipeline::MoveToNewRules(Time aNow)
+RequestPipeline::Decisions RequestPipeline::Collect(
+  const Actions& aActions) const
 {
-  Actions actions;
-  std::vector<PendingRequestPtr> waiting;
-  for (auto it = mRequests.begin(); it != mRequests.end();) {
-    if (mAdmission && mAdmission->OnCancel(it->first, aNow, actions)) {
-      waiting.push_back(it->second);
-      it = mRequests.erase(it);
-      continue;
-    }
-    mRunningUnderOldRules.insert(*it);
-    ++it;
-  }
-  // What OnCancel let the old policy dispatch is now among those that wait in
-  // neither; they go on as running.
   Decisions decisions;
-  for (const auto& it : actions) {
-    if (auto request = Find(it.mId)) {
-      decisions.mSteps.push_back({ it, request });
-    }
-  }
-  mAdmission = MakeAdmission(mService, mSlots, mRulesGeneration);
-  actions.clear();
-  auto busy = static_cast<std::uint32_t>(mRunningUnderOldRules.size());
-  mAdmission->OnSlots(mSlots - std::min(mSlots, busy), aNow, actions);
-  mAdmission->OnPeers(mPeers, aNow, actions);
-  if (mDraining) {
-    mAdmission->OnDrain(aNow, actions);
-  }
-  for (const auto& it : waiting) {
-    mRequests[it->mId] = it;
-    it->mClass = static_cast<std::uint16_t>(mService.mRules.size());
-    for (std::size_t i = 0; i < mService.mRules.size(); ++i) {
-      if (mService.mRules[i].mName == it->mRule.mName) {
-        it->mClass = static_cast<std::uint16_t>(i);
-      }
-    }
-    mAdmission->OnRequest({ it->mId, it->mClass, it->mHops, 0,
-                            HashFlow(it->mFlow), it->mArrival, it->mDeadline },
-                          aNow, actions);
-  }
-  for (const auto& it : actions) {
-    if (auto request = Find(it.mId)) {
-      decisions.mSteps.push_back({ it, request });
-    }
+  for (const auto& it : aActions) {
+    decisions.mSteps.push_back({ it, Find(it.mId) });
   }
   return decisions;
 }
@@ -154,6 +115,7 @@
     std::lock_guard lock(mLock);
     aRequest->mId = mNextId++;
     mRequests[aRequest->mId] = aRequest;
+    mRetries.OnFirstAttempt();
     Actions actions;
     mAdmission->OnRequest(
       { aRequest->mId, aRequest->mClass, aRequest->mHops,
@@ -161,9 +123,7 @@
         std::hash<Address>{}(aRequest->mFlow.mCaller), aRequest->mArrival,
         aRequest->mDeadline },
       now, actions);
-    for (const auto& it : actions) {
-      decisions.mSteps.push_back({ it, Find(it.mId) });
-    }
+    decisions = Collect(actions);
   }
   CarryOut(decisions);
 }
@@ -194,9 +154,7 @@
     } else if (request->mSent) {
       ticket = request->mTicket;
     }
-    for (const auto& action : actions) {
-      decisions.mSteps.push_back({ action, Find(action.mId) });
-    }
+    decisions = Collect(actions);
   }
   CarryOut(decisions);
   if (waiting) {
@@ -219,9 +177,7 @@
     }
     Actions actions;
     mAdmission->OnPeers(mPeers, now, actions);
-    for (const auto& it : actions) {
-      decisions.mSteps.push_back({ it, Find(it.mId) });
-    }
+    decisions = Collect(actions);
   }
   CarryOut(decisions);
 }
@@ -238,9 +194,7 @@
     }
     Actions actions;
     mAdmission->OnDrain(now, actions);
-    for (const auto& it : actions) {
-      decisions.mSteps.push_back({ it, Find(it.mId) });
-    }
+    decisions = Collect(actions);
   }
   CarryOut(decisions);
 }
@@ -256,9 +210,7 @@
     }
     Actions actions;
     mAdmission->OnTick(now, actions);
-    for (const auto& it : actions) {
-      decisions.mSteps.push_back({ it, Find(it.mId) });
-    }
+    decisions = Collect(actions);
   }
   CarryOut(decisions);
 }
@@ -311,7 +263,7 @@
       case ActionKind::HandOn:
         Take(request->mId);
         if (mParts.mOutput.OnHandOn(request, action.mTarget)) {
-          mHandedOn.Add();
+          mRetried[static_cast<std::size_t>(action.mHandOnReason)]->Add();
         } else {
           Refuse(request, RefusalReason::NoHost, action.mRetryAfter);
         }
@@ -396,9 +348,12 @@
       return;
     }
     case BackendResult::Refused:
+      RetryOrRefuse(aRequest, AttemptEnd::Shed, RunResult::Shed,
+                    std::move(aAnswer.mAnswer));
+      return;
     case BackendResult::NotSent:
-      mRefusals[static_cast<std::size_t>(RefusalReason::BackendShed)]->Add();
-      SettleNotRun(aRequest, RunResult::Shed, std::move(aAnswer.mAnswer));
+      RetryOrRefuse(aRequest, AttemptEnd::ConnectFailed, RunResult::Unreachable,
+                    std::move(aAnswer.mAnswer));
       return;
     case BackendResult::Lost:
       if (recorded) {
@@ -409,6 +364,45 @@
   }
 }
 
+void RequestPipeline::RetryOrRefuse(const PendingRequestPtr& aRequest,
+                                    AttemptEnd aEnd, RunResult aResult,
+                                    Answer aAnswer)
+{
+  mRefusals[static_cast<std::size_t>(RefusalReason::BackendShed)]->Add();
+  RetryAdvice advice = AdviseRetry(aEnd, aRequest->mRule.mNeverRepeat);
+  HostId other;
+  {
+    std::lock_guard lock(mLock);
+    // A recorded request would first have to give its grant back; its caller
+    // comes back with the key, which costs no more.
+    bool mayMove = advice.mPlace == RetryPlace::OtherHost &&
+                   !aRequest->mRule.mNeverRepeat && !aRequest->mLent;
+    other = mayMove ? LightestPeer() : HostId{};
+    if (!other.IsNone() && !mRetries.TryRetry()) {
+      other = {};
+    }
+  }
+  if (other.IsNone() || !mParts.mOutput.OnHandOn(aRequest, other)) {
+    SettleNotRun(aRequest, aResult, std::move(aAnswer));
+    return;
+  }
+  mRetried[static_cast<std::size_t>(advice.mReason)]->Add();
+  End(aRequest, aResult);
+}
+
+HostId RequestPipeline::LightestPeer() const
+{
+  const Candidate* best = nullptr;
+  for (const auto& it : mPeers) {
+    bool better =
+      best == nullptr || LoadPerSlot(it.mLoad) < LoadPerSlot(best->mLoad);
+    if (it.mWeight > 0 && better) {
+      best = &it;
+    }
+  }
+  return best == nullptr ? HostId{} : best->mHost;
+}
+
 void RequestPipeline::SettleNotRun(const PendingRequestPtr& aRequest,
                                    RunResult aResult, Answer aAnswer)
 {
@@ -424,6 +418,12 @@
 
 void RequestPipeline::Finish(const PendingRequestPtr& aRequest,
                              RunResult aResult, Answer aAnswer)
+{
+  Send(aRequest, std::move(aAnswer));
+  End(aRequest, aResult);
+}
+
+void RequestPipeline::End(const PendingRequestPtr& aRequest, RunResult aResult)
 {
   Time now = mParts.mClock.Now();
   Decisions decisions;
@@ -431,19 +431,11 @@
     std::lock_guard lock(mLock);
     mRequests.erase(aRequest->mId);
     Actions actions;
-    if (mRunningUnderOldRules.erase(aRequest->mId) > 0) {
-      auto busy = static_cast<std::uint32_t>(mRunningUnderOldRules.size());
-      mAdmission->OnSlots(mSlots - std::min(mSlots, busy), now, actions);
-    } else {
-      Duration took =
-        aRequest->mSent ? now - aRequest->mDispatchedAt : Duration::zero();
-      mAdmission->OnDone(aRequest->mId, aResult, took, now, actions);
-    }
-    for (const auto& it : actions) {
-      decisions.mSteps.push_back({ it, Find(it.mId) });
-    }
+    Duration took =
+      aRequest->mSent ? now - aRequest->mDispatchedAt : Duration::zero();
+    mAdmission->OnDone(aRequest->mId, aResult, took, now, actions);
+    decisions = Collect(actions);
   }
-  Send(aRequest, std::move(aAnswer));
   CarryOut(decisions);
 }
 
--- a/src/agent/RequestPipeline.h
+++ b/src/agent/RequestPipeline.h
@@ -10,6 +10,7 @@
 
 #include "src/agent/PendingRequest.h"
 #include "src/decide/AdmissionPolicy.h"
+#include "src/decide/Retry.h"
 
 namespace heatherplank {
 
@@ -55,8 +56,7 @@
   RequestPipeline(const Parts& aParts, std::string aHost, std::uint32_t aSlots);
   ~RequestPipeline();
 
-  /** Puts a service's rules in force. Requests that wait are admitted anew
-   * under them, requests that run go on. */
+  /** Puts a service's rules in force. */
   void SetService(const Service& aService);
 
   /** The class of a request by the service's rules: rule and class index of
@@ -87,6 +87,10 @@
 private:
   struct Decisions;
 
+  /** Both under the lock. */
+  Decisions Collect(const Actions& aActions) const;
+  HostId LightestPeer() const;
+
   PendingRequestPtr Take(RequestId aId);
   PendingRequestPtr Find(RequestId aId) const;
   void CarryOut(const Decisions& aDecisions);
@@ -94,23 +98,27 @@
   void OnGrant(const PendingRequestPtr& aRequest, GrantDecision aDecision);
   void SendToBackend(const PendingRequestPtr& aRequest);
   void OnBackend(const PendingRequestPtr& aRequest, BackendAnswer aAnswer);
+  /** It was not run here: another host may, or its caller is told. */
+  void RetryOrRefuse(const PendingRequestPtr& aRequest, AttemptEnd aEnd,
+                     RunResult aResult, Answer aAnswer);
   void SettleNotRun(const PendingRequestPtr& aRequest, RunResult aResult,
                     Answer aAnswer);
   void Finish(const PendingRequestPtr& aRequest, RunResult aResult,
               Answer aAnswer);
+  void End(const PendingRequestPtr& aRequest, RunResult aResult);
   void Refuse(const PendingRequestPtr& aRequest, RefusalReason aReason,
               Duration aRetryAfter);
-  Decisions MoveToNewRules(Time aNow);
   void Send(const PendingRequestPtr& aRequest, Answer aAnswer);
 
   Parts mParts;
   std::string mHost;
   std::uint32_t mSlots;
+  std::uint64_t mSeed;
   std::array<Counter*, kRefusalReasons> mRefusals{};
   Counter& mAnswered;
   Counter& mUnknown;
   Counter& mDispatched;
-  Counter& mHandedOn;
+  std::array<Counter*, kRetryReasons> mRetried{};
   Histogram& mLatency;
 
   mutable std::mutex mLock;
@@ -118,12 +126,9 @@
   std::unique_ptr<AdmissionPolicy> mAdmission;
   std::vector<Candidate> mPeers;
   bool mDraining = false;
+  RetryBudget mRetries;
   RequestId mNextId = 1;
   std::unordered_map<RequestId, PendingRequestPtr> mRequests;
-  /** Requests that run and were dispatched under earlier rules; they hold a
-   * slot that the admission in force does not know of. */
-  std::unordered_map<RequestId, PendingRequestPtr> mRunningUnderOldRules;
-  std::uint64_t mRulesGeneration = 0;
 };
 
 } // namespace heatherplank
--- a/src/agent/RunOnceRecorder.cpp
+++ b/src/agent/RunOnceRecorder.cpp
@@ -5,6 +5,8 @@
 #include "src/caller/AnswerCodec.h"
 #include "src/metrics/Metrics.h"
 #include "src/net/DatagramSocket.h"
+#include "src/process/ControlLinks.h"
+#include "src/wire/HomeCodec.h"
 #include "src/wire/KeyCodec.h"
 
 namespace heatherplank {
@@ -117,10 +119,12 @@
       mAttempts.erase(it);
       return;
     }
-    attempt.mDone = std::move(aDone);
-    if (attempt.mMayHaveRun) {
-      mRunOnce.RefusedByServer(attempt.mKey, aNonce, mParts.mClock.Now());
-    }
+    // Nothing was run under this nonce, and from here on nothing will be.
+    mRunOnce.RefusedByServer(attempt.mKey, aNonce, mParts.mClock.Now());
+    mOpen.erase(attempt.mToken);
+    mAttempts.erase(it);
+    aEffects.mCallbacks.push_back(
+      [done = std::move(aDone), aAnswer] { done(aAnswer); });
   });
 }
 
@@ -174,6 +178,65 @@
   return true;
 }
 
+bool RunOnceRecorder::OnFrame(const Frame& aFrame)
+{
+  if (aFrame.mKind == MessageKind::ShardWishes) {
+    if (auto wishes = DecodeShardWishes(aFrame.mPayload)) {
+      Do([&](Effects&) {
+        mRunOnce.OnWishes(wishes->mWishes, mParts.mClock.Now());
+      });
+      return true;
+    }
+  } else if (aFrame.mKind == MessageKind::ShardOutcomes) {
+    if (auto outcomes = DecodeShardOutcomes(aFrame.mPayload)) {
+      Do([&](Effects&) {
+        mRunOnce.OnOutcomes(outcomes->mOutcomes, outcomes->mRetryAfter,
+                            mParts.mClock.Now());
+      });
+      return true;
+    }
+  } else {
+    return false;
+  }
+  mParts.mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\"")
+    .Add();
+  return true;
+}
+
+void RunOnceRecorder::OnView(const ServiceView& aView)
+{
+  std::vector<HostId> hosts;
+  for (const auto& it : aView.Members()) {
+    if (CanAdopt(it)) {
+      hosts.push_back(it.mHost);
+    }
+  }
+  Do([&](Effects&) { mRunOnce.SetHomes(hosts); });
+}
+
+void RunOnceRecorder::Send(const AskHome& aMessage)
+{
+  SendTo(aMessage.mHome, MessageKind::ShardWishes,
+         EncodePayload(ShardWishes{ mSelf.mService, aMessage.mWishes }));
+}
+
+void RunOnceRecorder::Send(const TellAgent& aMessage)
+{
+  SendTo(aMessage.mAgent, MessageKind::ShardOutcomes,
+         EncodePayload(ShardOutcomes{ mSelf.mService, aMessage.mOutcomes,
+                                      aMessage.mRetryAfter }));
+}
+
+void RunOnceRecorder::SendTo(HostId aHost, MessageKind aKind,
+                             const Bytes& aPayload)
+{
+  ServiceViewPtr view = mParts.mView();
+  const Member* member = view ? view->Find(aHost) : nullptr;
+  if (member != nullptr) {
+    mParts.mLinks.Send(member->mControl, aKind, aPayload);
+  }
+}
+
 void RunOnceRecorder::OnQuestion(const KeyQuestion& aQuestion,
                                  const Address& aFrom)
 {
@@ -216,6 +279,7 @@
       std::visit([&](const auto& aAction) { Take(aAction, aEffects); }, it);
     }
   }
+  aEffects.mHomeMessages = mRunOnce.TakeHomeMessages();
 }
 
 void RunOnceRecorder::Take(const Granted& aAction, Effects& aEffects)
@@ -225,7 +289,7 @@
     return;
   }
   it->second.mNonce = aAction.mNonce;
-  mAttempts[aAction.mNonce] = { aAction.mRequest, aAction.mKey, false, {}, {} };
+  mAttempts[aAction.mNonce] = { aAction.mRequest, aAction.mKey, false, {} };
   GrantDecision decision;
   decision.mKind = GrantDecision::Kind::Granted;
   decision.mNonce = aAction.mNonce;
@@ -269,16 +333,7 @@
     return;
   }
   // Granted before, and now known not to have run.
-  Attempt& attempt = mAttempts[request.mNonce];
-  if (!attempt.mDone) {
-    attempt.mNotRun = std::move(aAnswer);
-    return;
-  }
-  aEffects.mCallbacks.push_back(
-    [done = std::move(attempt.mDone), answer = std::move(aAnswer)] {
-      done(answer);
-    });
-  mAttempts.erase(request.mNonce);
+  mAttempts[request.mNonce].mNotRun = std::move(aAnswer);
 }
 
 void RunOnceRecorder::Take(const AskHolder& aAction, Effects& aEffects)
@@ -308,7 +363,7 @@
     EncodeDatagram(MessageKind::KeyQuestion, EncodePayload(question));
   if (view) {
     for (const auto& it : view->Members()) {
-      if (it.mHost != mSelf.mHost) {
+      if (it.mHost != mSelf.mHost && it.mState != HostState::Leaving) {
         ++round.mWaiting;
         aEffects.mDatagrams.emplace_back(it.mTunnel, datagram);
       }
@@ -335,6 +390,9 @@
   for (const auto& [to, bytes] : aEffects.mDatagrams) {
     mParts.mTunnel.Send(bytes, to);
   }
+  for (const auto& it : aEffects.mHomeMessages) {
+    std::visit([this](const auto& aMessage) { Send(aMessage); }, it);
+  }
   for (const auto& it : aEffects.mCallbacks) {
     it();
   }
--- a/src/agent/RunOnceRecorder.h
+++ b/src/agent/RunOnceRecorder.h
@@ -19,6 +19,7 @@
 
 namespace heatherplank {
 
+class ControlLinks;
 class DatagramSocket;
 class MetricsRegistry;
 struct KeyAnswer;
@@ -37,6 +38,7 @@
     /** Shared, since calls may be under way when the recorder ends. */
     std::shared_ptr<ObjectStore> mStore;
     DatagramSocket& mTunnel;
+    ControlLinks& mLinks;
     /** The present view of the service; may be null. */
     std::function<ServiceViewPtr()> mView;
   };
@@ -57,6 +59,13 @@
    * of another kind. Malformed ones are counted. */
   bool OnDatagram(const Frame& aFrame, const Address& aFrom);
 
+  /** Takes a frame about shards of grants; false if it is of another kind.
+   * Malformed ones are counted. */
+  bool OnFrame(const Frame& aFrame);
+
+  /** The members of the service changed. */
+  void OnView(const ServiceView& aView);
+
   /** Call every few milliseconds. */
   void Tick();
 
@@ -74,7 +83,6 @@
     bool mMayHaveRun = false;
     /** "Not run" was decided before it was asked for. */
     std::optional<Answer> mNotRun;
-    std::function<void(Answer)> mDone;
   };
   /** A round of questions to all peers about a key. */
   struct Round
@@ -89,6 +97,7 @@
   {
     std::vector<StoreCall> mCalls;
     std::vector<std::pair<Address, Bytes>> mDatagrams;
+    std::vector<HomeMessage> mHomeMessages;
     std::vector<std::function<void()>> mCallbacks;
   };
 
@@ -104,6 +113,9 @@
   void Take(const StoreCall& aAction, Effects& aEffects);
   void Settle(RequestToken aToken, Answer aAnswer, Effects& aEffects);
   void Perform(Effects& aEffects);
+  void Send(const AskHome& aMessage);
+  void Send(const TellAgent& aMessage);
+  void SendTo(HostId aHost, MessageKind aKind, const Bytes& aPayload);
   void Send(const StoreCall& aCall);
   void OnQuestion(const KeyQuestion& aQuestion, const Address& aFrom);
   void OnKeyAnswer(const KeyAnswer& aAnswer);
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -1,10 +1,13 @@
 #include "src/balancer/Balancer.h"
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "src/admin/AdminApi.h"
 #include "src/balancer/ConfigPlane.h"
 #include "src/balancer/MemberPlane.h"
 #include "src/balancer/PacketRouter.h"
@@ -17,8 +20,11 @@
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
 #include "src/process/ProcessRuntime.h"
+#include "src/process/StatusSender.h"
 #include "src/process/WallClock.h"
+#include "src/status/StatusPublisher.h"
 #include "src/wire/MembershipCodec.h"
+#include "src/wire/StatusCodec.h"
 #include "src/wire/SteerCodec.h"
 
 namespace heatherplank {
@@ -26,7 +32,7 @@
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds(50);
-constexpr auto kLinksTick = std::chrono::seconds(1);
+constexpr auto kSecond = std::chrono::seconds(1);
 /** How long a balancer goes on routing after it said that it stops: the fabric
  * looks at /readyz every second or two, and what it sends until it has seen
  * must not be lost. */
@@ -65,10 +71,10 @@
                  } },
                mSelf, aSettings.mPeers)
     , mConfig({ mClock, mMetrics, mLinks, mStore,
-                [this](ConfigurationPtr aConfiguration) {
+                [this](const ConfigurationPtr& aConfiguration) {
+                  mStatus.OnInForce(aConfiguration->mVersion, mClock.Now());
                   mMembers.SetConfiguration(*aConfiguration);
-                  mRouter.SetRoutes(
-                    mRoutes.SetConfiguration(std::move(aConfiguration)));
+                  mRouter.SetRoutes(mRoutes.SetConfiguration(aConfiguration));
                 } },
               mSelf)
     , mAdmin(mMetrics, [this] { return Ready(); })
@@ -89,7 +95,12 @@
   MemberPlane mMembers;
   ConfigPlane mConfig;
   AdminServer mAdmin;
+  StatusSender mStatus{ mSettings, "balancer" };
+  std::unique_ptr<AdminApi> mApi;
   std::shared_ptr<DatagramSocket> mTunnel;
+  std::mutex mBoardsLock;
+  /** Status boards that this balancer keeps, by their key. */
+  std::map<std::string, std::shared_ptr<StatusPublisher>> mBoards;
   std::atomic<bool> mStopping{ false };
 
   Result<void> Ready()
@@ -127,6 +138,17 @@
     if (aFaultInjection) {
       mAdmin.MountFaults(mCuts);
     }
+    if (!mSettings.mTokenFile.empty()) {
+      auto tokens = AdminTokens::Read(mSettings.mTokenFile);
+      if (!tokens) {
+        return tl::unexpected(tokens.error());
+      }
+      mApi = std::make_unique<AdminApi>(std::move(*tokens), mStore, mMetrics);
+      mAdmin.Mount(AdminApi::kPrefix,
+                   [this](HttpRequest aRequest, HttpServer::Respond aRespond) {
+                     mApi->Handle(std::move(aRequest), std::move(aRespond));
+                   });
+    }
     return mAdmin.Start(executor, mSettings.mAdmin);
   }
 
@@ -135,7 +157,10 @@
     mTunnel->Start(
       [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
     mRuntime.Every(kTick, [this] { Tick(); });
-    mRuntime.Every(kLinksTick, [this] { mLinks.Tick(); });
+    mRuntime.Every(kSecond, [this] {
+      mLinks.Tick();
+      TellStatus();
+    });
     mRuntime.OnStop([this] { Stop(); });
     LogEvent(LogLevel::Info, "started",
              { { "tunnel", mSettings.mTunnel.ToString() },
@@ -206,9 +231,55 @@
       mMembers.OnFrame(aFrame);
       return;
     }
+    if (aFrame.mKind == MessageKind::StatusReport) {
+      auto report = DecodeStatusReport(aFrame.mPayload);
+      if (report) {
+        KeepStatus(*report);
+      } else {
+        mMalformed.Add();
+      }
+      return;
+    }
     mConfig.OnFrame(aFrom, aFrame);
   }
 
+  /** Tells the balancer that keeps this process's status what it runs, and
+   * writes the boards that are kept here. */
+  void TellStatus()
+  {
+    std::vector<Member> balancers = mMembers.Balancers();
+    balancers.push_back(mSelf);
+    if (auto due = mStatus.Tick(balancers, mClock.Now())) {
+      if (due->mKeeper.mHost == mSelf.mHost) {
+        KeepStatus(due->mReport);
+      } else {
+        mLinks.Send(due->mKeeper.mControl, MessageKind::StatusReport,
+                    EncodeStatusReport(due->mReport));
+      }
+    }
+    std::lock_guard lock(mBoardsLock);
+    for (const auto& [key, board] : mBoards) {
+      board->Tick(mClock.Now());
+    }
+  }
+
+  void KeepStatus(const StatusReport& aReport)
+  {
+    std::uint32_t shards = CountStatusShards(mMembers.Balancers().size() + 1);
+    std::string key = StatusKey(aReport.mProcess.mDataCentre,
+                                StatusShardOf(aReport.mProcess.mName, shards));
+    std::lock_guard lock(mBoardsLock);
+    auto& board = mBoards[key];
+    if (!board) {
+      StatusBoard::Options options;
+      options.mKey = key;
+      options.mWriter =
+        mSettings.mName + "." + std::to_string(mSelf.mIncarnation);
+      board = StatusPublisher::Make(mStore, std::move(options));
+    }
+    board->OnReport(aReport);
+  }
+
   void Stop()
   {
     mStopping = true;
--- a/src/balancer/ConfigPlane.cpp
+++ b/src/balancer/ConfigPlane.cpp
@@ -25,6 +25,7 @@
 
 ConfigPlane::ConfigPlane(Parts aParts, const Member& aSelf)
   : mParts(std::move(aParts))
+  , mRelay(mParts.mOnChange)
   , mDistribution(MakeOptions(aSelf), mParts.mClock.Now())
 {
 }
@@ -76,6 +77,11 @@
   });
 }
 
+void ConfigPlane::OnAgentGone(HostId aAgent)
+{
+  Do([&](Time) { mDistribution.OnAgentGone(aAgent); });
+}
+
 void ConfigPlane::Tick()
 {
   Do([&](Time aNow) { mDistribution.Tick(aNow); });
@@ -122,7 +128,7 @@
 {
   LogEvent(LogLevel::Info, "configuration_in_force",
            { { "version", aAction.mConfiguration->mVersion } });
-  mParts.mOnChange(aAction.mConfiguration);
+  mRelay.Deliver(aAction.mConfiguration);
 }
 
 void ConfigPlane::ExportCounters()
--- a/src/balancer/ConfigPlane.h
+++ b/src/balancer/ConfigPlane.h
@@ -10,6 +10,7 @@
 #include "include/heatherplank/Member.h"
 #include "include/heatherplank/ObjectStore.h"
 #include "src/config/ConfigDistribution.h"
+#include "src/config/InForceRelay.h"
 #include "src/wire/HelloCodec.h"
 
 namespace heatherplank {
@@ -31,8 +32,8 @@
     ControlLinks& mLinks;
     /** Must outlive the plane. */
     ObjectStore& mStore;
-    /** Called with no lock held for each version, in order. */
-    std::function<void(ConfigurationPtr)> mOnChange;
+    /** Called for each version, in order; it must not call the plane. */
+    InForceRelay::OnChange mOnChange;
   };
 
   ConfigPlane(Parts aParts, const Member& aSelf);
@@ -46,6 +47,9 @@
   /** Takes a frame of a configuration kind. Malformed ones are counted. */
   void OnFrame(const Hello& aFrom, const Frame& aFrame);
 
+  /** Agents that are not in view any more get nothing more. */
+  void OnAgentGone(HostId aAgent);
+
   /** Call every 50 to 100 ms. */
   void Tick();
 
@@ -59,6 +63,8 @@
   void ExportCounters();
 
   Parts mParts;
+  /** Two threads may bring versions at once; the later one must win. */
+  InForceRelay mRelay;
   mutable std::mutex mLock;
   ConfigDistribution mDistribution;
   ConfigCounters mExported;
--- a/src/balancer/MemberPlane.cpp
+++ b/src/balancer/MemberPlane.cpp
@@ -16,6 +16,10 @@
 {
   BalancerMembershipOptions options;
   options.mSeeds = std::move(aSeeds);
+  // Three heartbeats of an agent: callers wait a second for an answer, and must
+  // be told before that. Death stays at 3 s, above the agents' trust in a view.
+  options.mTable.mSuspectAfter = std::chrono::milliseconds(900);
+  options.mTable.mRefuteWithin = std::chrono::milliseconds(2100);
   // Ranks come from the full weight: one that grows would move the arbiters of
   // flows for as long as a host starts. Slow start is the agents' choice.
   options.mTable.mSlowStart = Duration::zero();
--- a/src/balancer/PacketRouter.cpp
+++ b/src/balancer/PacketRouter.cpp
@@ -1,5 +1,7 @@
 #include "src/balancer/PacketRouter.h"
 
+#include <algorithm>
+
 #include "src/caller/Answer.h"
 #include "src/metrics/Metrics.h"
 
@@ -98,6 +100,14 @@
     return Refuse(aPacket, *refusal);
   }
   const auto& target = std::get<SteerTarget>(decision);
+  // A paused host answers nobody, and its callers would wait until they give
+  // up. Whoever asks while it is suspected is told at once when to come back;
+  // by then it is heard again, or held dead and its flows have a new owner.
+  const auto& suspects = route->second.mSuspects;
+  if (std::find(suspects.begin(), suspects.end(), target.mMember->mHost) !=
+      suspects.end()) {
+    return Refuse(aPacket, SteerRefusal::HostSilent);
+  }
   Packet packet = aPacket;
   packet.mService = route->second.mService;
   packet.mDirective = target.mDirective;
--- a/src/balancer/PacketRouter.h
+++ b/src/balancer/PacketRouter.h
@@ -69,7 +69,7 @@
   Counter& mMalformed;
   Counter& mNotReady;
   std::atomic<bool> mUsable{ false };
-  std::array<Counter*, 2> mRefused;
+  std::array<Counter*, 3> mRefused;
   std::vector<std::unique_ptr<Shard>> mShards;
   mutable std::mutex mRoutesLock;
   RoutesPtr mRoutes;
--- a/src/balancer/RouteTable.cpp
+++ b/src/balancer/RouteTable.cpp
@@ -16,12 +16,13 @@
 {
   std::lock_guard lock(mLock);
   for (std::size_t i = 0; i < aServices.size(); ++i) {
-    ServiceViewPtr& held = mViews[aServices[i]];
-    if (held && held->Version() > aViews[i]->mVersion) {
+    Held& held = mViews[aServices[i]];
+    if (held.mView && held.mView->Version() > aViews[i]->mVersion) {
       continue;
     }
-    held =
+    held.mView =
       MakeServiceView(aServices[i], aViews[i]->mVersion, aViews[i]->mMembers);
+    held.mSuspects = aViews[i]->mSuspects;
   }
   return Build();
 }
@@ -34,10 +35,12 @@
     return routes;
   }
   for (const auto& [address, service] : mConfiguration->mByAddress) {
-    auto view = mViews.find(service);
-    routes->mByAddress[address] = { service, view == mViews.end()
-                                               ? nullptr
-                                               : view->second };
+    Route& route = routes->mByAddress[address];
+    route.mService = service;
+    if (auto view = mViews.find(service); view != mViews.end()) {
+      route.mView = view->second.mView;
+      route.mSuspects = view->second.mSuspects;
+    }
   }
   return routes;
 }
--- a/src/balancer/RouteTable.h
+++ b/src/balancer/RouteTable.h
@@ -28,7 +28,12 @@
 
   std::mutex mLock;
   ConfigurationPtr mConfiguration;
-  std::unordered_map<ServiceId, ServiceViewPtr> mViews;
+  struct Held
+  {
+    ServiceViewPtr mView;
+    std::vector<HostId> mSuspects;
+  };
+  std::unordered_map<ServiceId, Held> mViews;
 };
 
 } // namespace heatherplank
--- a/src/balancer/Routes.h
+++ b/src/balancer/Routes.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "include/heatherplank/Configuration.h"
 #include "src/steer/ServiceView.h"
@@ -14,6 +15,8 @@
   ServiceId mService;
   /** Null until a member was heard of. */
   ServiceViewPtr mView;
+  /** Members of it that were not heard of for a moment. */
+  std::vector<HostId> mSuspects;
 };
 
 /** What the data path needs to know, by service address. Immutable; replaced
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -123,10 +123,17 @@
   }
   std::size_t n =
     mOptions.mMonitors == 0 ? view->mMembers.size() : mOptions.mMonitors;
+  // Where all balancers are monitors, those of the settings are too: until the
+  // others are known, each would hold this host for silent.
   std::vector<Address> out;
+  if (mOptions.mMonitors == 0) {
+    out = mOptions.mSeeds;
+  }
   for (const Member& it :
        ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers, n)) {
-    out.push_back(it.mControl);
+    if (std::find(out.begin(), out.end(), it.mControl) == out.end()) {
+      out.push_back(it.mControl);
+    }
   }
   return out;
 }
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -109,7 +109,12 @@
   auto view = std::make_shared<MemberView>();
   view->mVersion = aState.mVersion;
   for (const auto& [host, entry] : aState.mEntries) {
-    if (entry->IsGone()) {
+    // Who still holds a flow of a host that leaves must see that it left of its
+    // own will and handed all over: one that only vanished is held dead, and
+    // its flows are fenced.
+    bool leaves =
+      mId == MemberTableId::Hosts && entry->mRecord.mVerdict != Verdict::Dead;
+    if (entry->IsGone() && !leaves) {
       continue;
     }
     Member member = entry->mRecord.mMember;
--- a/src/net/ControlClient.cpp
+++ b/src/net/ControlClient.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr auto kFirstBackOff = std::chrono::milliseconds(50);
-constexpr auto kLongestBackOff = std::chrono::milliseconds(2000);
+constexpr auto kLongestBackOff = std::chrono::milliseconds(500);
 /** How often a cut that an experiment ordered is looked for. */
 constexpr auto kCutPoll = std::chrono::milliseconds(100);
 
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -34,20 +34,34 @@
   bool mWritten = false;
 };
 
-struct Connection
+/** What the operations on one TCP connection refer to. Each handler holds it,
+ * and another connection gets another one: after a cancellation the handlers
+ * of the old operations are still to come, and would find its parts in use. */
+struct Wire
 {
-  explicit Connection(asio::any_io_executor aExecutor)
+  explicit Wire(const asio::any_io_executor& aExecutor)
     : mStream(aExecutor)
-    , mTimer(aExecutor)
   {
   }
 
   beast::tcp_stream mStream;
-  asio::steady_timer mTimer;
   beast::flat_buffer mBuffer;
+  HttpRequest mRequest;
   std::optional<http::response_parser<http::string_body>> mParser;
-  std::optional<Job> mJob;
   bool mConnected = false;
+};
+
+struct Connection
+{
+  explicit Connection(const asio::any_io_executor& aExecutor)
+    : mTimer(aExecutor)
+    , mWire(std::make_shared<Wire>(aExecutor))
+  {
+  }
+
+  asio::steady_timer mTimer;
+  std::shared_ptr<Wire> mWire;
+  std::optional<Job> mJob;
   /** Stands on every pending operation; a late one of an older job is
    * dropped. */
   std::uint64_t mGeneration = 0;
@@ -115,37 +129,47 @@
         self->GiveUp(aConnection, "no answer in time");
       }
     });
-    if (aConnection.mConnected && !ClosedByServer(aConnection)) {
+    auto wire = aConnection.mWire;
+    if (wire->mConnected && !ClosedByServer(*wire)) {
       Write(aConnection);
       return;
     }
-    aConnection.mStream.close();
-    aConnection.mConnected = false;
-    aConnection.mBuffer.clear();
-    aConnection.mStream.async_connect(
-      mServer, [self = shared_from_this(), &aConnection,
-                generation](beast::error_code aEc) {
-        if (aConnection.mGeneration != generation) {
-          return;
-        }
-        if (aEc) {
-          self->Finish(aConnection, self->NotWritten(aEc.message()), false);
-          return;
-        }
-        beast::error_code ec;
-        aConnection.mStream.socket().set_option(asio::ip::tcp::no_delay(true),
-                                                ec);
-        aConnection.mConnected = true;
-        self->Write(aConnection);
-      });
+    wire = Renew(aConnection);
+    wire->mStream.async_connect(mServer,
+                                [self = shared_from_this(), &aConnection, wire,
+                                 generation](beast::error_code aEc) {
+                                  if (aConnection.mGeneration == generation) {
+                                    self->OnConnected(aConnection, aEc);
+                                  }
+                                });
+  }
+
+  void OnConnected(Connection& aConnection, beast::error_code aEc)
+  {
+    if (aEc) {
+      Finish(aConnection, NotWritten(aEc.message()), false);
+      return;
+    }
+    Wire& wire = *aConnection.mWire;
+    beast::error_code ec;
+    wire.mStream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    wire.mConnected = true;
+    Write(aConnection);
+  }
+
+  std::shared_ptr<Wire> Renew(Connection& aConnection)
+  {
+    aConnection.mWire->mStream.close();
+    aConnection.mWire = std::make_shared<Wire>(mStrand);
+    return aConnection.mWire;
   }
 
   /** A server may close an idle connection at any time. Written to it, a
    * request would count as perhaps run although nobody read it; nothing may be
    * waiting to be read on an idle connection, not even its end. */
-  static bool ClosedByServer(Connection& aConnection)
+  static bool ClosedByServer(Wire& aWire)
   {
-    auto& socket = aConnection.mStream.socket();
+    auto& socket = aWire.mStream.socket();
     char byte = 0;
     beast::error_code ec;
     socket.non_blocking(true, ec);
@@ -156,9 +180,11 @@
   void Write(Connection& aConnection)
   {
     auto generation = aConnection.mGeneration;
+    auto wire = aConnection.mWire;
     aConnection.mJob->mWritten = true;
-    http::async_write(aConnection.mStream, aConnection.mJob->mRequest,
-                      [self = shared_from_this(), &aConnection,
+    wire->mRequest = std::move(aConnection.mJob->mRequest);
+    http::async_write(wire->mStream, wire->mRequest,
+                      [self = shared_from_this(), &aConnection, wire,
                        generation](beast::error_code aEc, std::size_t) {
                         if (aConnection.mGeneration != generation) {
                           return;
@@ -174,11 +200,11 @@
   void Read(Connection& aConnection)
   {
     auto generation = aConnection.mGeneration;
-    aConnection.mParser.emplace();
-    aConnection.mParser->body_limit(kMaxBody);
-    http::async_read(aConnection.mStream, aConnection.mBuffer,
-                     *aConnection.mParser,
-                     [self = shared_from_this(), &aConnection,
+    auto wire = aConnection.mWire;
+    wire->mParser.emplace();
+    wire->mParser->body_limit(kMaxBody);
+    http::async_read(wire->mStream, wire->mBuffer, *wire->mParser,
+                     [self = shared_from_this(), &aConnection, wire,
                       generation](beast::error_code aEc, std::size_t) {
                        if (aConnection.mGeneration != generation) {
                          return;
@@ -187,7 +213,7 @@
                          self->GiveUp(aConnection, aEc.message());
                          return;
                        }
-                       HttpResponse response = aConnection.mParser->release();
+                       HttpResponse response = wire->mParser->release();
                        bool keep = response.keep_alive();
                        self->Finish(aConnection, std::move(response), keep);
                      });
@@ -204,8 +230,7 @@
     ++aConnection.mGeneration;
     aConnection.mTimer.cancel();
     if (!aKeep) {
-      aConnection.mStream.close();
-      aConnection.mConnected = false;
+      Renew(aConnection);
     }
     Job job = std::move(*aConnection.mJob);
     aConnection.mJob.reset();
--- a/src/steer/Steering.cpp
+++ b/src/steer/Steering.cpp
@@ -11,6 +11,8 @@
       return "unknown_service";
     case SteerRefusal::NoMember:
       return "no_member";
+    case SteerRefusal::HostSilent:
+      return "host_silent";
   }
   return "unknown";
 }
--- a/src/steer/Steering.h
+++ b/src/steer/Steering.h
@@ -21,6 +21,8 @@
   UnknownService,
   /** The service has no member that may take a new flow. */
   NoMember,
+  /** The flow's host was not heard of for a moment: it may be paused. */
+  HostSilent,
 };
 
 /** The name of a reason, as it stands in counters and answers. */
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -26,6 +26,8 @@
   HandOffAck = 9,
   KeyQuestion = 10,
   KeyAnswer = 11,
+  ShardWishes = 12,
+  ShardOutcomes = 13,
   Heartbeat = 20,
   MemberDelta = 21,
   MemberDigest = 22,
--- a/src/wire/LoadCodec.cpp
+++ b/src/wire/LoadCodec.cpp
@@ -20,10 +20,12 @@
   flatbuffers::FlatBufferBuilder builder(128);
   const HostLoad& load = aMessage.mLoad;
   auto latency = duration_cast<microseconds>(load.mLatency).count();
-  builder.Finish(
-    wire::CreateLoad(builder, aMessage.mHost.mValue, aMessage.mIncarnation,
-                     load.mQueued, load.mBusy, load.mSlots,
-                     static_cast<std::uint64_t>(latency), aMessage.mSequence));
+  auto service = duration_cast<microseconds>(load.mServiceTime).count();
+  builder.Finish(wire::CreateLoad(
+    builder, aMessage.mHost.mValue, aMessage.mIncarnation, load.mQueued,
+    load.mBusy, load.mSlots, static_cast<std::uint64_t>(latency),
+    aMessage.mSequence, static_cast<std::uint64_t>(service), load.mFailing,
+    load.mResults));
   return EncodeDatagram(MessageKind::Load, Finished(builder));
 }
 
@@ -34,7 +36,10 @@
     return tl::unexpected(read.error());
   }
   const wire::Load& from = **read;
-  if (from.host() == 0 || from.latency_us() > kMostMicroseconds) {
+  bool possible = from.host() != 0 && from.latency_us() <= kMostMicroseconds &&
+                  from.service_time_us() <= kMostMicroseconds &&
+                  from.failing() >= 0 && from.failing() <= 1;
+  if (!possible) {
     return MalformedMessage("load");
   }
   LoadMessage message;
@@ -45,6 +50,9 @@
   message.mLoad.mBusy = from.busy();
   message.mLoad.mSlots = from.slots();
   message.mLoad.mLatency = microseconds(from.latency_us());
+  message.mLoad.mServiceTime = microseconds(from.service_time_us());
+  message.mLoad.mFailing = from.failing();
+  message.mLoad.mResults = from.results();
   return message;
 }
 
--- a/src/wire/load_generated.h
+++ b/src/wire/load_generated.h
@@ -28,7 +28,10 @@
     VT_BUSY = 10,
     VT_SLOTS = 12,
     VT_LATENCY_US = 14,
-    VT_SEQUENCE = 16
+    VT_SEQUENCE = 16,
+    VT_SERVICE_TIME_US = 18,
+    VT_FAILING = 20,
+    VT_RESULTS = 22
   };
   uint64_t host() const {
     return GetField<uint64_t>(VT_HOST, 0);
@@ -51,6 +54,15 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t service_time_us() const {
+    return GetField<uint64_t>(VT_SERVICE_TIME_US, 0);
+  }
+  double failing() const {
+    return GetField<double>(VT_FAILING, 0.0);
+  }
+  uint64_t results() const {
+    return GetField<uint64_t>(VT_RESULTS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HOST, 8) &&
@@ -60,6 +72,9 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint64_t>(verifier, VT_LATENCY_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE_TIME_US, 8) &&
+           VerifyField<double>(verifier, VT_FAILING, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RESULTS, 8) &&
            verifier.EndTable();
   }
 };
@@ -89,6 +104,15 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(Load::VT_SEQUENCE, sequence, 0);
   }
+  void add_service_time_us(uint64_t service_time_us) {
+    fbb_.AddElement<uint64_t>(Load::VT_SERVICE_TIME_US, service_time_us, 0);
+  }
+  void add_failing(double failing) {
+    fbb_.AddElement<double>(Load::VT_FAILING, failing, 0.0);
+  }
+  void add_results(uint64_t results) {
+    fbb_.AddElement<uint64_t>(Load::VT_RESULTS, results, 0);
+  }
   explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -108,8 +132,14 @@
     uint32_t busy = 0,
     uint32_t slots = 0,
     uint64_t latency_us = 0,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t service_time_us = 0,
+    double failing = 0.0,
+    uint64_t results = 0) {
   LoadBuilder builder_(_fbb);
+  builder_.add_results(results);
+  builder_.add_failing(failing);
+  builder_.add_service_time_us(service_time_us);
   builder_.add_sequence(sequence);
   builder_.add_latency_us(latency_us);
   builder_.add_incarnation(incarnation);
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -107,8 +107,10 @@
   fleet.Run(200ms);
   fleet.mAgents.erase(0);
   CHECK_EQUAL(5, fleet.ViewAt(1).size());
+  CHECK_EQUAL(1, fleet.LeavingAt(1));
   fleet.mBalancers[1]->OnMessage(stale, fleet.mNow);
   CHECK_EQUAL(5, fleet.ViewAt(1).size());
+  CHECK_EQUAL(1, fleet.LeavingAt(1));
 }
 
 // A VM is replaced at once by one of the same name and address, whose clock is
