--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -205,7 +205,10 @@
   std::string key(36, 'k');
   for (std::int64_t i = 0; i < aState.range(0); ++i) {
     std::string number = std::to_string(i);
-    shard.Set(key.substr(number.size()) + number, Grant{});
+    Grant grant{
+      MakeHostId("host"), 1796250000000000, MixHash(1, 2), false, {}
+    };
+    shard.Set(key.substr(number.size()) + number, grant);
   }
   std::size_t bytes = 0;
   for (auto _ : aState) {
@@ -292,6 +295,12 @@
 
 const AllowAll kAllowAll;
 
+/** Until 64 balancers that start together are at rest. */
+constexpr int kSettleSeconds = 300;
+/** A large service is at rest sooner, and takes long to play. */
+constexpr int kShortSettleSeconds = 30;
+constexpr int kManyHosts = 50;
+
 /** Balancers and the agents of one service, messages delivered at once; counts
  * what the first of each sends and gets. */
 class ControlWorld
@@ -404,7 +413,8 @@
   for (auto _ : aState) {
     ControlWorld world(aState.range(0), aState.range(1),
                        static_cast<std::size_t>(aState.range(2)));
-    world.Play(60);
+    world.Play(aState.range(1) > kManyHosts ? kShortSettleSeconds
+                                            : kSettleSeconds);
     world.Watch(aState.range(3) == 0 ? ControlWorld::FirstAgent()
                                      : ControlWorld::FirstBalancer());
     world.Play(kSeconds);
