--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -12,6 +12,7 @@
 #include <benchmark/benchmark.h>
 
 #include "src/balancer/RouteTable.h"
+#include "src/config/ConfigurationStore.h"
 #include "src/membership/AgentMembership.h"
 #include "src/membership/BalancerMembership.h"
 #include "src/record/GrantShard.h"
@@ -23,6 +24,8 @@
 #include "src/wire/PacketCodec.h"
 #include "src/wire/StatusCodec.h"
 #include "src/wire/SteerCodec.h"
+#include "tests/ConfigWorld.h"
+#include "tests/FakeObjectStore.h"
 
 namespace heatherplank {
 namespace {
@@ -287,6 +290,38 @@
 }
 BENCHMARK(MessageBytes);
 
+/** Platform calls of an operator's change of one service, as `apply` makes
+ * them: read what is in force, then have the change accepted. */
+void CallsOfAChange(benchmark::State& aState)
+{
+  int services = static_cast<int>(aState.range(0));
+  FakeObjectStore platform;
+  SyncObjectStore::Options calls;
+  calls.mPause = [](Duration) {};
+  SyncObjectStore store(platform, calls);
+  ConfigurationStore configurations(store, {});
+  auto makeWanted = [services](int aSlots) {
+    return std::make_shared<const Configuration>(MakeFleet(services, aSlots));
+  };
+  auto first = configurations.Commit({ nullptr, makeWanted(2), "ana", {} });
+  int slots = 2;
+  for (auto _ : aState) {
+    int before = platform.mCalls;
+    auto newest = configurations.Read();
+    auto done = configurations.Commit(
+      { (*newest)->mConfiguration, makeWanted(++slots), "ana", {} });
+    aState.counters["accepted"] = first && done ? 1 : 0;
+    aState.counters["calls"] = platform.mCalls - before;
+  }
+  aState.counters["objects"] = static_cast<double>(platform.mObjects.size());
+}
+BENCHMARK(CallsOfAChange)
+  ->Arg(60)
+  ->Arg(600)
+  ->Arg(6000)
+  ->Iterations(3)
+  ->Unit(benchmark::kMillisecond);
+
 class AllowAll final : public InventoryCheck
 {
 public:
