--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -12,6 +12,7 @@
 #include <benchmark/benchmark.h>
 
 #include "src/balancer/RouteTable.h"
+#include "src/config/ConfigurationStore.h"
 #include "src/membership/AgentMembership.h"
 #include "src/membership/BalancerMembership.h"
 #include "src/record/GrantShard.h"
@@ -23,6 +24,8 @@
 #include "src/wire/PacketCodec.h"
 #include "src/wire/StatusCodec.h"
 #include "src/wire/SteerCodec.h"
+#include "tests/ConfigWorld.h"
+#include "tests/FakeObjectStore.h"
 
 namespace heatherplank {
 namespace {
@@ -205,7 +208,10 @@
   std::string key(36, 'k');
   for (std::int64_t i = 0; i < aState.range(0); ++i) {
     std::string number = std::to_string(i);
-    shard.Set(key.substr(number.size()) + number, Grant{});
+    Grant grant{
+      MakeHostId("host"), 1796250000000000, MixHash(1, 2), false, {}
+    };
+    shard.Set(key.substr(number.size()) + number, grant);
   }
   std::size_t bytes = 0;
   for (auto _ : aState) {
@@ -284,6 +290,38 @@
 }
 BENCHMARK(MessageBytes);
 
+/** Platform calls of an operator's change of one service, as `apply` makes
+ * them: read what is in force, then have the change accepted. */
+void CallsOfAChange(benchmark::State& aState)
+{
+  int services = static_cast<int>(aState.range(0));
+  FakeObjectStore platform;
+  SyncObjectStore::Options calls;
+  calls.mPause = [](Duration) {};
+  SyncObjectStore store(platform, calls);
+  ConfigurationStore configurations(store, {});
+  auto makeWanted = [services](int aSlots) {
+    return std::make_shared<const Configuration>(MakeFleet(services, aSlots));
+  };
+  auto first = configurations.Commit({ nullptr, makeWanted(2), "ana", {} });
+  int slots = 2;
+  for (auto _ : aState) {
+    int before = platform.mCalls;
+    auto newest = configurations.Read();
+    auto done = configurations.Commit(
+      { (*newest)->mConfiguration, makeWanted(++slots), "ana", {} });
+    aState.counters["accepted"] = first && done ? 1 : 0;
+    aState.counters["calls"] = platform.mCalls - before;
+  }
+  aState.counters["objects"] = static_cast<double>(platform.mObjects.size());
+}
+BENCHMARK(CallsOfAChange)
+  ->Arg(60)
+  ->Arg(600)
+  ->Arg(6000)
+  ->Iterations(3)
+  ->Unit(benchmark::kMillisecond);
+
 class AllowAll final : public InventoryCheck
 {
 public:
@@ -292,6 +330,12 @@
 
 const AllowAll kAllowAll;
 
+/** Until 64 balancers that start together are at rest. */
+constexpr int kSettleSeconds = 300;
+/** A large service is at rest sooner, and takes long to play. */
+constexpr int kShortSettleSeconds = 30;
+constexpr int kManyHosts = 50;
+
 /** Balancers and the agents of one service, messages delivered at once; counts
  * what the first of each sends and gets. */
 class ControlWorld
@@ -404,7 +448,8 @@
   for (auto _ : aState) {
     ControlWorld world(aState.range(0), aState.range(1),
                        static_cast<std::size_t>(aState.range(2)));
-    world.Play(60);
+    world.Play(aState.range(1) > kManyHosts ? kShortSettleSeconds
+                                            : kSettleSeconds);
     world.Watch(aState.range(3) == 0 ? ControlWorld::FirstAgent()
                                      : ControlWorld::FirstBalancer());
     world.Play(kSeconds);
