--- a/lab/Fleet.cpp
+++ b/lab/Fleet.cpp
@@ -99,6 +99,11 @@
     settings["service"] = aNode.mService;
     settings["backend"] = aNode.mBackend.ToString();
     settings["slots"] = aNode.mSlots;
+    if (mVouchAfter) {
+      settings["vouch_after_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*mVouchAfter)
+          .count();
+    }
   }
   std::string path = mFolder + "/" + aNode.mName + ".json";
   std::ofstream(path) << json::serialize(settings) << "\n";
--- a/lab/Fleet.h
+++ b/lab/Fleet.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,9 @@
                 const std::string& aService, const Address& aBackend,
                 std::size_t aSlots);
 
+  /** Agents get this for "vouch_after_ms" instead of the default. */
+  void SetVouchAfter(Duration aAge) { mVouchAfter = aAge; }
+
   /** The place of that name, or null. */
   Node* Find(std::string_view aName);
   std::map<std::string, Node>& Nodes() { return mNodes; }
@@ -95,6 +99,7 @@
   std::string mFolder;
   std::string mBin;
   Address mPlatform;
+  std::optional<Duration> mVouchAfter;
   Ports mPorts;
   std::map<std::string, Node> mNodes;
   std::vector<std::string> mCrashes;
--- a/lab/Scenario.cpp
+++ b/lab/Scenario.cpp
@@ -125,6 +125,10 @@
   Read(aReader, "seed", aOut.mSeed);
   Read(aReader, "duration_ms", aOut.mDuration);
   Read(aReader, "grace_ms", aOut.mGrace);
+  if (aReader.Has("vouch_after_ms")) {
+    aOut.mVouchAfter = Duration::zero();
+    Read(aReader, "vouch_after_ms", *aOut.mVouchAfter);
+  }
   aOut.mBalancers = aReader.Strings("balancers");
   aOut.mSpare = aReader.Strings("spare");
   aReader.Objects(
--- a/lab/World.cpp
+++ b/lab/World.cpp
@@ -50,6 +50,9 @@
     std::make_unique<Fabric>(mExecutor, mScenario.mFabric, mScenario.mSeed);
   mFleet =
     std::make_unique<Fleet>(mExecutor, mFolder, mBin, mPlatform->Local());
+  if (mScenario.mVouchAfter) {
+    mFleet->SetVouchAfter(*mScenario.mVouchAfter);
+  }
   for (std::size_t i = 0; i < mScenario.mBalancers.size(); ++i) {
     mFleet->AddBalancer("balancer-" + std::to_string(i + 1),
                         mScenario.mBalancers[i]);
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -205,6 +205,7 @@
       mRuntime.Executor(), mSettings.mPlatform, StoreOptions());
     RunOnceOptions recording;
     recording.mPrefix = "grants/" + mSettings.mService;
+    recording.mVouchAfter = std::chrono::milliseconds(mSettings.mVouchAfterMs);
     mGrants = std::make_unique<RunOnceRecorder>(
       RunOnceRecorder::Parts{ mClock, mMetrics, mStore, *mTunnel, mLinks,
                               [this] { return View(); } },
--- a/src/balancer/ConfigPlane.cpp
+++ b/src/balancer/ConfigPlane.cpp
@@ -41,7 +41,7 @@
     ExportCounters();
   }
   for (const auto& it : actions) {
-    std::visit([this](const auto& aAction) { Perform(aAction); }, it);
+    std::visit([this](const auto& aAction) { this->Perform(aAction); }, it);
   }
 }
 
--- a/src/settings/ProcessSettings.h
+++ b/src/settings/ProcessSettings.h
@@ -53,6 +53,10 @@
   std::uint32_t mMaxFlows = 50000;
   /** Bytes of answers that it keeps at most. */
   std::uint32_t mMaxAnswerBytes = 16777216;
+  /** An agent younger than this can't say that a key never ran on its host: it
+   * may have in an earlier life. Above the longest deadline of a request that
+   * may not be repeated, ms. */
+  std::uint32_t mVouchAfterMs = 120000;
   /** Longest time that a planned stop waits for requests in progress, ms. */
   std::uint32_t mDrainTimeoutMs = 10000;
 };
