--- a/lab/Process.h
+++ b/lab/Process.h
@@ -28,6 +28,8 @@
   /** Sends a signal; nothing happens once it has ended. */
   void Signal(int aNumber);
 
+  pid_t Pid() const { return mPid; }
+
   /** The wait status once it has ended; does not block. */
   std::optional<int> Poll();
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,6 +2,7 @@
 #include <iostream>
 #include <string_view>
 
+#include "lab/Garbage.h"
 #include "lab/Run.h"
 
 using namespace heatherplank::lab;
@@ -10,7 +11,9 @@
 
 constexpr const char* kUsage =
   "usage: lab run SCENARIO.json --bin PATH/heatherplank [--keep]\n"
-  "Plays a scenario with real processes (docs/LAB.md). Exit codes: 0 all\n"
+  "       lab garbage --bin PATH/heatherplank\n"
+  "Plays a scenario with real processes, or throws garbage at their ports\n"
+  "(docs/LAB.md). Exit codes: 0 all\n"
   "expectations met, 1 some not, 2 wrong usage or scenario, 3 not played.\n";
 
 /** True if the arguments are well formed. */
@@ -37,6 +40,11 @@
 
 int main(int aCount, char** aArguments)
 {
+  bool garbage = aCount == 4 && std::string_view(aArguments[1]) == "garbage" &&
+                 std::string_view(aArguments[2]) == "--bin";
+  if (garbage) {
+    return static_cast<int>(RunGarbage(aArguments[3]));
+  }
   RunOptions options;
   if (!ParseArguments(aCount, aArguments, options)) {
     std::cerr << kUsage;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -30,9 +30,11 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(asio::ip::tcp::socket aSocket, HttpServer::Handler aHandler)
+  Session(asio::ip::tcp::socket aSocket, HttpServer::Handler aHandler,
+          HttpServer::Refused aRefused)
     : mStream(std::move(aSocket))
     , mHandler(std::move(aHandler))
+    , mRefused(std::move(aRefused))
   {
   }
 
@@ -93,6 +95,9 @@
       Close();
       return;
     }
+    if (mRefused) {
+      mRefused();
+    }
     HttpResponse response(http::status::bad_request, 11);
     response.set(http::field::content_type, "text/plain");
     response.body() = "malformed request; send HTTP/1.1 within the limits\n";
@@ -134,6 +139,7 @@
 
   beast::tcp_stream mStream;
   HttpServer::Handler mHandler;
+  HttpServer::Refused mRefused;
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
   HttpResponse mResponse;
@@ -145,16 +151,19 @@
 
 struct HttpServer::Impl
 {
-  Impl(const asio::any_io_executor& aExecutor, Handler aHandler)
+  Impl(const asio::any_io_executor& aExecutor, Handler aHandler,
+       Refused aRefused)
     : mExecutor(aExecutor)
     , mAcceptor(asio::make_strand(aExecutor))
     , mHandler(std::move(aHandler))
+    , mRefused(std::move(aRefused))
   {
   }
 
   asio::any_io_executor mExecutor;
   asio::ip::tcp::acceptor mAcceptor;
   Handler mHandler;
+  Refused mRefused;
   std::mutex mLock;
   std::set<std::weak_ptr<Session>, std::owner_less<>> mSessions;
   bool mStopped = false;
@@ -178,7 +187,8 @@
   {
     beast::error_code ec;
     aSocket.set_option(asio::ip::tcp::no_delay(true), ec);
-    auto session = std::make_shared<Session>(std::move(aSocket), mHandler);
+    auto session =
+      std::make_shared<Session>(std::move(aSocket), mHandler, mRefused);
     {
       std::lock_guard lock(mLock);
       std::erase_if(mSessions, [](const auto& aIt) { return aIt.expired(); });
@@ -197,9 +207,10 @@
 
 Result<std::shared_ptr<HttpServer>> HttpServer::Make(
   const asio::any_io_executor& aExecutor, const Address& aListen,
-  Handler aHandler)
+  Handler aHandler, Refused aRefused)
 {
-  auto impl = std::make_unique<Impl>(aExecutor, std::move(aHandler));
+  auto impl =
+    std::make_unique<Impl>(aExecutor, std::move(aHandler), std::move(aRefused));
   auto endpoint = ToEndpoint<asio::ip::tcp>(aListen);
   beast::error_code ec;
   auto& acceptor = impl->mAcceptor;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -25,12 +25,15 @@
   /** Called on the server's executor, one at a time for a connection. */
   using Handler = std::function<void(HttpRequest, Respond)>;
 
-  /** Binds and listens at once; port 0 takes a free one (see Port). Fails with
-   * System if the address can't be bound.
+  /** Called for each request that does not parse; it was answered with 400. */
+  using Refused = std::function<void()>;
+
+  /** Binds and listens at once; port 0 takes a free one (see Local). Fails with
+   * System if the address can't be bound. aRefused may be empty.
    */
   static Result<std::shared_ptr<HttpServer>> Make(
     const boost::asio::any_io_executor& aExecutor, const Address& aListen,
-    Handler aHandler);
+    Handler aHandler, Refused aRefused = {});
 
   ~HttpServer();
 
--- a/src/platform/SyncObjectStore.cpp
+++ b/src/platform/SyncObjectStore.cpp
@@ -40,6 +40,18 @@
          (aError.mKind == ErrorKind::Timeout && aRepeat == Repeat::Always);
 }
 
+/** A read that got no answer changed nothing: operators must not be told that
+ * it may have. */
+template<typename T>
+Result<T> WithoutEffect(Result<T> aResult)
+{
+  if (!aResult && aResult.error().mKind == ErrorKind::Timeout) {
+    return Fail(ErrorKind::Unavailable, aResult.error().mMessage,
+                "nothing was changed; look at the platform, then try again");
+  }
+  return aResult;
+}
+
 template<typename T, typename Start>
 Result<T> CallUntilDone(const SyncObjectStore::Options& aOptions,
                         Repeat aRepeat, Start aStart)
@@ -49,7 +61,8 @@
     Result<T> result = Begin<T>(aStart).get();
     if (result || attempt >= aOptions.mAttempts ||
         !MayRepeat(result.error(), aRepeat)) {
-      return result;
+      return aRepeat == Repeat::Always ? WithoutEffect(std::move(result))
+                                       : result;
     }
     aOptions.mPause(backoff.Next());
   }
--- a/src/process/AdminServer.cpp
+++ b/src/process/AdminServer.cpp
@@ -104,6 +104,9 @@
     aExecutor, aListen,
     [this](HttpRequest aRequest, HttpServer::Respond aRespond) {
       Handle(std::move(aRequest), std::move(aRespond));
+    },
+    [this] {
+      mMetrics.GetCounter("admin_refused_total", "reason=\"malformed\"").Add();
     });
   if (!server) {
     return tl::unexpected(server.error());
--- a/tests/FakeObjectStore.h
+++ b/tests/FakeObjectStore.h
@@ -34,6 +34,8 @@
   std::function<void(const std::string& aKey)> mBefore;
   /** Reads of a key that give the value before the newest. */
   int mStaleReads = 0;
+  /** No read is answered. */
+  bool mLosesReads = false;
   int mCalls = 0;
 
   std::map<std::string, Object> mObjects;
@@ -41,6 +43,10 @@
   void Get(std::string_view aKey, Done<Object> aDone) override
   {
     Enter(std::string(aKey));
+    if (mLosesReads) {
+      aDone(Fail(ErrorKind::Timeout, "no answer", "read back"));
+      return;
+    }
     auto it = mObjects.find(std::string(aKey));
     auto old = mOlder.find(std::string(aKey));
     if (mStaleReads > 0 && old != mOlder.end()) {
