Read-through: FlowFront in two, one way to run a process, readiness of the drained

Ruled out: a class of its own for requests, which would need all of the front's parts. Change: FlowFrontRequests.cpp and FlowEffects.h; RunProcess for both kinds of process; /readyz of a drained agent is 503 with the remedy; the version in force is a gauge (configuration_version).

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -129,6 +129,7 @@
   ServiceViewPtr mView;
   std::atomic<std::uint64_t> mLoadSequence{ 0 };
   std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mDraining{ false };
   Time mStopBegan{};
   Time mLeavingSince{};
 
@@ -137,6 +138,10 @@
     if (mStopping) {
       return Fail(ErrorKind::Unavailable, "stopping", "use another host");
     }
+    if (mDraining) {
+      return Fail(ErrorKind::Unavailable, "drained",
+                  "restart the agent to bring the host back");
+    }
     if (!mConfig.Current()) {
       return Fail(ErrorKind::Unavailable, "no configuration yet",
                   "apply one, or look at the platform and the balancers");
@@ -238,6 +243,8 @@
 
   void OnConfiguration(const Configuration& aConfiguration)
   {
+    mMetrics.GetGauge("configuration_version")
+      .Set(static_cast<double>(aConfiguration.mVersion));
     const Service* service = aConfiguration.Find(mSelf.mService);
     if (service == nullptr) {
       LogEvent(LogLevel::Warning, "service_unknown",
@@ -372,6 +379,7 @@
   /** Takes no new flow from now on, and hands over those it has. */
   void Drain()
   {
+    mDraining = true;
     mMembers.SetState(HostState::Draining);
     mFront->Drain();
     mPipeline->Drain();
--- /dev/null
+++ b/src/agent/FlowEffects.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "src/agent/FlowShard.h"
+#include "src/agent/PendingRequest.h"
+#include "src/wire/PacketCodec.h"
+
+namespace heatherplank {
+
+/** What is left to do once the shard's lock is free. */
+struct FlowEffects
+{
+  struct Datagram
+  {
+    Address mTo;
+    Bytes mBytes;
+  };
+  std::vector<Datagram> mDatagrams;
+  std::vector<PendingRequestPtr> mStarts;
+  std::vector<std::pair<FlowKey, std::string>> mCancels;
+  std::vector<Datagram> mByControl;
+};
+
+/** The bytes of a text; valid as long as it. */
+inline ByteView View(std::string_view aText)
+{
+  return { reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size() };
+}
+
+/** A copy of a packet that outlives its datagram. */
+inline HeldPacket Hold(const Packet& aPacket)
+{
+  return { aPacket.mFlow,
+           aPacket.mReturnTo,
+           aPacket.mHintTo,
+           aPacket.mHops,
+           { aPacket.mPayload.begin(), aPacket.mPayload.end() } };
+}
+
+/** A held packet as it came; its payload is a view into aHeld. */
+inline Packet ToPacket(const HeldPacket& aHeld, ServiceId aService)
+{
+  Packet packet;
+  packet.mFlow = aHeld.mFlow;
+  packet.mService = aService;
+  packet.mReturnTo = aHeld.mReturnTo;
+  packet.mHintTo = aHeld.mHintTo;
+  packet.mHops = aHeld.mHops;
+  packet.mPayload = aHeld.mPayload;
+  return packet;
+}
+
+} // namespace heatherplank
--- a/src/agent/FlowFront.cpp
+++ b/src/agent/FlowFront.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/agent/FlowEffects.h"
 #include "src/agent/PolicyMeter.h"
 #include "src/caller/Answer.h"
 #include "src/metrics/Metrics.h"
@@ -23,48 +24,8 @@
 /** The bounds of one shard leave room for an uneven spread of flows. */
 constexpr std::size_t kShardSlack = 2;
 
-ByteView View(std::string_view aText)
-{
-  return { reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size() };
-}
-
-HeldPacket Hold(const Packet& aPacket)
-{
-  return { aPacket.mFlow,
-           aPacket.mReturnTo,
-           aPacket.mHintTo,
-           aPacket.mHops,
-           { aPacket.mPayload.begin(), aPacket.mPayload.end() } };
-}
-
-Packet ToPacket(const HeldPacket& aHeld, ServiceId aService)
-{
-  Packet packet;
-  packet.mFlow = aHeld.mFlow;
-  packet.mService = aService;
-  packet.mReturnTo = aHeld.mReturnTo;
-  packet.mHintTo = aHeld.mHintTo;
-  packet.mHops = aHeld.mHops;
-  packet.mPayload = aHeld.mPayload;
-  return packet;
-}
-
 } // namespace
 
-/** What is left to do once the shard's lock is free. */
-struct FlowFront::Effects
-{
-  struct Datagram
-  {
-    Address mTo;
-    Bytes mBytes;
-  };
-  std::vector<Datagram> mDatagrams;
-  std::vector<PendingRequestPtr> mStarts;
-  std::vector<std::pair<FlowKey, std::string>> mCancels;
-  std::vector<Datagram> mByControl;
-};
-
 FlowFront::FlowFront(Parts aParts, const Options& aOptions)
   : mParts(std::move(aParts))
   , mOptions(aOptions)
@@ -170,7 +131,7 @@
     mNotReady.Add();
     return;
   }
-  Effects effects;
+  FlowEffects effects;
   FlowShard& shard = ShardOf(aPacket.mFlow);
   if (!IsForThisService(aPacket)) {
     mWrongService.Add();
@@ -205,7 +166,7 @@
 {
   FlowShard& shard = ShardOf(FlowOf(aMessage));
   const auto* handOff = std::get_if<HandOff>(&aMessage);
-  Effects effects;
+  FlowEffects effects;
   {
     std::lock_guard lock(shard.mLock);
     OwnershipActions actions;
@@ -224,7 +185,7 @@
     }
   }
   for (auto& it : mShards) {
-    Effects effects;
+    FlowEffects effects;
     {
       std::lock_guard lock(it->mLock);
       // Two answers may be taken in by two threads; the older view must not
@@ -244,7 +205,7 @@
 void FlowFront::Drain()
 {
   for (auto& it : mShards) {
-    Effects effects;
+    FlowEffects effects;
     {
       std::lock_guard lock(it->mLock);
       OwnershipActions actions;
@@ -259,7 +220,7 @@
 {
   bool sweep = ++mTicks % kTicksPerSweep == 0;
   for (auto& it : mShards) {
-    Effects effects;
+    FlowEffects effects;
     {
       std::lock_guard lock(it->mLock);
       Time now = mParts.mClock.Now();
@@ -278,16 +239,6 @@
   }
 }
 
-void FlowFront::ExpireLent(FlowShard& aShard, Time aNow)
-{
-  for (auto flow = aShard.mLent.begin(); flow != aShard.mLent.end();) {
-    std::erase_if(flow->second, [&](const auto& aRequest) {
-      return aRequest.second.mUntil <= aNow;
-    });
-    flow = flow->second.empty() ? aShard.mLent.erase(flow) : std::next(flow);
-  }
-}
-
 std::size_t FlowFront::FlowCount()
 {
   std::size_t count = 0;
@@ -299,7 +250,7 @@
 }
 
 void FlowFront::Carry(FlowShard& aShard, const OwnershipActions& aActions,
-                      ByteView aHandOffState, Effects& aEffects)
+                      ByteView aHandOffState, FlowEffects& aEffects)
 {
   for (const auto& it : aActions) {
     if (const auto* dispatch = std::get_if<DispatchPacket>(&it)) {
@@ -327,7 +278,7 @@
 }
 
 void FlowFront::TakeOwned(FlowShard& aShard, const DispatchPacket& aDispatch,
-                          Effects& aEffects)
+                          FlowEffects& aEffects)
 {
   auto held = aShard.mHeld.extract(aDispatch.mToken);
   if (!held.empty()) {
@@ -335,84 +286,8 @@
   }
 }
 
-void FlowFront::RunLent(const Packet& aPacket)
-{
-  FlowShard& shard = ShardOf(aPacket.mFlow);
-  Effects effects;
-  {
-    std::lock_guard lock(shard.mLock);
-    TakeRequest(shard, Hold(aPacket), aPacket.mEpoch, true, effects);
-  }
-  Perform(effects);
-}
-
-void FlowFront::TakeRequest(FlowShard& aShard, const HeldPacket& aPacket,
-                            FlowEpoch aEpoch, bool aLent, Effects& aEffects)
-{
-  auto parsed = ParseCallerRequest(aPacket.mPayload);
-  if (!parsed) {
-    mMalformed.Add();
-    return;
-  }
-  const std::string& id = parsed->mRequestId;
-  if (!aLent && PassToLender(aShard, aPacket, aEpoch, id, aEffects)) {
-    return;
-  }
-  if (parsed->mCancel) {
-    aEffects.mCancels.emplace_back(aPacket.mFlow, id);
-    return;
-  }
-  RequestState state = aShard.mAnswers.Begin(aPacket.mFlow, id);
-  if (state == RequestState::InProgress) {
-    mRepeats.Add();
-    return;
-  }
-  if (state == RequestState::Answered) {
-    mResent.Add();
-    PutAnswer(aPacket, *aShard.mAnswers.Find(aPacket.mFlow, id), id, aEpoch,
-              parsed->mRange, aEffects);
-    return;
-  }
-  PendingRequestPtr request(new PendingRequest);
-  request->mFlow = aPacket.mFlow;
-  request->mEpoch = aEpoch;
-  request->mReturnTo = aPacket.mReturnTo;
-  request->mHintTo = aPacket.mHintTo;
-  request->mHops = aLent ? 1 : 0;
-  request->mLent = aLent;
-  request->mRequest = std::move(*parsed);
-  request->mArrival = mParts.mClock.Now();
-  if (!aLent) {
-    aShard.mOwnership.OnRequestStarted(aPacket.mFlow);
-  }
-  aEffects.mStarts.push_back(std::move(request));
-}
-
-bool FlowFront::PassToLender(FlowShard& aShard, const HeldPacket& aPacket,
-                             FlowEpoch aEpoch, const std::string& aRequestId,
-                             Effects& aEffects)
-{
-  auto flow = aShard.mLent.find(aPacket.mFlow);
-  if (flow == aShard.mLent.end()) {
-    return false;
-  }
-  auto lent = flow->second.find(aRequestId);
-  ServiceViewPtr view = CurrentView();
-  const Member* member = lent == flow->second.end() || !view
-                           ? nullptr
-                           : view->Find(lent->second.mTo);
-  if (member == nullptr) {
-    return false;
-  }
-  Packet packet = ToPacket(aPacket, mOptions.mSelf.mService);
-  packet.mDirective = PacketDirective::Lend;
-  packet.mEpoch = aEpoch;
-  aEffects.mDatagrams.push_back({ member->mTunnel, EncodePacket(packet) });
-  return true;
-}
-
 void FlowFront::Forward(FlowShard& aShard, const ForwardPacket& aForward,
-                        Effects& aEffects)
+                        FlowEffects& aEffects)
 {
   auto held = aShard.mHeld.extract(aForward.mToken);
   if (held.empty()) {
@@ -426,67 +301,8 @@
   aEffects.mDatagrams.push_back({ aForward.mTo.mTunnel, EncodePacket(packet) });
 }
 
-void FlowFront::RefuseHeld(FlowShard& aShard, const RefusePacket& aRefuse,
-                           Effects& aEffects)
-{
-  auto held = aShard.mHeld.extract(aRefuse.mToken);
-  if (!held.empty()) {
-    RefuseRequest(aShard, held.mapped(), ToString(aRefuse.mReason),
-                  aRefuse.mRetryAfter, aEffects);
-  }
-}
-
-/** Failure met: copies of one request queue up while this process is paused.
- * The first is refused, the view becomes fresh, and the next copy is taken in
- * as a new request: its caller was told "not run", and it ran. It holds since
- * the refusal is kept under the request's id like any other answer. */
-void FlowFront::RefuseRequest(FlowShard& aShard, const HeldPacket& aPacket,
-                              std::string_view aReason, Duration aRetryAfter,
-                              Effects& aEffects)
-{
-  auto parsed = ParseCallerRequest(aPacket.mPayload);
-  if (!parsed) {
-    mMalformed.Add();
-    return;
-  }
-  PendingRequest request;
-  request.mRequest = std::move(*parsed);
-  const std::string& id = request.mRequest.mRequestId;
-  RequestState state = aShard.mAnswers.Begin(aPacket.mFlow, id);
-  if (state == RequestState::InProgress) {
-    mRepeats.Add();
-    return;
-  }
-  if (state == RequestState::New) {
-    // This host does not own the flow. The one that does may have run a claim
-    // before it was paused or cut off, so "not run" could be false; the record
-    // will tell when the caller asks again under its key.
-    bool mayHaveRun =
-      !mPipeline->Classify(request) || request.mRule.mNeverRepeat;
-    aShard.mAnswers.Finish(aPacket.mFlow, id,
-                           mayHaveRun ? MakeUnsure(aReason, aRetryAfter)
-                                      : MakeNotRun(503, aReason, aRetryAfter),
-                           mParts.mClock.Now());
-  }
-  PutAnswer(aPacket, *aShard.mAnswers.Find(aPacket.mFlow, id), id, 0, {},
-            aEffects);
-}
-
-void FlowFront::PutAnswer(const HeldPacket& aPacket, const Answer& aAnswer,
-                          const std::string& aRequestId, FlowEpoch aEpoch,
-                          const std::optional<ByteRange>& aRange,
-                          Effects& aEffects)
-{
-  Packet packet = ToPacket(aPacket, mOptions.mSelf.mService);
-  packet.mDirective = PacketDirective::Answer;
-  for (const auto& it : WriteAnswer(aAnswer, aRequestId, aEpoch, aRange)) {
-    packet.mPayload = View(it);
-    aEffects.mDatagrams.push_back({ packet.mReturnTo, EncodePacket(packet) });
-  }
-}
-
 void FlowFront::SendHandOff(const ExportFlow& aExport, Bytes aState,
-                            Effects& aEffects)
+                            FlowEffects& aEffects)
 {
   HandOff handOff = aExport.mHandOff;
   handOff.mState = aState;
@@ -500,70 +316,7 @@
   aEffects.mByControl.push_back({ control, std::move(payload) });
 }
 
-void FlowFront::OnAnswer(const PendingRequestPtr& aRequest, Answer aAnswer)
-{
-  aAnswer.mService = mOptions.mServiceName;
-  const std::string& id = aRequest->mRequest.mRequestId;
-  FlowShard& shard = ShardOf(aRequest->mFlow);
-  HeldPacket packet{
-    aRequest->mFlow, aRequest->mReturnTo, aRequest->mHintTo, 0, {}
-  };
-  Effects effects;
-  PutAnswer(packet, aAnswer, id, aRequest->mEpoch, aRequest->mRequest.mRange,
-            effects);
-  {
-    std::lock_guard lock(shard.mLock);
-    Time now = mParts.mClock.Now();
-    mParts.mMeter.OnAnswer(aRequest->mRule.mImportance, aAnswer,
-                           now - aRequest->mArrival);
-    bool ran = aAnswer.mOutcome != Outcome::NotRun;
-    shard.mAnswers.Finish(aRequest->mFlow, id, std::move(aAnswer), now);
-    if (!aRequest->mLent) {
-      OwnershipActions actions;
-      shard.mOwnership.OnRequestEnded(aRequest->mFlow, ran, now, actions);
-      Carry(shard, actions, {}, effects);
-    }
-  }
-  Perform(effects);
-}
-
-bool FlowFront::OnHandOn(const PendingRequestPtr& aRequest, HostId aTarget)
-{
-  ServiceViewPtr view = CurrentView();
-  const Member* member = view ? view->Find(aTarget) : nullptr;
-  if (member == nullptr || aRequest->mLent) {
-    return false;
-  }
-  Packet packet;
-  packet.mFlow = aRequest->mFlow;
-  packet.mService = mOptions.mSelf.mService;
-  packet.mReturnTo = aRequest->mReturnTo;
-  packet.mHintTo = aRequest->mHintTo;
-  packet.mDirective = PacketDirective::Lend;
-  packet.mEpoch = aRequest->mEpoch;
-  CallerRequest lent = aRequest->mRequest;
-  lent.mTimeout = aRequest->mDeadline - mParts.mClock.Now();
-  std::string text = WriteCallerRequest(lent);
-  packet.mPayload = View(text);
-  Effects effects;
-  effects.mDatagrams.push_back({ member->mTunnel, EncodePacket(packet) });
-  FlowShard& shard = ShardOf(aRequest->mFlow);
-  {
-    std::lock_guard lock(shard.mLock);
-    shard.mAnswers.Release(aRequest->mFlow, lent.mRequestId);
-    shard.mLent[aRequest->mFlow][lent.mRequestId] = {
-      aTarget, aRequest->mDeadline + AnswerStore::kRetention
-    };
-    OwnershipActions actions;
-    shard.mOwnership.OnRequestEnded(aRequest->mFlow, true, mParts.mClock.Now(),
-                                    actions);
-    Carry(shard, actions, {}, effects);
-  }
-  Perform(effects);
-  return true;
-}
-
-void FlowFront::Perform(const Effects& aEffects)
+void FlowFront::Perform(const FlowEffects& aEffects)
 {
   for (const auto& it : aEffects.mDatagrams) {
     mParts.mTunnel.Send(it.mBytes, it.mTo);
--- a/src/agent/FlowFront.h
+++ b/src/agent/FlowFront.h
@@ -14,6 +14,7 @@
 
 class DatagramSocket;
 class PolicyMeter;
+struct FlowEffects;
 
 /** The agent's first filters, from a datagram to a request that this host owns
  * (receive, own), and its last, from an answer to the caller. It carries out
@@ -81,8 +82,6 @@
   static constexpr std::size_t kShards = 8;
 
 private:
-  struct Effects;
-
   FlowShard& ShardOf(const FlowKey& aFlow);
   void OnPacket(const Packet& aPacket);
   void OnMessage(const OwnershipMessage& aMessage);
@@ -90,26 +89,27 @@
   bool IsForThisService(const Packet& aPacket) const;
   void RunLent(const Packet& aPacket);
   void Carry(FlowShard& aShard, const OwnershipActions& aActions,
-             ByteView aHandOffState, Effects& aEffects);
+             ByteView aHandOffState, FlowEffects& aEffects);
   void TakeOwned(FlowShard& aShard, const DispatchPacket& aDispatch,
-                 Effects& aEffects);
+                 FlowEffects& aEffects);
   void TakeRequest(FlowShard& aShard, const HeldPacket& aPacket,
-                   FlowEpoch aEpoch, bool aLent, Effects& aEffects);
+                   FlowEpoch aEpoch, bool aLent, FlowEffects& aEffects);
   bool PassToLender(FlowShard& aShard, const HeldPacket& aPacket,
                     FlowEpoch aEpoch, const std::string& aRequestId,
-                    Effects& aEffects);
+                    FlowEffects& aEffects);
   void Forward(FlowShard& aShard, const ForwardPacket& aForward,
-               Effects& aEffects);
+               FlowEffects& aEffects);
   void RefuseHeld(FlowShard& aShard, const RefusePacket& aRefuse,
-                  Effects& aEffects);
+                  FlowEffects& aEffects);
   void RefuseRequest(FlowShard& aShard, const HeldPacket& aPacket,
                      std::string_view aReason, Duration aRetryAfter,
-                     Effects& aEffects);
+                     FlowEffects& aEffects);
   void PutAnswer(const HeldPacket& aPacket, const Answer& aAnswer,
                  const std::string& aRequestId, FlowEpoch aEpoch,
-                 const std::optional<ByteRange>& aRange, Effects& aEffects);
-  void SendHandOff(const ExportFlow& aExport, Bytes aState, Effects& aEffects);
-  void Perform(const Effects& aEffects);
+                 const std::optional<ByteRange>& aRange, FlowEffects& aEffects);
+  void SendHandOff(const ExportFlow& aExport, Bytes aState,
+                   FlowEffects& aEffects);
+  void Perform(const FlowEffects& aEffects);
   Address ControlOf(const Address& aTunnel) const;
   ServiceViewPtr CurrentView() const;
   static void ExpireLent(FlowShard& aShard, Time aNow);
--- /dev/null
+++ b/src/agent/FlowFrontRequests.cpp
@@ -0,0 +1,217 @@
+#include "src/agent/FlowEffects.h"
+#include "src/agent/FlowFront.h"
+#include "src/agent/PolicyMeter.h"
+#include "src/caller/Answer.h"
+#include "src/metrics/Metrics.h"
+
+namespace heatherplank {
+
+void FlowFront::RunLent(const Packet& aPacket)
+{
+  FlowShard& shard = ShardOf(aPacket.mFlow);
+  FlowEffects effects;
+  {
+    std::lock_guard lock(shard.mLock);
+    TakeRequest(shard, Hold(aPacket), aPacket.mEpoch, true, effects);
+  }
+  Perform(effects);
+}
+
+void FlowFront::TakeRequest(FlowShard& aShard, const HeldPacket& aPacket,
+                            FlowEpoch aEpoch, bool aLent, FlowEffects& aEffects)
+{
+  auto parsed = ParseCallerRequest(aPacket.mPayload);
+  if (!parsed) {
+    mMalformed.Add();
+    return;
+  }
+  const std::string& id = parsed->mRequestId;
+  if (!aLent && PassToLender(aShard, aPacket, aEpoch, id, aEffects)) {
+    return;
+  }
+  if (parsed->mCancel) {
+    aEffects.mCancels.emplace_back(aPacket.mFlow, id);
+    return;
+  }
+  RequestState state = aShard.mAnswers.Begin(aPacket.mFlow, id);
+  if (state == RequestState::InProgress) {
+    mRepeats.Add();
+    return;
+  }
+  if (state == RequestState::Answered) {
+    mResent.Add();
+    PutAnswer(aPacket, *aShard.mAnswers.Find(aPacket.mFlow, id), id, aEpoch,
+              parsed->mRange, aEffects);
+    return;
+  }
+  PendingRequestPtr request(new PendingRequest);
+  request->mFlow = aPacket.mFlow;
+  request->mEpoch = aEpoch;
+  request->mReturnTo = aPacket.mReturnTo;
+  request->mHintTo = aPacket.mHintTo;
+  request->mHops = aLent ? 1 : 0;
+  request->mLent = aLent;
+  request->mRequest = std::move(*parsed);
+  request->mArrival = mParts.mClock.Now();
+  if (!aLent) {
+    aShard.mOwnership.OnRequestStarted(aPacket.mFlow);
+  }
+  aEffects.mStarts.push_back(std::move(request));
+}
+
+bool FlowFront::PassToLender(FlowShard& aShard, const HeldPacket& aPacket,
+                             FlowEpoch aEpoch, const std::string& aRequestId,
+                             FlowEffects& aEffects)
+{
+  auto flow = aShard.mLent.find(aPacket.mFlow);
+  if (flow == aShard.mLent.end()) {
+    return false;
+  }
+  auto lent = flow->second.find(aRequestId);
+  ServiceViewPtr view = CurrentView();
+  const Member* member = lent == flow->second.end() || !view
+                           ? nullptr
+                           : view->Find(lent->second.mTo);
+  if (member == nullptr) {
+    return false;
+  }
+  Packet packet = ToPacket(aPacket, mOptions.mSelf.mService);
+  packet.mDirective = PacketDirective::Lend;
+  packet.mEpoch = aEpoch;
+  aEffects.mDatagrams.push_back({ member->mTunnel, EncodePacket(packet) });
+  return true;
+}
+
+void FlowFront::RefuseHeld(FlowShard& aShard, const RefusePacket& aRefuse,
+                           FlowEffects& aEffects)
+{
+  auto held = aShard.mHeld.extract(aRefuse.mToken);
+  if (!held.empty()) {
+    RefuseRequest(aShard, held.mapped(), ToString(aRefuse.mReason),
+                  aRefuse.mRetryAfter, aEffects);
+  }
+}
+
+/** Failure met: copies of one request queue up while this process is paused.
+ * The first is refused, the view becomes fresh, and the next copy is taken in
+ * as a new request: its caller was told "not run", and it ran. It holds since
+ * the refusal is kept under the request's id like any other answer. */
+void FlowFront::RefuseRequest(FlowShard& aShard, const HeldPacket& aPacket,
+                              std::string_view aReason, Duration aRetryAfter,
+                              FlowEffects& aEffects)
+{
+  auto parsed = ParseCallerRequest(aPacket.mPayload);
+  if (!parsed) {
+    mMalformed.Add();
+    return;
+  }
+  PendingRequest request;
+  request.mRequest = std::move(*parsed);
+  const std::string& id = request.mRequest.mRequestId;
+  RequestState state = aShard.mAnswers.Begin(aPacket.mFlow, id);
+  if (state == RequestState::InProgress) {
+    mRepeats.Add();
+    return;
+  }
+  if (state == RequestState::New) {
+    // This host does not own the flow. The one that does may have run a claim
+    // before it was paused or cut off, so "not run" could be false; the record
+    // will tell when the caller asks again under its key.
+    bool mayHaveRun =
+      !mPipeline->Classify(request) || request.mRule.mNeverRepeat;
+    aShard.mAnswers.Finish(aPacket.mFlow, id,
+                           mayHaveRun ? MakeUnsure(aReason, aRetryAfter)
+                                      : MakeNotRun(503, aReason, aRetryAfter),
+                           mParts.mClock.Now());
+  }
+  PutAnswer(aPacket, *aShard.mAnswers.Find(aPacket.mFlow, id), id, 0, {},
+            aEffects);
+}
+
+void FlowFront::PutAnswer(const HeldPacket& aPacket, const Answer& aAnswer,
+                          const std::string& aRequestId, FlowEpoch aEpoch,
+                          const std::optional<ByteRange>& aRange,
+                          FlowEffects& aEffects)
+{
+  Packet packet = ToPacket(aPacket, mOptions.mSelf.mService);
+  packet.mDirective = PacketDirective::Answer;
+  for (const auto& it : WriteAnswer(aAnswer, aRequestId, aEpoch, aRange)) {
+    packet.mPayload = View(it);
+    aEffects.mDatagrams.push_back({ packet.mReturnTo, EncodePacket(packet) });
+  }
+}
+
+void FlowFront::OnAnswer(const PendingRequestPtr& aRequest, Answer aAnswer)
+{
+  aAnswer.mService = mOptions.mServiceName;
+  const std::string& id = aRequest->mRequest.mRequestId;
+  FlowShard& shard = ShardOf(aRequest->mFlow);
+  HeldPacket packet{
+    aRequest->mFlow, aRequest->mReturnTo, aRequest->mHintTo, 0, {}
+  };
+  FlowEffects effects;
+  PutAnswer(packet, aAnswer, id, aRequest->mEpoch, aRequest->mRequest.mRange,
+            effects);
+  {
+    std::lock_guard lock(shard.mLock);
+    Time now = mParts.mClock.Now();
+    mParts.mMeter.OnAnswer(aRequest->mRule.mImportance, aAnswer,
+                           now - aRequest->mArrival);
+    bool ran = aAnswer.mOutcome != Outcome::NotRun;
+    shard.mAnswers.Finish(aRequest->mFlow, id, std::move(aAnswer), now);
+    if (!aRequest->mLent) {
+      OwnershipActions actions;
+      shard.mOwnership.OnRequestEnded(aRequest->mFlow, ran, now, actions);
+      Carry(shard, actions, {}, effects);
+    }
+  }
+  Perform(effects);
+}
+
+bool FlowFront::OnHandOn(const PendingRequestPtr& aRequest, HostId aTarget)
+{
+  ServiceViewPtr view = CurrentView();
+  const Member* member = view ? view->Find(aTarget) : nullptr;
+  if (member == nullptr || aRequest->mLent) {
+    return false;
+  }
+  Packet packet;
+  packet.mFlow = aRequest->mFlow;
+  packet.mService = mOptions.mSelf.mService;
+  packet.mReturnTo = aRequest->mReturnTo;
+  packet.mHintTo = aRequest->mHintTo;
+  packet.mDirective = PacketDirective::Lend;
+  packet.mEpoch = aRequest->mEpoch;
+  CallerRequest lent = aRequest->mRequest;
+  lent.mTimeout = aRequest->mDeadline - mParts.mClock.Now();
+  std::string text = WriteCallerRequest(lent);
+  packet.mPayload = View(text);
+  FlowEffects effects;
+  effects.mDatagrams.push_back({ member->mTunnel, EncodePacket(packet) });
+  FlowShard& shard = ShardOf(aRequest->mFlow);
+  {
+    std::lock_guard lock(shard.mLock);
+    shard.mAnswers.Release(aRequest->mFlow, lent.mRequestId);
+    shard.mLent[aRequest->mFlow][lent.mRequestId] = {
+      aTarget, aRequest->mDeadline + AnswerStore::kRetention
+    };
+    OwnershipActions actions;
+    shard.mOwnership.OnRequestEnded(aRequest->mFlow, true, mParts.mClock.Now(),
+                                    actions);
+    Carry(shard, actions, {}, effects);
+  }
+  Perform(effects);
+  return true;
+}
+
+void FlowFront::ExpireLent(FlowShard& aShard, Time aNow)
+{
+  for (auto flow = aShard.mLent.begin(); flow != aShard.mLent.end();) {
+    std::erase_if(flow->second, [&](const auto& aRequest) {
+      return aRequest.second.mUntil <= aNow;
+    });
+    flow = flow->second.empty() ? aShard.mLent.erase(flow) : std::next(flow);
+  }
+}
+
+} // namespace heatherplank
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -73,6 +73,8 @@
     , mConfig({ mClock, mMetrics, mLinks, mStore,
                 [this](const ConfigurationPtr& aConfiguration) {
                   mStatus.OnInForce(aConfiguration->mVersion, mClock.Now());
+                  mMetrics.GetGauge("configuration_version")
+                    .Set(static_cast<double>(aConfiguration->mVersion));
                   mMembers.SetConfiguration(*aConfiguration);
                   mRouter.SetRoutes(mRoutes.SetConfiguration(aConfiguration));
                 } },
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -10,9 +10,10 @@
 
 #include <gflags/gflags.h>
 
-#include "src/agent/AgentProcess.h"
-#include "src/balancer/BalancerProcess.h"
+#include "src/agent/Agent.h"
+#include "src/balancer/Balancer.h"
 #include "src/cli/Commands.h"
+#include "src/process/RunProcess.h"
 #include "src/replay/Replay.h"
 
 DEFINE_string(settings, "", "file with the process's settings (JSON)");
@@ -28,12 +29,14 @@
 
 ExitCode RunBalancer(Words)
 {
-  return RunBalancerProcess({ FLAGS_settings, FLAGS_fault_injection });
+  return RunProcess<Balancer>({ FLAGS_settings, FLAGS_fault_injection },
+                              ReadBalancerSettings);
 }
 
 ExitCode RunAgent(Words)
 {
-  return RunAgentProcess({ FLAGS_settings, FLAGS_fault_injection });
+  return RunProcess<Agent>({ FLAGS_settings, FLAGS_fault_injection },
+                           ReadAgentSettings);
 }
 
 ExitCode RunReplayCommand(Words aTraces)
