--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -88,7 +88,7 @@
     { "report",
       "shows how each policy fared",
       RunReport,
-      { "platform", "json" } },
+      { "platform", "json", "svg" } },
     { "drain",
       "drains a host, or takes it back",
       RunDrain,
--- a/src/cli/Flags.cpp
+++ b/src/cli/Flags.cpp
@@ -18,3 +18,4 @@
 DEFINE_bool(undo, false, "end the drain of the host (drain)");
 DEFINE_int64(at_version, 0,
              "show this older version instead of the newest (get)");
+DEFINE_string(svg, "", "file to draw the report into, too (report)");
--- a/src/cli/Flags.h
+++ b/src/cli/Flags.h
@@ -10,3 +10,4 @@
 DECLARE_int64(if_version);
 DECLARE_bool(undo);
 DECLARE_int64(at_version);
+DECLARE_string(svg);
--- a/src/cli/StatusCommands.cpp
+++ b/src/cli/StatusCommands.cpp
@@ -1,6 +1,7 @@
 #include "src/cli/Commands.h"
 
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <utility>
 
@@ -9,6 +10,7 @@
 
 #include "src/cli/CommandContext.h"
 #include "src/cli/Flags.h"
+#include "src/status/ReportPlot.h"
 #include "src/status/StatusReader.h"
 #include "src/status/StatusView.h"
 
@@ -80,6 +82,16 @@
   std::cout << (FLAGS_json
                   ? json::serialize(ReportToJson(read->mStatus, policy)) + "\n"
                   : ReportToTable(read->mStatus, policy));
+  if (FLAGS_svg.empty()) {
+    return ExitCode::Ok;
+  }
+  std::ofstream file(FLAGS_svg);
+  file << DrawReport(read->mStatus.mFigures, policy);
+  if (!file.flush()) {
+    return ReportError("report", { ErrorKind::InvalidInput,
+                                   FLAGS_svg + ": can't be written",
+                                   "give a path that this user may write" });
+  }
   return ExitCode::Ok;
 }
 
