Sanitizers over the whole: a leak at exit, a read past a test's members

Cause: (1) ControlClient and its connection held each other, so an agent that ended while connected left 108,720 bytes; while it ran, a closed connection broke the circle. (2) OwnershipTest read the second of one members. Ruled out: closing all links at exit, which would need the event loop to go on. Conclusion: no fault of memory is known.

--- a/src/net/ControlClient.cpp
+++ b/src/net/ControlClient.cpp
@@ -82,16 +82,21 @@
   void OnConnected(const std::shared_ptr<ControlClient>& aSelf)
   {
     mBackOff = kFirstBackOff;
+    // Weak, since the client holds its connection: were each to hold the other,
+    // neither would be freed when the process ends while connected.
+    std::weak_ptr<ControlClient> weak = aSelf;
     ControlConnection::Events events;
-    events.mFrame = [aSelf, this](const ControlConnection::Ptr& aConnection,
-                                  const Frame& aFrame) {
-      if (!IsCut() && mEvents.mFrame) {
-        mEvents.mFrame(aConnection, aFrame);
+    events.mFrame = [weak](const ControlConnection::Ptr& aConnection,
+                           const Frame& aFrame) {
+      if (auto self = weak.lock()) {
+        self->mImpl->OnFrame(aConnection, aFrame);
       }
     };
-    events.mClosed = [aSelf, this](const ControlConnection::Ptr& aConnection,
-                                   const Error&) {
-      OnClosed(aSelf, aConnection);
+    events.mClosed = [weak](const ControlConnection::Ptr& aConnection,
+                            const Error&) {
+      if (auto self = weak.lock()) {
+        self->mImpl->OnClosed(self, aConnection);
+      }
     };
     auto connection = std::make_shared<ControlConnection>(
       std::move(*mConnecting), std::move(events));
@@ -105,6 +110,13 @@
     }
   }
 
+  void OnFrame(const ControlConnection::Ptr& aConnection, const Frame& aFrame)
+  {
+    if (!IsCut() && mEvents.mFrame) {
+      mEvents.mFrame(aConnection, aFrame);
+    }
+  }
+
   void OnClosed(const std::shared_ptr<ControlClient>& aSelf,
                 const ControlConnection::Ptr& aConnection)
   {
--- a/tests/OwnershipTest.cpp
+++ b/tests/OwnershipTest.cpp
@@ -1,5 +1,6 @@
 #include "src/steer/Ownership.h"
 #include "tests/SteerFixture.h"
+#include <algorithm>
 
 #include <CppUTest/TestHarness.h>
 
@@ -63,7 +64,8 @@
     packet.mService = MakeServiceId("agenda");
     packet.mDirective = aDirective;
     packet.mHops = aHops;
-    packet.mArbiter = mMembers[1].mHost;
+    packet.mArbiter =
+      mMembers[std::min<std::size_t>(1, mMembers.size() - 1)].mHost;
     mActions.clear();
     mOwnership.OnPacket(packet, mNow, mActions);
     return Last<Wanted>();
