--- a/src/agent/PolicyMeter.cpp
+++ b/src/agent/PolicyMeter.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/** Loads of a moment are whole requests on a few slots: the busiest host has
+ * twice the mean by chance alone. Over 5 s (25 samples) chance is small beside
+ * what a policy does. */
+constexpr int kWindow = 25;
+
 const char* NameOf(Importance aImportance)
 {
   constexpr std::array kNames{ "low", "normal", "high", "critical" };
@@ -34,6 +39,8 @@
   }
   mFigures = {};
   mFigures.mName = aName;
+  mWindow.clear();
+  mWindowSamples = 0;
 }
 
 void PolicyMeter::OnAnswer(Importance aImportance, const Answer& aAnswer,
@@ -59,20 +66,26 @@
 
 void PolicyMeter::OnLoads(std::span<const Candidate> aHosts)
 {
+  std::lock_guard lock(mLock);
+  for (const auto& it : aHosts) {
+    mWindow[it.mHost] += LoadPerSlot(it.mLoad);
+  }
+  if (++mWindowSamples < kWindow) {
+    return;
+  }
   double sum = 0;
   double most = 0;
-  for (const auto& it : aHosts) {
-    double load = LoadPerSlot(it.mLoad);
+  for (const auto& [host, load] : mWindow) {
     sum += load;
     most = std::max(most, load);
   }
-  if (sum <= 0) {
-    return;
+  double mean = sum / static_cast<double>(mWindow.size());
+  if (mean > 0) {
+    mFigures.mImbalanceSum += most / mean - 1;
+    ++mFigures.mImbalanceSamples;
   }
-  std::lock_guard lock(mLock);
-  double mean = sum / static_cast<double>(aHosts.size());
-  mFigures.mImbalanceSum += most / mean - 1;
-  ++mFigures.mImbalanceSamples;
+  mWindow.clear();
+  mWindowSamples = 0;
 }
 
 std::vector<PolicyFigures> PolicyMeter::Take()
--- a/src/agent/PolicyMeter.h
+++ b/src/agent/PolicyMeter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <span>
 #include <string>
@@ -45,6 +46,9 @@
   PolicyFigures mFigures;
   std::vector<PolicyFigures> mPast;
   Time mSince;
+  /** Loads summed up over the window, by host. */
+  std::map<HostId, double> mWindow;
+  int mWindowSamples = 0;
 };
 
 } // namespace heatherplank
