--- a/src/admin/AdminHandlers.h
+++ b/src/admin/AdminHandlers.h
@@ -7,7 +7,7 @@
 #include "src/admin/AdminTokens.h"
 #include "src/config/ConfigurationStore.h"
 #include "src/net/Http.h"
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 
 namespace heatherplank {
 
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -20,7 +20,7 @@
 #include "src/metrics/Metrics.h"
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
-#include "src/platform/HttpObjectStore.h"
+#include "src/store/HttpObjectStore.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
 #include "src/process/ProcessRuntime.h"
@@ -91,7 +91,7 @@
                  [this](const ServiceViewPtr& aView, Time aConfirmedAt) {
                    OnView(aView, aConfirmedAt);
                  } },
-               mSelf, aSettings.mBalancers)
+               mSelf, MemberFeed::DefaultOptions(aSettings.mBalancers))
     , mConfig({ mClock, mMetrics, mLinks,
                 [this](const ConfigurationPtr& aConfiguration) {
                   OnConfiguration(*aConfiguration);
--- a/src/agent/MemberFeed.cpp
+++ b/src/agent/MemberFeed.cpp
@@ -4,7 +4,7 @@
 
 #include "src/base/Log.h"
 #include "src/metrics/Metrics.h"
-#include "src/process/ControlLinks.h"
+#include "src/process/MessageSender.h"
 #include "src/wire/MembershipCodec.h"
 
 namespace heatherplank {
@@ -15,14 +15,6 @@
  * second to last still keeps the trust in a view. */
 constexpr auto kHeartbeatEvery = std::chrono::milliseconds(300);
 
-AgentMembershipOptions MakeOptions(const std::vector<Address>& aSeeds)
-{
-  AgentMembershipOptions options;
-  options.mSeeds = aSeeds;
-  options.mHeartbeatEvery = kHeartbeatEvery;
-  return options;
-}
-
 } // namespace
 
 /** Balancers send an agent members of its own service only; anything else is a
@@ -42,11 +34,19 @@
   ServiceId mService;
 };
 
+AgentMembershipOptions MemberFeed::DefaultOptions(std::vector<Address> aSeeds)
+{
+  AgentMembershipOptions options;
+  options.mSeeds = std::move(aSeeds);
+  options.mHeartbeatEvery = kHeartbeatEvery;
+  return options;
+}
+
 MemberFeed::MemberFeed(Parts aParts, const Member& aSelf,
-                       const std::vector<Address>& aSeeds)
+                       const AgentMembershipOptions& aOptions)
   : mParts(std::move(aParts))
   , mOwnService(std::make_unique<OwnService>(aSelf.mService))
-  , mMembership(aSelf, *mOwnService, MakeOptions(aSeeds),
+  , mMembership(aSelf, *mOwnService, aOptions,
                 MixHash(aSelf.mHost.mValue, aSelf.mIncarnation),
                 mParts.mClock.Now())
 {
@@ -79,6 +79,27 @@
   Flush();
 }
 
+void MemberFeed::BeginLife(HostState aState)
+{
+  {
+    std::lock_guard lock(mLock);
+    Time now = mParts.mClock.Now();
+    mMembership.Restart(mMembership.Self().mIncarnation + 1, now);
+    mMembership.SetState(aState, now);
+    mAnnounced = true;
+  }
+  LogEvent(LogLevel::Info, "host_life", { { "state", ToString(aState) } });
+  Flush();
+}
+
+void MemberFeed::SetSlots(std::uint16_t aSlots)
+{
+  std::lock_guard lock(mLock);
+  if (mMembership.Self().mSlots != aSlots) {
+    mMembership.SetSlots(aSlots, mParts.mClock.Now());
+  }
+}
+
 void MemberFeed::OnFrame(const Frame& aFrame)
 {
   auto message = DecodeMembership(aFrame);
--- a/src/agent/MemberFeed.h
+++ b/src/agent/MemberFeed.h
@@ -13,7 +13,7 @@
 
 namespace heatherplank {
 
-class ControlLinks;
+class MessageSender;
 class MetricsRegistry;
 
 /** Drives an agent's membership: heartbeats out, the view of its own service
@@ -31,21 +31,31 @@
   {
     const Clock& mClock;
     MetricsRegistry& mMetrics;
-    ControlLinks& mLinks;
+    MessageSender& mLinks;
     OnView mOnView;
   };
 
-  /** aSeeds: control addresses of balancers to begin with. */
+  /** How agents of the request interface are wired. aSeeds: control addresses
+   * of balancers to begin with. */
+  static AgentMembershipOptions DefaultOptions(std::vector<Address> aSeeds);
+
   MemberFeed(Parts aParts, const Member& aSelf,
-             const std::vector<Address>& aSeeds);
+             const AgentMembershipOptions& aOptions);
   ~MemberFeed();
 
   /** Begins to announce the host, as serving. Later calls do nothing. */
   void Announce();
 
-  /** Announces another state, at once. A state never goes back. */
+  /** Announces another state, at once. A state never goes back, but by
+   * BeginLife. */
   void SetState(HostState aState);
 
+  /** Announces a new life of the host, in this state. */
+  void BeginLife(HostState aState);
+
+  /** Announces how many requests the host works on at once. */
+  void SetSlots(std::uint16_t aSlots);
+
   /** Takes a frame of a membership kind. Malformed ones are counted. */
   void OnFrame(const Frame& aFrame);
 
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -16,7 +16,7 @@
 #include "src/metrics/Metrics.h"
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
-#include "src/platform/HttpObjectStore.h"
+#include "src/store/HttpObjectStore.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
 #include "src/process/ProcessRuntime.h"
@@ -69,7 +69,7 @@
                  [this](auto aViews, auto aServices) {
                    mRouter.SetRoutes(mRoutes.SetViews(aViews, aServices));
                  } },
-               mSelf, aSettings.mPeers)
+               mSelf, MemberPlane::DefaultOptions(aSettings.mPeers))
     , mConfig({ mClock, mMetrics, mLinks, mStore,
                 [this](const ConfigurationPtr& aConfiguration) {
                   mStatus.OnInForce(aConfiguration->mVersion, mClock.Now());
--- a/src/balancer/MemberPlane.cpp
+++ b/src/balancer/MemberPlane.cpp
@@ -5,29 +5,11 @@
 #include <utility>
 
 #include "src/metrics/Metrics.h"
-#include "src/process/ControlLinks.h"
+#include "src/process/MessageSender.h"
 #include "src/wire/MembershipCodec.h"
 
 namespace heatherplank {
 
-namespace {
-
-BalancerMembershipOptions MakeOptions(std::vector<Address> aSeeds)
-{
-  BalancerMembershipOptions options;
-  options.mSeeds = std::move(aSeeds);
-  // Three heartbeats of an agent: callers wait a second for an answer, and must
-  // be told before that. Death stays at 3 s, above the agents' trust in a view.
-  options.mTable.mSuspectAfter = std::chrono::milliseconds(900);
-  options.mTable.mRefuteWithin = std::chrono::milliseconds(2100);
-  // Ranks come from the full weight: one that grows would move the arbiters of
-  // flows for as long as a host starts. Slow start is the agents' choice.
-  options.mTable.mSlowStart = Duration::zero();
-  return options;
-}
-
-} // namespace
-
 /** Asks the inventory in force. Before the first one every host is taken in,
  * and judged when it comes: a balancer that starts in an outage of the platform
  * learns of its peers, and from them of the inventory, by this membership. */
@@ -55,12 +37,27 @@
   std::set<std::pair<HostId, ServiceId>> mHosts;
 };
 
+BalancerMembershipOptions MemberPlane::DefaultOptions(
+  std::vector<Address> aSeeds)
+{
+  BalancerMembershipOptions options;
+  options.mSeeds = std::move(aSeeds);
+  // Three heartbeats of an agent: callers wait a second for an answer, and must
+  // be told before that. Death stays at 3 s, above the agents' trust in a view.
+  options.mTable.mSuspectAfter = std::chrono::milliseconds(900);
+  options.mTable.mRefuteWithin = std::chrono::milliseconds(2100);
+  // Ranks come from the full weight: one that grows would move the arbiters of
+  // flows for as long as a host starts. Slow start is the agents' choice.
+  options.mTable.mSlowStart = Duration::zero();
+  return options;
+}
+
 MemberPlane::MemberPlane(Parts aParts, const Member& aSelf,
-                         std::vector<Address> aSeeds)
+                         const BalancerMembershipOptions& aOptions)
   : mParts(std::move(aParts))
   , mInventory(std::make_unique<ConfiguredInventory>())
   , mSelf(aSelf.mHost)
-  , mMembership(aSelf, *mInventory, MakeOptions(std::move(aSeeds)),
+  , mMembership(aSelf, *mInventory, aOptions,
                 MixHash(aSelf.mHost.mValue, aSelf.mIncarnation),
                 mParts.mClock.Now())
   , mExported(static_cast<std::size_t>(MemberEvent::Last) + 1)
--- a/src/balancer/MemberPlane.h
+++ b/src/balancer/MemberPlane.h
@@ -12,7 +12,7 @@
 
 namespace heatherplank {
 
-class ControlLinks;
+class MessageSender;
 class MetricsRegistry;
 
 /** Drives a balancer's membership over the wire, under the inventory in force.
@@ -29,12 +29,16 @@
   {
     const Clock& mClock;
     MetricsRegistry& mMetrics;
-    ControlLinks& mLinks;
+    MessageSender& mLinks;
     ViewsChanged mViewsChanged;
   };
 
-  /** aSeeds: control addresses of balancers to begin with. */
-  MemberPlane(Parts aParts, const Member& aSelf, std::vector<Address> aSeeds);
+  /** How balancers of the request interface are wired. aSeeds: control
+   * addresses of balancers to begin with. */
+  static BalancerMembershipOptions DefaultOptions(std::vector<Address> aSeeds);
+
+  MemberPlane(Parts aParts, const Member& aSelf,
+              const BalancerMembershipOptions& aOptions);
   ~MemberPlane();
 
   /** Applies an inventory: hosts that it does not give their service to are
--- a/src/balancer/RouteTable.cpp
+++ b/src/balancer/RouteTable.cpp
@@ -15,15 +15,7 @@
                                std::span<const ServiceId> aServices)
 {
   std::lock_guard lock(mLock);
-  for (std::size_t i = 0; i < aServices.size(); ++i) {
-    Held& held = mViews[aServices[i]];
-    if (held.mView && held.mView->Version() > aViews[i]->mVersion) {
-      continue;
-    }
-    held.mView =
-      MakeServiceView(aServices[i], aViews[i]->mVersion, aViews[i]->mMembers);
-    held.mSuspects = aViews[i]->mSuspects;
-  }
+  mViews.Set(aViews, aServices);
   return Build();
 }
 
@@ -37,9 +29,9 @@
   for (const auto& [address, service] : mConfiguration->mByAddress) {
     Route& route = routes->mByAddress[address];
     route.mService = service;
-    if (auto view = mViews.find(service); view != mViews.end()) {
-      route.mView = view->second.mView;
-      route.mSuspects = view->second.mSuspects;
+    if (const auto* held = mViews.Find(service)) {
+      route.mView = held->mView;
+      route.mSuspects = held->mSuspects;
     }
   }
   return routes;
--- a/src/balancer/RouteTable.h
+++ b/src/balancer/RouteTable.h
@@ -2,9 +2,9 @@
 
 #include <mutex>
 #include <span>
-#include <unordered_map>
 
 #include "src/balancer/Routes.h"
+#include "src/balancer/ServiceViews.h"
 #include "src/membership/MemberTable.h"
 
 namespace heatherplank {
@@ -28,12 +28,7 @@
 
   std::mutex mLock;
   ConfigurationPtr mConfiguration;
-  struct Held
-  {
-    ServiceViewPtr mView;
-    std::vector<HostId> mSuspects;
-  };
-  std::unordered_map<ServiceId, Held> mViews;
+  ServiceViews mViews;
 };
 
 } // namespace heatherplank
--- a/src/cli/CommandContext.h
+++ b/src/cli/CommandContext.h
@@ -9,8 +9,8 @@
 #include "include/heatherplank/Error.h"
 #include "src/cli/ExitCodes.h"
 #include "src/config/ConfigurationStore.h"
-#include "src/platform/HttpObjectStore.h"
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/HttpObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 
 #include <thread>
 
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <set>
 #include <span>
@@ -13,6 +14,8 @@
 #include "src/agent/Agent.h"
 #include "src/balancer/Balancer.h"
 #include "src/cli/Commands.h"
+#include "src/passthrough/FlowAgent.h"
+#include "src/passthrough/FlowBalancer.h"
 #include "src/process/RunProcess.h"
 #include "src/replay/Replay.h"
 
@@ -20,6 +23,9 @@
 DEFINE_bool(fault_injection, false,
             "mount /fault/* on the admin port, for experiments with "
             "partitions; never in production");
+DEFINE_string(settings_env, "",
+              "name of the environment variable that holds the path of the "
+              "settings file");
 
 namespace heatherplank {
 
@@ -27,16 +33,51 @@
 
 using Words = std::span<const std::string>;
 
+/** The adapter that the program was started with; set before any command. */
+const PlatformAdapter*& Adapter()
+{
+  static const PlatformAdapter* sAdapter = nullptr;
+  return sAdapter;
+}
+
+ProcessOptions Options()
+{
+  ProcessOptions options{ FLAGS_settings, FLAGS_fault_injection };
+  if (options.mSettingsFile.empty() && !FLAGS_settings_env.empty()) {
+    const char* path = std::getenv(FLAGS_settings_env.c_str());
+    options.mSettingsFile = path != nullptr ? path : "";
+  }
+  return options;
+}
+
 ExitCode RunBalancer(Words)
 {
-  return RunProcess<Balancer>({ FLAGS_settings, FLAGS_fault_injection },
-                              ReadBalancerSettings);
+  return RunProcess(Options(), ReadBalancerSettings, [](const auto& aSettings) {
+    return Balancer::Make(aSettings, FLAGS_fault_injection);
+  });
 }
 
 ExitCode RunAgent(Words)
 {
-  return RunProcess<Agent>({ FLAGS_settings, FLAGS_fault_injection },
-                           ReadAgentSettings);
+  return RunProcess(Options(), ReadAgentSettings, [](const auto& aSettings) {
+    return Agent::Make(aSettings, FLAGS_fault_injection);
+  });
+}
+
+ExitCode RunFlowBalancer(Words)
+{
+  return RunProcess(Options(), ReadFlowBalancerSettings,
+                    [](const auto& aSettings) {
+                      return FlowBalancer::Make(aSettings, *Adapter());
+                    });
+}
+
+ExitCode RunFlowAgent(Words)
+{
+  return RunProcess(Options(), ReadFlowAgentSettings,
+                    [](const auto& aSettings) {
+                      return FlowAgent::Make(aSettings, *Adapter());
+                    });
 }
 
 ExitCode RunReplayCommand(Words aTraces)
@@ -68,6 +109,14 @@
       "runs the agent beside a backend server",
       RunAgent,
       { "settings", "fault_injection" } },
+    { "flow-balancer",
+      "runs a balancer of opaque flows",
+      RunFlowBalancer,
+      { "settings", "settings_env" } },
+    { "flow-agent",
+      "runs the agent beside a host of opaque flows",
+      RunFlowAgent,
+      { "settings", "settings_env" } },
     { "check", "checks a configuration file", RunCheck, { "json" } },
     { "apply",
       "puts a configuration in force",
@@ -107,7 +156,7 @@
              "usage: heatherplank COMMAND [--flag=value ...] [WORD ...]\n\n",
              aOut);
   for (const auto& it : AllCommands()) {
-    std::fprintf(aOut, "  %-10s %s\n", std::string(it.mName).c_str(),
+    std::fprintf(aOut, "  %-14s %s\n", std::string(it.mName).c_str(),
                  std::string(it.mSummary).c_str());
   }
   std::fputs("\nheatherplank COMMAND --help shows its flags; "
@@ -245,8 +294,10 @@
 
 } // namespace
 
-int RunCommandLine(int aCount, char** aArguments)
+int RunCommandLine(int aCount, char** aArguments,
+                   const PlatformAdapter& aAdapter)
 {
+  Adapter() = &aAdapter;
   std::span<char*> words(aArguments, static_cast<std::size_t>(aCount));
   return static_cast<int>(RunCommandLine(words));
 }
--- a/src/config/ConfigPlatform.h
+++ b/src/config/ConfigPlatform.h
@@ -7,7 +7,7 @@
 
 #include "include/heatherplank/ObjectStore.h"
 #include "src/config/ConfigActions.h"
-#include "src/platform/CallLimits.h"
+#include "src/store/CallLimits.h"
 
 namespace heatherplank {
 
--- a/src/config/ConfigurationGarbage.h
+++ b/src/config/ConfigurationGarbage.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 
 #include "src/config/ConfigurationHead.h"
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 
 namespace heatherplank::config_garbage {
 
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -8,7 +8,7 @@
 #include "src/config/ConfigurationGarbage.h"
 #include "src/config/ConfigurationMerge.h"
 #include "src/config/ConfigurationParts.h"
-#include "src/platform/CallLimits.h"
+#include "src/store/CallLimits.h"
 
 namespace heatherplank {
 
--- a/src/config/ConfigurationStore.h
+++ b/src/config/ConfigurationStore.h
@@ -9,7 +9,7 @@
 
 #include "include/heatherplank/Configuration.h"
 #include "src/config/ConfigurationHead.h"
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 
 namespace heatherplank {
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
+#include "platform/MakePlatformAdapter.h"
 #include "src/cli/CommandLine.h"
 
 int main(int aCount, char** aArguments)
 {
-  return heatherplank::RunCommandLine(aCount, aArguments);
+  auto adapter = heatherplank::MakePlatformAdapter();
+  return heatherplank::RunCommandLine(aCount, aArguments, *adapter);
 }
--- /dev/null
+++ b/src/passthrough/FlowAdmission.cpp
@@ -0,0 +1,61 @@
+#include "src/passthrough/FlowAdmission.h"
+
+namespace heatherplank {
+
+Duration FlowAdmission::WaitAt(const HostCondition& aHost)
+{
+  if (aHost.mInProgress < aHost.mSlots) {
+    return Duration::zero();
+  }
+  std::uint32_t ahead = aHost.mInProgress - aHost.mSlots + 1;
+  return aHost.mServiceTime * ahead / aHost.mSlots;
+}
+
+bool FlowAdmission::HasFreeSlot(const HostCondition& aHost) const
+{
+  // A cold host works at a fraction of its speed: one request at a time keeps
+  // its answers within the target while others have slots.
+  std::uint32_t slots =
+    aHost.mIsCold && aHost.mSlots > 1 ? aHost.mSlots - 1 : aHost.mSlots;
+  return aHost.mInProgress < slots;
+}
+
+bool FlowAdmission::IsWorthWaiting(const HostCondition& aHost,
+                                   const FlowOffer& aOffer) const
+{
+  if (aHost.mInProgress >= aHost.mSlots + mOptions.mMostWaiting) {
+    return false;
+  }
+  double share = aOffer.mImportance >= Importance::High
+                   ? mOptions.mImportantWaitShare
+                   : mOptions.mWaitShare;
+  auto limit = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, Duration::period>(
+      static_cast<double>(aOffer.mLatencyTarget.count()) * share));
+  return WaitAt(aHost) <= limit;
+}
+
+FlowDecision FlowAdmission::Decide(const HostCondition& aHost,
+                                   const FlowOffer& aOffer) const
+{
+  bool usable = aHost.mTakesNewFlows && !aHost.mSeemsDown;
+  if (usable && HasFreeSlot(aHost)) {
+    return FlowDecision::Take;
+  }
+  if (aOffer.mHasMore && !aOffer.mMustTake) {
+    return FlowDecision::PassOn;
+  }
+  bool isBest =
+    aOffer.mMustTake || !aOffer.mHasBest || WaitAt(aHost) <= aOffer.mBestWait;
+  if (usable && isBest) {
+    return IsWorthWaiting(aHost, aOffer) ? FlowDecision::Take
+                                         : FlowDecision::Refuse;
+  }
+  if (aOffer.mHasBest && !aOffer.mMustTake) {
+    return FlowDecision::ToBest;
+  }
+  // A host that seems down is still the better bet than a sure refusal.
+  return aHost.mTakesNewFlows ? FlowDecision::Take : FlowDecision::Refuse;
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/FlowAdmission.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Configuration.h"
+
+namespace heatherplank {
+
+/** What an agent knows of its host when a flow asks to be placed there. */
+struct HostCondition
+{
+  bool mTakesNewFlows = false;
+  /** Opening packets stay unanswered: it may have crashed. */
+  bool mSeemsDown = false;
+  /** Slow after its start. */
+  bool mIsCold = false;
+  std::uint32_t mSlots = 1;
+  /** Requests that it works on or will be given by flows being opened. */
+  std::uint32_t mInProgress = 0;
+  /** How long it works on a request. */
+  Duration mServiceTime{};
+};
+
+/** A flow that asks to be placed. */
+struct FlowOffer
+{
+  Importance mImportance = Importance::Normal;
+  Duration mLatencyTarget{};
+  /** Another host can still be asked. */
+  bool mHasMore = false;
+  /** A host that was asked before, and would make it wait for mBestWait. */
+  bool mHasBest = false;
+  Duration mBestWait{};
+  /** Every other host was asked. */
+  bool mMustTake = false;
+};
+
+enum class FlowDecision : std::uint8_t
+{
+  Take,
+  /** The next candidate may be freer. */
+  PassOn,
+  /** The host asked before is the freest of all. */
+  ToBest,
+  /** No host can answer in time. */
+  Refuse,
+};
+
+/** Decides whether a host takes a new flow.
+ *
+ * Pattern: some ten hosts of two slots each at half load, 15 ms a request.
+ * Hosts picked blindly queue behind each other while slots beside them are
+ * free; a load that balancers heard of is as old as a request takes. The agent
+ * knows its host's load now, so a flow walks the candidates until a slot is
+ * free, and goes back to the shortest queue if none is.
+ *
+ * Saturation: a queue that outlasts the latency target makes every answer
+ * late. So what would be late is refused with its first packet, and the
+ * important waits longer than the rest before it is refused.
+ *
+ * Pure and thread safe.
+ */
+class FlowAdmission
+{
+public:
+  struct Options
+  {
+    /** Share of the latency target that ordinary flows may spend waiting. The
+     * rest is for the work and two handshakes over the network. */
+    double mWaitShare = 0.6;
+    /** The same for flows of High importance and above. They queue where
+     * others are refused, so in saturation the slots go to them first. */
+    double mImportantWaitShare = 1.2;
+    /** Most requests that wait at one host: hosts keep a short queue and
+     * turn away what exceeds it, with the work of opening the flow wasted. */
+    std::uint32_t mMostWaiting = 7;
+  };
+
+  FlowAdmission() = default;
+  explicit FlowAdmission(const Options& aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  FlowDecision Decide(const HostCondition& aHost,
+                      const FlowOffer& aOffer) const;
+
+  /** How long one more request waits for a slot. */
+  static Duration WaitAt(const HostCondition& aHost);
+
+private:
+  bool HasFreeSlot(const HostCondition& aHost) const;
+  bool IsWorthWaiting(const HostCondition& aHost,
+                      const FlowOffer& aOffer) const;
+
+  Options mOptions;
+};
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/FlowAgent.cpp
@@ -0,0 +1,355 @@
+#include "src/passthrough/FlowAgent.h"
+
+#include <string>
+#include <utility>
+
+#include "src/agent/MemberFeed.h"
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+#include "src/net/CutList.h"
+#include "src/net/DatagramSocket.h"
+#include "src/net/HttpServer.h"
+#include "src/passthrough/HostFlows.h"
+#include "src/process/AdminServer.h"
+#include "src/process/ControlLinks.h"
+#include "src/process/DatagramMessages.h"
+#include "src/process/ProcessRuntime.h"
+#include "src/process/WallClock.h"
+#include "src/wire/MembershipCodec.h"
+#include "src/wire/PassthroughCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kSecond = std::chrono::seconds(1);
+constexpr auto kHeartbeatEvery = std::chrono::milliseconds(500);
+/** Announcements that a host may miss before it counts as silent. */
+constexpr int kMissedAnnouncements = 3;
+/** How long an agent goes on forwarding after it said that it stops, for the
+ * flows that its host works on. */
+constexpr auto kStopAfter = std::chrono::milliseconds(4000);
+
+Member MakeSelf(const FlowAgentSettings& aSettings)
+{
+  Member self;
+  self.mHost = MakeHostId(aSettings.mName);
+  self.mService = MakeServiceId(aSettings.mService);
+  self.mDataCentre = MakeDataCentreId(aSettings.mDataCentre);
+  self.mIncarnation = WallClockMicroseconds();
+  self.mTunnel = aSettings.mTunnel;
+  self.mControl = aSettings.mControl;
+  return self;
+}
+
+AgentMembershipOptions MakeMembershipOptions(std::vector<Address> aSeeds)
+{
+  AgentMembershipOptions options;
+  options.mSeeds = std::move(aSeeds);
+  options.mHeartbeatEvery = kHeartbeatEvery;
+  return options;
+}
+
+HostFlows::Options MakeFlowOptions(const FlowAgentSettings& aSettings,
+                                   const Member& aSelf)
+{
+  HostFlows::Options options;
+  options.mHost = aSelf.mHost;
+  options.mSelf = aSelf.mTunnel;
+  options.mService = aSelf.mService;
+  options.mMaxFlows = aSettings.mMaxFlows;
+  options.mFlowsLastFor = std::chrono::seconds(aSettings.mFlowsLastS);
+  options.mSilentAfter = kMissedAnnouncements *
+                         std::chrono::milliseconds(aSettings.mHostHeartbeatMs);
+  return options;
+}
+
+std::string_view ToString(HostPhase aPhase)
+{
+  switch (aPhase) {
+    case HostPhase::Ready:
+      return "ready";
+    case HostPhase::Draining:
+      return "draining";
+    case HostPhase::Gone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+struct FlowAgent::Impl final : HostFlowsOutput
+{
+  Impl(const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter)
+    : mSettings(aSettings)
+    , mAdapter(aAdapter)
+    , mSelf(MakeSelf(aSettings))
+    , mMalformed(
+        mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\""))
+    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+             { mSelf.mHost, mSelf.mControl },
+             [this](const Hello&, const Frame& aFrame) { OnFrame(aFrame); })
+    , mMessages(mLinks)
+    , mMembers({ mClock, mMetrics, mMessages, [](ServiceViewPtr, Time) {} },
+               mSelf, MakeMembershipOptions(aSettings.mSeeds))
+    , mFlows(MakeFlowOptions(aSettings, mSelf), aAdapter.Packets(), *this,
+             mClock.Now())
+    , mAdmin(mMetrics, [this] { return Ready(); })
+  {
+  }
+
+  const FlowAgentSettings mSettings;
+  const PlatformAdapter& mAdapter;
+  const Member mSelf;
+  SteadyClock mClock;
+  MetricsRegistry mMetrics;
+  CutList mCuts;
+  ProcessRuntime mRuntime;
+  Counter& mMalformed;
+  ControlLinks mLinks;
+  DatagramMessages mMessages;
+  MemberFeed mMembers;
+  HostFlows mFlows;
+  AdminServer mAdmin;
+  std::shared_ptr<HttpServer> mHostCalls;
+  std::shared_ptr<DatagramSocket> mTunnel;
+  std::shared_ptr<DatagramSocket> mOutbox;
+  /** What the balancers were told last. */
+  std::optional<HostState> mAnnounced;
+  bool mStopping = false;
+
+  Result<void> Ready()
+  {
+    if (mStopping || !mFlows.Host().IsHeard(mClock.Now())) {
+      return Fail(ErrorKind::Unavailable,
+                  mStopping ? "stopping" : "the host was not heard",
+                  "wait, or look at the host");
+    }
+    return {};
+  }
+
+  Result<void> Open()
+  {
+    auto executor = mRuntime.Executor();
+    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+    if (!tunnel) {
+      return tl::unexpected(tunnel.error());
+    }
+    mTunnel = *tunnel;
+    mMessages.SetSocket(mTunnel);
+    auto outbox = DatagramSocket::Make(executor, mSettings.mHostOutbox, &mCuts);
+    if (!outbox) {
+      return tl::unexpected(outbox.error());
+    }
+    mOutbox = *outbox;
+    auto calls = HttpServer::Make(
+      executor, mSettings.mHostCalls,
+      [this](const HttpRequest& aRequest,
+             const HttpServer::Respond& aRespond) {
+        aRespond(OnHostCall(aRequest));
+      },
+      [this] { mMalformed.Add(); });
+    if (!calls) {
+      return tl::unexpected(calls.error());
+    }
+    mHostCalls = *calls;
+    auto listening = mLinks.Listen();
+    if (!listening) {
+      return listening;
+    }
+    return mAdmin.Start(executor, mSettings.mAdmin);
+  }
+
+  void Start()
+  {
+    mTunnel->Start(
+      [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
+    mOutbox->Start([this](ByteView aDatagram, const Address&) {
+      mFlows.OnHostPacket(aDatagram, mClock.Now());
+    });
+    mRuntime.Every(kTick, [this] { Tick(); });
+    mRuntime.Every(kSecond, [this] { EverySecond(); });
+    mRuntime.OnStop([this] { Stop(); });
+    LogEvent(LogLevel::Info, "started",
+             { { "service", mSettings.mService },
+               { "tunnel", mSettings.mTunnel.ToString() },
+               { "host_calls", mSettings.mHostCalls.ToString() },
+               { "admin", mSettings.mAdmin.ToString() } });
+  }
+
+  void Tick()
+  {
+    mFlows.OnTick(mClock.Now());
+    TellState();
+    mMembers.Tick();
+  }
+
+  void EverySecond()
+  {
+    mLinks.Tick();
+    mMetrics.GetGauge("flows").Set(static_cast<double>(mFlows.Size()));
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(HostFlowEvent::Last);
+         ++i) {
+      auto event = static_cast<HostFlowEvent>(i);
+      std::string label = "event=\"";
+      label.append(heatherplank::ToString(event)).append("\"");
+      mMetrics.GetGauge("flow_events", label)
+        .Set(static_cast<double>(mFlows.Count(event)));
+    }
+  }
+
+  HttpResponse OnHostCall(const HttpRequest& aRequest)
+  {
+    auto announcement = mAdapter.ReadHostCall(aRequest);
+    if (!announcement) {
+      mMetrics.GetCounter("host_calls_refused_total").Add();
+      return mAdapter.AnswerHostCall(aRequest,
+                                     tl::unexpected(announcement.error()));
+    }
+    if (!announcement->mService.empty() &&
+        announcement->mService != mSettings.mService) {
+      mMetrics.GetCounter("host_calls_refused_total").Add();
+      return mAdapter.AnswerHostCall(
+        aRequest,
+        Fail(ErrorKind::Forbidden,
+             "service " + announcement->mService + " is not served here",
+             "announce the host to the agent beside it"));
+    }
+    auto effect = mFlows.OnAnnouncement(*announcement, mClock.Now());
+    if (effect == AnnouncementEffect::Changed ||
+        effect == AnnouncementEffect::NewLife) {
+      LogEvent(LogLevel::Info, "host_announced",
+               { { "host", announcement->mId },
+                 { "state", ToString(mFlows.Host().Phase()) },
+                 { "sequence", mFlows.Host().Sequence() },
+                 { "new_life", effect == AnnouncementEffect::NewLife } });
+    }
+    TellState();
+    return mAdapter.AnswerHostCall(aRequest, {});
+  }
+
+  /** Announces to the balancers what became of the host. */
+  void TellState()
+  {
+    HostState now = CurrentState();
+    if (!mAnnounced && now == HostState::Leaving) {
+      return;
+    }
+    mMembers.SetSlots(mFlows.Host().Slots());
+    if (mAnnounced == now) {
+      return;
+    }
+    if (!mAnnounced || now > *mAnnounced) {
+      mMembers.Announce();
+      mMembers.SetState(now);
+    } else {
+      mMembers.BeginLife(now);
+    }
+    mAnnounced = now;
+  }
+
+  HostState CurrentState() const
+  {
+    const HostLife& host = mFlows.Host();
+    if (mStopping) {
+      return HostState::Draining;
+    }
+    if (host.Phase() == HostPhase::Gone || !host.IsHeard(mClock.Now())) {
+      return HostState::Leaving;
+    }
+    return host.Phase() == HostPhase::Draining ? HostState::Draining
+                                               : HostState::Serving;
+  }
+
+  void OnDatagram(ByteView aDatagram)
+  {
+    auto frame = DecodeDatagram(aDatagram);
+    if (!frame) {
+      mMalformed.Add();
+      return;
+    }
+    OnFrame(*frame);
+  }
+
+  void OnFrame(const Frame& aFrame)
+  {
+    if (IsMembership(aFrame.mKind)) {
+      mMembers.OnFrame(aFrame);
+      return;
+    }
+    auto steered = aFrame.mKind == MessageKind::SteeredPacket
+                     ? DecodeSteeredPacket(aFrame.mPayload)
+                     : Fail(ErrorKind::Malformed, "unknown kind", "");
+    if (!steered || steered->mPurpose == SteerPurpose::NotHere) {
+      mMalformed.Add();
+      return;
+    }
+    mFlows.OnSteered(std::move(*steered), mClock.Now());
+  }
+
+  void ToHost(ByteView aPacket) override
+  {
+    mOutbox->Send(aPacket, mSettings.mHostInbox);
+  }
+
+  void ToCaller(const Address& aCaller, ByteView aPacket) override
+  {
+    Address to = aCaller;
+    to.mPort = mSettings.mCallerPort == 0 ? to.mPort : mSettings.mCallerPort;
+    mTunnel->Send(aPacket, to);
+  }
+
+  void Steer(const Address& aTo, const SteeredPacket& aPacket) override
+  {
+    mTunnel->Send(
+      EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)), aTo);
+  }
+
+  void Report(const Address& aBalancer, const PlacementReport& aReport) override
+  {
+    mTunnel->Send(
+      EncodeDatagram(MessageKind::PlacementReport, EncodePayload(aReport)),
+      aBalancer);
+  }
+
+  void Stop()
+  {
+    mStopping = true;
+    mFlows.Leave();
+    TellState();
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      mRuntime.Executor(), kStopAfter);
+    timer->async_wait([this, timer](boost::system::error_code) {
+      LogEvent(LogLevel::Info, "stopped", {});
+      mRuntime.Quit();
+    });
+  }
+};
+
+FlowAgent::FlowAgent(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+FlowAgent::~FlowAgent() = default;
+
+Result<std::unique_ptr<FlowAgent>> FlowAgent::Make(
+  const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter)
+{
+  auto impl = std::make_unique<Impl>(aSettings, aAdapter);
+  auto opened = impl->Open();
+  if (!opened) {
+    return tl::unexpected(opened.error());
+  }
+  return std::unique_ptr<FlowAgent>(new FlowAgent(std::move(impl)));
+}
+
+void FlowAgent::Run()
+{
+  mImpl->Start();
+  mImpl->mRuntime.Run(1);
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/FlowBalancer.cpp
@@ -0,0 +1,400 @@
+#include "src/passthrough/FlowBalancer.h"
+
+#include <string>
+#include <utility>
+
+#include "src/balancer/MemberPlane.h"
+#include "src/base/Log.h"
+#include "src/metrics/Metrics.h"
+#include "src/net/CutList.h"
+#include "src/net/DatagramSocket.h"
+#include "src/passthrough/FlowSteering.h"
+#include "src/passthrough/InventoryPeers.h"
+#include "src/passthrough/InventoryWatch.h"
+#include "src/process/AdminServer.h"
+#include "src/process/ControlLinks.h"
+#include "src/process/DatagramMessages.h"
+#include "src/process/ProcessRuntime.h"
+#include "src/process/StandstillWatch.h"
+#include "src/process/WallClock.h"
+#include "src/wire/MembershipCodec.h"
+#include "src/wire/PassthroughCodec.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kSecond = std::chrono::seconds(1);
+/** How long a balancer goes on routing after it said that it stops: readiness
+ * is asked for twice a second and must be missed twice, and packets that are
+ * on their way then still come. */
+constexpr auto kStopAfter = std::chrono::milliseconds(2000);
+/** Without any host in view a balancer that has routes waits this long for
+ * heartbeats before it calls itself ready: were none ready, callers' packets
+ * would go nowhere, where a ready one can refuse them at once. */
+constexpr auto kReadyWithoutHosts = std::chrono::milliseconds(3000);
+
+Member MakeSelf(const FlowBalancerSettings& aSettings)
+{
+  Member self;
+  self.mHost = MakeHostId(aSettings.mName);
+  self.mDataCentre = MakeDataCentreId(aSettings.mDataCentre);
+  self.mIncarnation = WallClockMicroseconds();
+  self.mTunnel = aSettings.mTunnel;
+  self.mControl = aSettings.mControl;
+  return self;
+}
+
+BalancerMembershipOptions MakeMembershipOptions(std::vector<Address> aSeeds)
+{
+  BalancerMembershipOptions options;
+  options.mSeeds = std::move(aSeeds);
+  // Three heartbeats of an agent. Flows do not wait for it: a host that says
+  // nothing to an opening packet is tried last at once.
+  options.mTable.mSuspectAfter = std::chrono::milliseconds(1600);
+  options.mTable.mRefuteWithin = std::chrono::milliseconds(1400);
+  // Ranks come from the full weight; the agent knows when its host is cold.
+  options.mTable.mSlowStart = Duration::zero();
+  return options;
+}
+
+InventoryWatch::Options MakeWatchOptions(const FlowBalancerSettings& aSettings,
+                                         const Member& aSelf)
+{
+  InventoryWatch::Options options;
+  options.mKey = aSettings.mRoutesKey;
+  options.mSeed = MixHash(aSelf.mHost.mValue, aSelf.mIncarnation);
+  return options;
+}
+
+} // namespace
+
+struct FlowBalancer::Impl final : FlowSteeringOutput
+{
+  Impl(const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter)
+    : mSettings(aSettings)
+    , mAdapter(aAdapter)
+    , mSelf(MakeSelf(aSettings))
+    , mMalformed(
+        mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\""))
+    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+             { mSelf.mHost, mSelf.mControl },
+             [this](const Hello&, const Frame& aFrame) { OnFrame(aFrame); })
+    , mMessages(mLinks)
+    , mSteering({ mSelf.mTunnel, mSelf.mDataCentre, aSettings.mMaxHints },
+                aAdapter.Packets(), *this)
+    , mStore(aAdapter.MakeStore(mRuntime.Executor(), aSettings.mPlatform))
+    , mMembers({ mClock, mMetrics, mMessages,
+                 [this](auto aViews, auto aServices) {
+                   mSteering.SetViews(aViews, aServices);
+                 } },
+               mSelf, MakeMembershipOptions(aSettings.mSeeds))
+    , mWatch(InventoryWatch::Make(
+        mClock, *mStore, aAdapter.Inventories(),
+        MakeWatchOptions(aSettings, mSelf),
+        [this](FlowInventoryPtr aInventory, const std::string&) {
+          OnInventory(std::move(aInventory));
+        }))
+    , mPeers(mSelf.mControl, mSelf.mIncarnation)
+    , mAdmin(mMetrics, [this] { return Ready(); })
+    , mRetryTimer(mRuntime.Executor())
+    , mStartedAt(mClock.Now())
+  {
+  }
+
+  const FlowBalancerSettings mSettings;
+  const PlatformAdapter& mAdapter;
+  const Member mSelf;
+  SteadyClock mClock;
+  MetricsRegistry mMetrics;
+  CutList mCuts;
+  ProcessRuntime mRuntime;
+  Counter& mMalformed;
+  ControlLinks mLinks;
+  DatagramMessages mMessages;
+  FlowSteering mSteering;
+  std::unique_ptr<ObjectStore> mStore;
+  MemberPlane mMembers;
+  std::shared_ptr<InventoryWatch> mWatch;
+  InventoryPeers mPeers;
+  AdminServer mAdmin;
+  boost::asio::steady_timer mRetryTimer;
+  std::optional<Time> mRetryAt;
+  StandstillWatch mStandstill;
+  std::shared_ptr<DatagramSocket> mTunnel;
+  std::shared_ptr<DatagramSocket> mIngress;
+  const Time mStartedAt;
+  bool mStopping = false;
+
+  Result<void> Ready()
+  {
+    if (mStopping) {
+      return Fail(ErrorKind::Unavailable, "stopping",
+                  "send packets to another balancer");
+    }
+    if (!mSteering.Inventory()) {
+      return Fail(ErrorKind::Unavailable, "no routes yet",
+                  "look at the store and the other balancers");
+    }
+    bool waited = mClock.Now() - mStartedAt >= kReadyWithoutHosts;
+    if (mSteering.UsableHosts() == 0 && !waited) {
+      return Fail(ErrorKind::Unavailable, "no host was heard of yet",
+                  "wait for a heartbeat, or look at the agents");
+    }
+    return {};
+  }
+
+  Result<void> Open()
+  {
+    auto executor = mRuntime.Executor();
+    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+    if (!tunnel) {
+      return tl::unexpected(tunnel.error());
+    }
+    mTunnel = *tunnel;
+    mMessages.SetSocket(mTunnel);
+    auto ingress = DatagramSocket::Make(executor, mSettings.mIngress, &mCuts);
+    if (!ingress) {
+      return tl::unexpected(ingress.error());
+    }
+    mIngress = *ingress;
+    auto listening = mLinks.Listen();
+    if (!listening) {
+      return listening;
+    }
+    return mAdmin.Start(executor, mSettings.mAdmin);
+  }
+
+  void Start()
+  {
+    mIngress->Start([this](ByteView aDatagram, const Address&) {
+      mSteering.OnPacket(aDatagram, mClock.Now());
+      ArmRetry();
+    });
+    mTunnel->Start(
+      [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
+    mRuntime.Every(kTick, [this] { Tick(); });
+    mRuntime.Every(kSecond, [this] { EverySecond(); });
+    mRuntime.OnStop([this] { Stop(); });
+    LogEvent(LogLevel::Info, "started",
+             { { "ingress", mSettings.mIngress.ToString() },
+               { "tunnel", mSettings.mTunnel.ToString() },
+               { "control", mSettings.mControl.ToString() },
+               { "admin", mSettings.mAdmin.ToString() } });
+    Tick();
+  }
+
+  void Tick()
+  {
+    Time now = mClock.Now();
+    Duration gap = mStandstill.OnTick(now, StandstillWatch::SinceBoot());
+    if (gap > Duration::zero()) {
+      OnStandstill(gap);
+    }
+    mWatch->OnTick();
+    mMembers.Tick();
+    Send(mPeers.OnTick(PeerAddresses(), mWatch->Version(), now));
+  }
+
+  /** Routes may have changed meanwhile, and the watch may be dead. */
+  void OnStandstill(Duration aGap)
+  {
+    auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aGap);
+    LogEvent(LogLevel::Warning, "stood_still", { { "ms", ms.count() } });
+    mWatch->ReadNow();
+  }
+
+  void EverySecond()
+  {
+    mLinks.Tick();
+    mMetrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
+    mMetrics.GetGauge("routes_version")
+      .Set(static_cast<double>(mWatch->Version()));
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(SteerEvent::Last);
+         ++i) {
+      auto event = static_cast<SteerEvent>(i);
+      std::string label = "event=\"";
+      label.append(ToString(event)).append("\"");
+      mMetrics.GetGauge("steer_events", label)
+        .Set(static_cast<double>(mSteering.Count(event)));
+    }
+  }
+
+  std::vector<Address> PeerAddresses() const
+  {
+    std::vector<Address> out;
+    for (const Member& it : mMembers.Balancers()) {
+      out.push_back(it.mControl);
+    }
+    if (out.empty()) {
+      out = mSettings.mSeeds;
+    }
+    return out;
+  }
+
+  void OnInventory(FlowInventoryPtr aInventory)
+  {
+    std::uint64_t version = aInventory->mVersion;
+    mSteering.SetInventory(std::move(aInventory));
+    Send(mPeers.OnChanged(PeerAddresses(), version, mClock.Now()));
+  }
+
+  void Send(const std::vector<InventoryPeers::Send>& aNotices)
+  {
+    for (const auto& it : aNotices) {
+      mMessages.Send(it.mTo, MessageKind::InventoryNotice,
+                     EncodePayload(it.mNotice));
+    }
+  }
+
+  void OnDatagram(ByteView aDatagram)
+  {
+    auto frame = DecodeDatagram(aDatagram);
+    if (!frame) {
+      mMalformed.Add();
+      return;
+    }
+    OnFrame(*frame);
+  }
+
+  void OnFrame(const Frame& aFrame)
+  {
+    if (IsMembership(aFrame.mKind)) {
+      mMembers.OnFrame(aFrame);
+      return;
+    }
+    bool taken = false;
+    switch (aFrame.mKind) {
+      case MessageKind::PlacementReport:
+        taken = Take(DecodePlacementReport(aFrame.mPayload));
+        break;
+      case MessageKind::SteeredPacket:
+        taken = Take(DecodeSteeredPacket(aFrame.mPayload));
+        break;
+      case MessageKind::InventoryNotice:
+        taken = Take(DecodeInventoryNotice(aFrame.mPayload));
+        break;
+      case MessageKind::InventoryDocument:
+        taken = Take(DecodeInventoryDocument(aFrame.mPayload));
+        break;
+      default:
+        break;
+    }
+    if (!taken) {
+      mMalformed.Add();
+    }
+  }
+
+  bool Take(const Result<PlacementReport>& aReport)
+  {
+    if (aReport) {
+      mSteering.OnReport(*aReport);
+    }
+    return aReport.has_value();
+  }
+
+  bool Take(Result<SteeredPacket> aSteered)
+  {
+    if (!aSteered || aSteered->mPurpose != SteerPurpose::NotHere) {
+      return false;
+    }
+    mSteering.OnNotHere(std::move(*aSteered), mClock.Now());
+    return true;
+  }
+
+  bool Take(const Result<InventoryNotice>& aNotice)
+  {
+    if (!aNotice) {
+      return false;
+    }
+    std::uint64_t version = mWatch->Version();
+    if (InventoryPeers::IsOwedDocument(*aNotice, version)) {
+      mMessages.Send(aNotice->mControl, MessageKind::InventoryDocument,
+                     EncodePayload(
+                       InventoryDocument{ version, mWatch->Document() }));
+      return true;
+    }
+    Send(mPeers.OnNotice(*aNotice, version, mClock.Now()));
+    return true;
+  }
+
+  bool Take(const Result<InventoryDocument>& aDocument)
+  {
+    if (aDocument) {
+      mWatch->OnPeerDocument(aDocument->mText);
+    }
+    return aDocument.has_value();
+  }
+
+  void Steer(const Address& aAgent, const SteeredPacket& aPacket) override
+  {
+    mTunnel->Send(
+      EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)),
+      aAgent);
+  }
+
+  void ToCaller(const Address& aCaller, ByteView aPacket) override
+  {
+    Address to = aCaller;
+    to.mPort = mSettings.mCallerPort == 0 ? to.mPort : mSettings.mCallerPort;
+    mTunnel->Send(aPacket, to);
+  }
+
+  /** Wakes when the oldest unanswered opening packet is late. */
+  void ArmRetry()
+  {
+    auto next = mSteering.NextAt();
+    if (!next || mRetryAt) {
+      return;
+    }
+    mRetryAt = next;
+    mRetryTimer.expires_at(*next);
+    mRetryTimer.async_wait([this](boost::system::error_code aEc) {
+      if (aEc) {
+        return;
+      }
+      mRetryAt.reset();
+      mSteering.OnTick(mClock.Now());
+      ArmRetry();
+    });
+  }
+
+  void Stop()
+  {
+    mStopping = true;
+    mMembers.Leave();
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      mRuntime.Executor(), kStopAfter);
+    timer->async_wait([this, timer](boost::system::error_code) {
+      LogEvent(LogLevel::Info, "stopped", {});
+      mRuntime.Quit();
+    });
+  }
+};
+
+FlowBalancer::FlowBalancer(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+FlowBalancer::~FlowBalancer() = default;
+
+Result<std::unique_ptr<FlowBalancer>> FlowBalancer::Make(
+  const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter)
+{
+  auto impl = std::make_unique<Impl>(aSettings, aAdapter);
+  auto opened = impl->Open();
+  if (!opened) {
+    return tl::unexpected(opened.error());
+  }
+  return std::unique_ptr<FlowBalancer>(new FlowBalancer(std::move(impl)));
+}
+
+void FlowBalancer::Run()
+{
+  mImpl->Start();
+  mImpl->mRuntime.Run(1);
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/FlowSteering.cpp
@@ -0,0 +1,274 @@
+#include "src/passthrough/FlowSteering.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherplank {
+
+std::string_view ToString(SteerEvent aEvent)
+{
+  switch (aEvent) {
+    case SteerEvent::Offered:
+      return "offered";
+    case SteerEvent::OfferedAgain:
+      return "offered_again";
+    case SteerEvent::Hinted:
+      return "hinted";
+    case SteerEvent::Searched:
+      return "searched";
+    case SteerEvent::HintWrong:
+      return "hint_wrong";
+    case SteerEvent::RefusedNoRoute:
+      return "refused_no_route";
+    case SteerEvent::RefusedNoHost:
+      return "refused_no_host";
+    case SteerEvent::DroppedNoRoute:
+      return "dropped_no_route";
+    case SteerEvent::DroppedNotReady:
+      return "dropped_not_ready";
+    case SteerEvent::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+FlowSteering::FlowSteering(const Options& aOptions, const PacketFormat& aFormat,
+                           FlowSteeringOutput& aOutput)
+  : mOptions(aOptions)
+  , mFormat(aFormat)
+  , mOutput(aOutput)
+  , mHints(aOptions.mMaxHints)
+{
+}
+
+void FlowSteering::SetInventory(FlowInventoryPtr aInventory)
+{
+  mInventory = std::move(aInventory);
+}
+
+void FlowSteering::SetViews(std::span<const MemberViewPtr> aViews,
+                            std::span<const ServiceId> aServices)
+{
+  mViews.Set(aViews, aServices);
+  mMembers.clear();
+  for (const auto& [service, held] : mViews.All()) {
+    for (const Member& it : held.mView->Members()) {
+      mMembers.insert_or_assign(it.mHost, it);
+    }
+  }
+}
+
+std::size_t FlowSteering::UsableHosts() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mMembers.begin(), mMembers.end(),
+                  [](const auto& aIt) { return CanAdopt(aIt.second); }));
+}
+
+OrderInputs FlowSteering::Inputs(Time aNow) const
+{
+  return { mOptions.mDataCentre, [this, aNow](HostId aHost) {
+            return mWatch.IsSuspect(aHost, aNow);
+          } };
+}
+
+SteeredPacket FlowSteering::MakeSteered(const FlowRoute* aRoute,
+                                        ServiceId aService,
+                                        SteerPurpose aPurpose,
+                                        ByteView aDatagram) const
+{
+  SteeredPacket out;
+  out.mService = aService;
+  out.mPurpose = aPurpose;
+  out.mIngress = mOptions.mSelf;
+  if (aRoute != nullptr) {
+    out.mImportance = aRoute->mImportance;
+    out.mLatencyTarget = aRoute->mLatencyTarget;
+  }
+  out.mPacket.assign(aDatagram.begin(), aDatagram.end());
+  return out;
+}
+
+void FlowSteering::OnPacket(ByteView aDatagram, Time aNow)
+{
+  auto packet = mFormat.Parse(aDatagram);
+  if (!packet) {
+    Add(SteerEvent::Malformed);
+    return;
+  }
+  // Judged by nothing, a packet is dropped as if it were lost on the way: told
+  // "no such route" by a balancer that just started, a caller would give up.
+  if (!mInventory) {
+    Add(SteerEvent::DroppedNotReady);
+    return;
+  }
+  if (packet->mSyn) {
+    Open(*packet, aDatagram, aNow);
+  } else {
+    Forward(*packet, aDatagram, aNow);
+  }
+}
+
+void FlowSteering::RefuseOpen(const FlowKey& aFlow, SteerEvent aWhy)
+{
+  Add(aWhy);
+  mOutput.ToCaller(aFlow.mCaller, mFormat.MakeReset(aFlow, 0));
+}
+
+std::vector<PlacementCandidate> FlowSteering::CandidatesFor(
+  ServiceId aService, std::uint64_t aHash, Time aNow)
+{
+  std::vector<PlacementCandidate> out;
+  const auto* held = mViews.Find(aService);
+  if (held == nullptr) {
+    return out;
+  }
+  for (const Member* it :
+       OrderForPlacement(*held->mView, aHash, Inputs(aNow))) {
+    out.push_back({ it->mHost, it->mTunnel });
+  }
+  return out;
+}
+
+const Member* FlowSteering::HintedMember(std::uint64_t aHash)
+{
+  auto hint = mHints.Find(aHash);
+  if (!hint) {
+    return nullptr;
+  }
+  auto it = mMembers.find(hint->mHost);
+  return it == mMembers.end() ? nullptr : &it->second;
+}
+
+void FlowSteering::Open(const FlowPacket& aPacket, ByteView aDatagram,
+                        Time aNow)
+{
+  FlowKey flow = aPacket.FlowFromCaller();
+  const FlowRoute* route = mInventory->Find(flow.mService);
+  if (route == nullptr) {
+    RefuseOpen(flow, SteerEvent::RefusedNoRoute);
+    return;
+  }
+  std::uint64_t hash = HashFlow(flow);
+  ServiceId service = route->ServiceOf(hash);
+  auto candidates = CandidatesFor(service, hash, aNow);
+  // A copy of an opening packet goes to the host that answered the first one,
+  // if any: there it opens nothing new.
+  if (const Member* hinted = HintedMember(hash);
+      hinted != nullptr && hinted->mService == service) {
+    std::erase_if(candidates, [&](const PlacementCandidate& aIt) {
+      return aIt.mHost == hinted->mHost;
+    });
+    candidates.insert(candidates.begin(), { hinted->mHost, hinted->mTunnel });
+  }
+  if (candidates.empty()) {
+    RefuseOpen(flow, SteerEvent::RefusedNoHost);
+    return;
+  }
+  Add(SteerEvent::Offered);
+  Offer(flow, MakeSteered(route, service, SteerPurpose::Place, aDatagram),
+        std::move(candidates), aNow);
+}
+
+void FlowSteering::Offer(const FlowKey& aFlow, SteeredPacket aSteered,
+                         std::vector<PlacementCandidate> aCandidates, Time aNow)
+{
+  aSteered.mCandidates.clear();
+  for (std::size_t i = 1; i < aCandidates.size(); ++i) {
+    aSteered.mCandidates.push_back(aCandidates[i].mTunnel);
+  }
+  mOutput.Steer(aCandidates.front().mTunnel, aSteered);
+  mWatch.Begin(aFlow, std::move(aSteered), std::move(aCandidates), aNow);
+}
+
+void FlowSteering::OnTick(Time aNow)
+{
+  for (auto& it : mWatch.TakeLate(aNow)) {
+    if (it.mCandidates.empty()) {
+      continue;
+    }
+    Add(SteerEvent::OfferedAgain);
+    Offer(it.mFlow, std::move(it.mSteered), std::move(it.mCandidates), aNow);
+  }
+}
+
+void FlowSteering::Forward(const FlowPacket& aPacket, ByteView aDatagram,
+                           Time aNow)
+{
+  FlowKey flow = aPacket.FlowFromCaller();
+  std::uint64_t hash = HashFlow(flow);
+  const FlowRoute* route = mInventory->Find(flow.mService);
+  if (const Member* member = HintedMember(hash)) {
+    Add(SteerEvent::Hinted);
+    mOutput.Steer(member->mTunnel,
+                  MakeSteered(route, member->mService, SteerPurpose::Deliver,
+                              aDatagram));
+    return;
+  }
+  if (route == nullptr) {
+    Add(SteerEvent::DroppedNoRoute);
+    return;
+  }
+  SearchAll(*route, MakeSteered(route, {}, SteerPurpose::Search, aDatagram),
+            hash, aNow);
+}
+
+/** Weights may have changed since the flow was opened, so each service of its
+ * route may hold it. */
+void FlowSteering::SearchAll(const FlowRoute& aRoute, SteeredPacket aSteered,
+                             std::uint64_t aHash, Time aNow)
+{
+  for (const RouteShare& it : aRoute.mShares) {
+    aSteered.mService = it.mService;
+    Search(aSteered, aHash, aNow);
+  }
+}
+
+void FlowSteering::Search(SteeredPacket aSteered,
+                          std::uint64_t aHash, Time aNow)
+{
+  const auto* held = mViews.Find(aSteered.mService);
+  auto order = held == nullptr
+                 ? std::vector<const Member*>{}
+                 : OrderForSearch(*held->mView, aHash, Inputs(aNow));
+  if (order.empty()) {
+    Add(SteerEvent::DroppedNotReady);
+    return;
+  }
+  Add(SteerEvent::Searched);
+  aSteered.mPurpose = SteerPurpose::Search;
+  aSteered.mCandidates.clear();
+  for (std::size_t i = 1; i < order.size(); ++i) {
+    aSteered.mCandidates.push_back(order[i]->mTunnel);
+  }
+  mOutput.Steer(order.front()->mTunnel, aSteered);
+}
+
+void FlowSteering::OnNotHere(SteeredPacket aSteered, Time aNow)
+{
+  auto packet = mFormat.Parse(aSteered.mPacket);
+  if (!packet) {
+    Add(SteerEvent::Malformed);
+    return;
+  }
+  Add(SteerEvent::HintWrong);
+  FlowKey flow = packet->FlowFromCaller();
+  std::uint64_t hash = HashFlow(flow);
+  mHints.Erase(hash);
+  if (const FlowRoute* route = mInventory->Find(flow.mService)) {
+    SearchAll(*route, std::move(aSteered), hash, aNow);
+  } else {
+    Search(std::move(aSteered), hash, aNow);
+  }
+}
+
+void FlowSteering::OnReport(const PlacementReport& aReport)
+{
+  mWatch.End(aReport.mFlow);
+  mWatch.Clear(aReport.mHost);
+  if (aReport.mOutcome == PlacementOutcome::Placed) {
+    mHints.Put(HashFlow(aReport.mFlow), { aReport.mHost, 0 });
+  }
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/FlowSteering.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Types.h"
+#include "src/balancer/ServiceViews.h"
+#include "src/passthrough/CandidateOrder.h"
+#include "src/passthrough/FlowInventory.h"
+#include "src/passthrough/PacketFormat.h"
+#include "src/passthrough/PlacementWatch.h"
+#include "src/passthrough/SteerMessages.h"
+#include "src/steer/HintCache.h"
+
+namespace heatherplank {
+
+/** Where the decisions of FlowSteering go. */
+class FlowSteeringOutput
+{
+public:
+  virtual ~FlowSteeringOutput() = default;
+
+  virtual void Steer(const Address& aAgent, const SteeredPacket& aPacket) = 0;
+  /** aCaller: the caller's end of the flow. */
+  virtual void ToCaller(const Address& aCaller, ByteView aPacket) = 0;
+};
+
+/** What happened to packets at a balancer; each is counted. */
+enum class SteerEvent : std::uint8_t
+{
+  Offered,
+  OfferedAgain,
+  Hinted,
+  Searched,
+  HintWrong,
+  RefusedNoRoute,
+  RefusedNoHost,
+  DroppedNoRoute,
+  DroppedNotReady,
+  Malformed,
+  Last = Malformed,
+};
+
+std::string_view ToString(SteerEvent aEvent);
+
+/** The balancer's decisions for packets of opaque flows. Holds nothing that
+ * matters: routes and members are given to it, where a flow is may be
+ * forgotten and is found again by asking the hosts in the flow's own order.
+ * Pure; not thread safe.
+ */
+class FlowSteering
+{
+public:
+  struct Options
+  {
+    /** Where agents reach this balancer. */
+    Address mSelf;
+    DataCentreId mDataCentre;
+    /** Flows whose host is remembered. */
+    std::size_t mMaxHints = 65536;
+  };
+
+  /** aFormat and aOutput must outlive it. */
+  FlowSteering(const Options& aOptions, const PacketFormat& aFormat,
+               FlowSteeringOutput& aOutput);
+
+  void SetInventory(FlowInventoryPtr aInventory);
+  void SetViews(std::span<const MemberViewPtr> aViews,
+                std::span<const ServiceId> aServices);
+
+  /** A packet of a caller. */
+  void OnPacket(ByteView aDatagram, Time aNow);
+
+  /** A packet that an agent gave back: it does not hold the flow. */
+  void OnNotHere(SteeredPacket aSteered, Time aNow);
+
+  void OnReport(const PlacementReport& aReport);
+
+  /** Call it at NextAt, or later. */
+  void OnTick(Time aNow);
+  std::optional<Time> NextAt() const { return mWatch.NextAt(); }
+
+  const FlowInventoryPtr& Inventory() const { return mInventory; }
+
+  /** Hosts in view that take new flows. */
+  std::size_t UsableHosts() const;
+
+  std::uint64_t Count(SteerEvent aEvent) const
+  {
+    return mCounts[static_cast<std::size_t>(aEvent)];
+  }
+
+private:
+  void Open(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
+  void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
+  void SearchAll(const FlowRoute& aRoute, SteeredPacket aSteered,
+                 std::uint64_t aHash, Time aNow);
+  void Search(SteeredPacket aSteered,
+              std::uint64_t aHash, Time aNow);
+  void Offer(const FlowKey& aFlow, SteeredPacket aSteered,
+             std::vector<PlacementCandidate> aCandidates, Time aNow);
+  void RefuseOpen(const FlowKey& aFlow, SteerEvent aWhy);
+  const Member* HintedMember(std::uint64_t aHash);
+  std::vector<PlacementCandidate> CandidatesFor(ServiceId aService,
+                                                std::uint64_t aHash,
+                                                Time aNow);
+  OrderInputs Inputs(Time aNow) const;
+  SteeredPacket MakeSteered(const FlowRoute* aRoute, ServiceId aService,
+                            SteerPurpose aPurpose, ByteView aDatagram) const;
+  void Add(SteerEvent aEvent) { ++mCounts[static_cast<std::size_t>(aEvent)]; }
+
+  const Options mOptions;
+  const PacketFormat& mFormat;
+  FlowSteeringOutput& mOutput;
+  FlowInventoryPtr mInventory;
+  ServiceViews mViews;
+  /** Every host in view, for hints. */
+  std::unordered_map<HostId, Member> mMembers;
+  HintCache mHints;
+  PlacementWatch mWatch;
+  std::array<std::uint64_t, static_cast<std::size_t>(SteerEvent::Last) + 1>
+    mCounts{};
+};
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/HostFlows.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Types.h"
+#include "src/passthrough/FlowAdmission.h"
+#include "src/passthrough/HostAnnouncement.h"
+#include "src/passthrough/HostLife.h"
+#include "src/passthrough/PacketFormat.h"
+#include "src/passthrough/SteerMessages.h"
+#include "src/passthrough/WorkInProgress.h"
+#include "src/steer/BoundedTable.h"
+
+namespace heatherplank {
+
+/** Where the decisions of HostFlows go. Called under no lock of its own. */
+class HostFlowsOutput
+{
+public:
+  virtual ~HostFlowsOutput() = default;
+
+  virtual void ToHost(ByteView aPacket) = 0;
+  /** aCaller: the caller's end of the flow. */
+  virtual void ToCaller(const Address& aCaller, ByteView aPacket) = 0;
+  /** To another agent, or with NotHere back to a balancer. */
+  virtual void Steer(const Address& aTo, const SteeredPacket& aPacket) = 0;
+  virtual void Report(const Address& aBalancer,
+                      const PlacementReport& aReport) = 0;
+};
+
+/** What happened to packets and flows; each is counted. */
+enum class HostFlowEvent : std::uint8_t
+{
+  Placed,
+  PassedOn,
+  SentToBest,
+  Refused,
+  RefusedOtherService,
+  Delivered,
+  Searched,
+  Probed,
+  Bounced,
+  FlowLost,
+  SearchEnded,
+  NotHere,
+  TableFull,
+  Malformed,
+  Answered,
+  Last = Answered,
+};
+
+std::string_view ToString(HostFlowEvent aEvent);
+
+/** The flows of one host, as its agent knows them: which the host holds, and
+ * how much work they are. Takes new flows or passes them on, delivers packets
+ * of flows that the host holds, and lets no other packet reach the host but
+ * to ask whether it holds the flow.
+ *
+ * The host is the only truth on what it holds; the table here is what was seen
+ * of it in both directions. An agent that restarted asks the host about flows
+ * that it does not know by delivering the packet: a host returns what it does
+ * not hold. Pure; not thread safe.
+ */
+class HostFlows
+{
+public:
+  struct Options
+  {
+    HostId mHost;
+    /** Where other agents and balancers reach this agent. */
+    Address mSelf;
+    ServiceId mService;
+    /** Flows remembered at most. */
+    std::size_t mMaxFlows = 16384;
+    /** Flows that are older may be forgotten; for this long after the start
+     * there may be flows from before it. */
+    Duration mFlowsLastFor = std::chrono::seconds(60);
+    /** Without an announcement for this long the host counts as silent. */
+    Duration mSilentAfter = std::chrono::milliseconds(3600);
+    FlowAdmission::Options mAdmission;
+  };
+
+  /** aFormat and aOutput must outlive it. */
+  HostFlows(const Options& aOptions, const PacketFormat& aFormat,
+            HostFlowsOutput& aOutput, Time aNow);
+
+  /** A packet from a balancer or another agent. */
+  void OnSteered(SteeredPacket aSteered, Time aNow);
+
+  /** A packet that the host sent or returned. */
+  void OnHostPacket(ByteView aPacket, Time aNow);
+
+  AnnouncementEffect OnAnnouncement(const HostAnnouncement& aIt, Time aNow);
+
+  /** This agent stops soon: new flows go elsewhere from now on. */
+  void Leave() { mLeaving = true; }
+
+  /** Call it some ten times a second. */
+  void OnTick(Time aNow);
+
+  const HostLife& Host() const { return mLife; }
+  HostCondition Condition(Time aNow) const;
+  std::size_t Size() const { return mFlows.Size(); }
+  std::uint64_t Count(HostFlowEvent aEvent) const
+  {
+    return mCounts[static_cast<std::size_t>(aEvent)];
+  }
+
+private:
+  enum class Stage : std::uint8_t
+  {
+    /** The opening packet went to the host. */
+    Offered,
+    /** The host answered it; the caller may still open the flow elsewhere. */
+    Answered,
+    /** The caller acknowledged this host's answer, or the host sent data. */
+    Open,
+  };
+  struct Flow
+  {
+    Stage mStage = Stage::Offered;
+    /** The host's first sequence; what the caller acknowledges tells at which
+     * host it opened the flow. */
+    std::uint32_t mHostSequence = 0;
+    bool mHostSequenceKnown = false;
+    bool mFinished = false;
+    /** The balancer that was told last where the flow is. */
+    Address mTold;
+  };
+  using Table = BoundedTable<Flow>;
+  /** What to do with a packet that the host returns. */
+  struct Pending
+  {
+    std::uint32_t mTag = 0;
+    FlowKey mFlow;
+    SteeredPacket mSteered;
+  };
+  /** Packets under way to the host that may come back within a round trip on
+   * one machine, a millisecond at most; a few thousand packets a second. */
+  static constexpr std::size_t kMostPending = 256;
+
+  void Place(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
+  void PlaceKnown(SteeredPacket& aSteered, const FlowPacket& aPacket,
+                  Table::Entry& aEntry, Time aNow);
+  void Take(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
+  void PassPlacementOn(SteeredPacket& aSteered, const FlowKey& aFlow,
+                       Time aNow);
+  void Refuse(const SteeredPacket& aSteered, const FlowPacket& aPacket);
+  void Continue(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
+  void Deliver(SteeredPacket& aSteered, const FlowPacket& aPacket,
+               Table::Entry& aEntry, Time aNow);
+  void PassSearchOn(SteeredPacket& aSteered);
+  void Probe(SteeredPacket& aSteered, const FlowKey& aFlow);
+  bool IsOpenHere(Flow& aFlow, const FlowPacket& aPacket) const;
+  void OnBounced(ByteView aBytes, const FlowPacket& aPacket, Time aNow);
+  void OnAnswer(const FlowPacket& aPacket, Time aNow);
+  void FromHost(const FlowPacket& aPacket, Time aNow);
+  void Tell(Table::Entry& aEntry, const Address& aIngress);
+  void Reset(const FlowKey& aFlow, std::uint32_t aSequence);
+  void Forget(const FlowKey& aFlow, Time aNow);
+  std::uint32_t Remember(const SteeredPacket& aSteered, const FlowKey& aFlow);
+  bool MayHoldUnknown(Time aNow) const;
+  void LearnServiceTime(Duration aTook);
+  void Add(HostFlowEvent aEvent) { ++mCounts[static_cast<std::size_t>(aEvent)]; }
+
+  const Options mOptions;
+  const PacketFormat& mFormat;
+  HostFlowsOutput& mOutput;
+  const FlowAdmission mAdmission;
+  const Time mStartedAt;
+  HostLife mLife;
+  Table mFlows;
+  WorkInProgress mWork;
+  std::array<Pending, kMostPending> mPending;
+  std::uint32_t mNextTag = 1;
+  Duration mServiceTime;
+  /** When the oldest opening packet was delivered that no packet of the host
+   * came after; zero if none. */
+  Time mUnansweredSince{};
+  Time mTriedAt{};
+  bool mLeaving = false;
+  std::array<std::uint64_t, static_cast<std::size_t>(HostFlowEvent::Last) + 1>
+    mCounts{};
+};
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/PassthroughSettings.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Error.h"
+#include "include/heatherplank/Types.h"
+#include "src/settings/ProcessSettings.h"
+
+namespace heatherplank {
+
+/** What both kinds of process of the pass-through path are told. */
+struct PassthroughSettings : ProcessSettings
+{
+  /** Control addresses of balancers to begin with; more are learnt. */
+  std::vector<Address> mSeeds;
+  /** Seeds take control connections at this port, whatever port is listed; 0:
+   * at the listed one. */
+  std::uint16_t mSeedPort = 0;
+  /** Packets to callers go to this port of the caller's machine, taken from the
+   * address at the key "caller_port_of"; 0: to the port of the flow itself. */
+  std::uint16_t mCallerPort = 0;
+  /** Flows that are older may be forgotten, s. */
+  std::uint32_t mFlowsLastS = 60;
+};
+
+/** A balancer of opaque flows. */
+struct FlowBalancerSettings : PassthroughSettings
+{
+  /** UDP: packets of callers. */
+  Address mIngress;
+  /** The store's key of the routes. */
+  std::string mRoutesKey;
+  /** Flows whose host it remembers; a bound, since hints may be lost. */
+  std::uint32_t mMaxHints = 65536;
+};
+
+/** The agent beside a host of opaque flows. */
+struct FlowAgentSettings : PassthroughSettings
+{
+  std::string mService;
+  /** UDP: where the host takes packets. */
+  Address mHostInbox;
+  /** UDP: where the host sends packets to. */
+  Address mHostOutbox;
+  /** HTTP: where the host announces itself. */
+  Address mHostCalls;
+  /** How often the host announces itself, ms. */
+  std::uint32_t mHostHeartbeatMs = 1200;
+  /** Flows that it remembers at most. */
+  std::uint32_t mMaxFlows = 16384;
+};
+
+/** Read settings, JSON with comments; InvalidInput that lists every fault with
+ * file, key, what was found and the remedy. Thread safe. */
+Result<FlowBalancerSettings> ReadFlowBalancerSettings(const std::string& aFile);
+Result<FlowAgentSettings> ReadFlowAgentSettings(const std::string& aFile);
+
+/** The same from text; aFile names it in messages. */
+Result<FlowBalancerSettings> ParseFlowBalancerSettings(
+  std::string_view aText, const std::string& aFile);
+Result<FlowAgentSettings> ParseFlowAgentSettings(std::string_view aText,
+                                                 const std::string& aFile);
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/PlacementWatch.cpp
@@ -0,0 +1,59 @@
+#include "src/passthrough/PlacementWatch.h"
+
+#include <utility>
+
+namespace heatherplank {
+
+void PlacementWatch::Begin(const FlowKey& aFlow, SteeredPacket aSteered,
+                           std::vector<PlacementCandidate> aCandidates,
+                           Time aNow)
+{
+  if (mWatched.size() >= kMostWatched) {
+    return;
+  }
+  mWatched.insert_or_assign(
+    aFlow,
+    Watched{ { aFlow, std::move(aSteered), std::move(aCandidates) }, aNow });
+  mBySentAt.emplace(aNow, aFlow);
+}
+
+void PlacementWatch::End(const FlowKey& aFlow)
+{
+  mWatched.erase(aFlow);
+}
+
+std::vector<PlacementWatch::Retry> PlacementWatch::TakeLate(Time aNow)
+{
+  std::vector<Retry> late;
+  while (!mBySentAt.empty() &&
+         aNow - mBySentAt.begin()->first >= kAnswerWithin) {
+    auto [sentAt, flow] = *mBySentAt.begin();
+    mBySentAt.erase(mBySentAt.begin());
+    auto it = mWatched.find(flow);
+    if (it == mWatched.end() || it->second.mSentAt != sentAt) {
+      continue;
+    }
+    Retry retry = std::move(it->second.mRetry);
+    mWatched.erase(it);
+    mSuspects[retry.mCandidates.front().mHost] = aNow + kSuspectFor;
+    retry.mCandidates.erase(retry.mCandidates.begin());
+    late.push_back(std::move(retry));
+  }
+  return late;
+}
+
+std::optional<Time> PlacementWatch::NextAt() const
+{
+  if (mWatched.empty() || mBySentAt.empty()) {
+    return std::nullopt;
+  }
+  return mBySentAt.begin()->first + kAnswerWithin;
+}
+
+bool PlacementWatch::IsSuspect(HostId aHost, Time aNow) const
+{
+  auto it = mSuspects.find(aHost);
+  return it != mSuspects.end() && aNow < it->second;
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/PlacementWatch.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Types.h"
+#include "src/passthrough/SteerMessages.h"
+
+namespace heatherplank {
+
+/** A candidate as a placement names it. */
+struct PlacementCandidate
+{
+  HostId mHost;
+  Address mTunnel;
+};
+
+/** Watches over opening packets until an agent says what became of them, and
+ * gives up on a host that says nothing.
+ *
+ * Failure met: the first candidate lost power or is cut off. Its heartbeats
+ * are missed only after a second or more, and the caller repeats its opening
+ * packet after 200 ms, above the latency target of most requests. Here the
+ * packet goes to the other candidates after kAnswerWithin, and flows that
+ * come after it try the silent host last. Two hosts may then answer; the
+ * caller acknowledges one, so the flow still opens once.
+ *
+ * Pure; not thread safe.
+ */
+class PlacementWatch
+{
+public:
+  /** A walk of the candidates takes some 5 ms. Above that lie the pauses of
+   * hosts whose share of a core is small. */
+  static constexpr Duration kAnswerWithin = std::chrono::milliseconds(30);
+  /** How long a silent host is tried last: a few heartbeats, by when
+   * membership knows. */
+  static constexpr Duration kSuspectFor = std::chrono::milliseconds(700);
+  /** Opening packets watched at most; more go out unwatched. */
+  static constexpr std::size_t kMostWatched = 8192;
+
+  struct Retry
+  {
+    FlowKey mFlow;
+    SteeredPacket mSteered;
+    std::vector<PlacementCandidate> mCandidates;
+  };
+
+  /** Watches a packet that went to the first of aCandidates. */
+  void Begin(const FlowKey& aFlow, SteeredPacket aSteered,
+             std::vector<PlacementCandidate> aCandidates, Time aNow);
+
+  /** An agent answered for the flow. */
+  void End(const FlowKey& aFlow);
+
+  /** Flows whose first candidate said nothing in time; that candidate is a
+   * suspect from now on and not among the candidates given. */
+  std::vector<Retry> TakeLate(Time aNow);
+
+  /** When TakeLate has something next, if nothing happens before. */
+  std::optional<Time> NextAt() const;
+
+  bool IsSuspect(HostId aHost, Time aNow) const;
+
+  /** A sign of life. */
+  void Clear(HostId aHost) { mSuspects.erase(aHost); }
+
+  std::size_t Size() const { return mWatched.size(); }
+
+private:
+  struct Watched
+  {
+    Retry mRetry;
+    Time mSentAt;
+  };
+
+  std::unordered_map<FlowKey, Watched> mWatched;
+  /** In the order of sending; entries of flows that ended are skipped. */
+  std::multimap<Time, FlowKey> mBySentAt;
+  std::unordered_map<HostId, Time> mSuspects;
+};
+
+} // namespace heatherplank
--- /dev/null
+++ b/src/passthrough/PlatformAdapter.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "include/heatherplank/ObjectStore.h"
+#include "include/heatherplank/Types.h"
+#include "src/net/Http.h"
+#include "src/passthrough/FlowInventory.h"
+#include "src/passthrough/HostAnnouncement.h"
+#include "src/passthrough/PacketFormat.h"
+
+namespace heatherplank {
+
+/** The formats and calls of the platform that the pass-through path runs on,
+ * behind the product's own types. Thread safe. */
+class PlatformAdapter
+{
+public:
+  virtual ~PlatformAdapter() = default;
+
+  virtual const PacketFormat& Packets() const = 0;
+  virtual const FlowInventoryReader& Inventories() const = 0;
+
+  /** A host's call to its agent; Malformed with the remedy if it is none. */
+  virtual Result<HostAnnouncement> ReadHostCall(
+    const HttpRequest& aRequest) const = 0;
+
+  /** The answer to a host's call; an error is told to the host. */
+  virtual HttpResponse AnswerHostCall(const HttpRequest& aRequest,
+                                      const Result<void>& aOutcome) const = 0;
+
+  /** The store at an address. */
+  virtual std::unique_ptr<ObjectStore> MakeStore(
+    const boost::asio::any_io_executor& aExecutor,
+    const Address& aStore) const = 0;
+};
+
+} // namespace heatherplank
--- a/src/process/ControlLinks.h
+++ b/src/process/ControlLinks.h
@@ -11,6 +11,7 @@
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Error.h"
 #include "src/net/ControlConnection.h"
+#include "src/process/MessageSender.h"
 #include "src/wire/HelloCodec.h"
 
 namespace heatherplank {
@@ -25,7 +26,7 @@
  * and the connections in, each of which begins by saying whose it is. Thread
  * safe, by its own lock.
  */
-class ControlLinks
+class ControlLinks final : public MessageSender
 {
 public:
   /** A frame from a process; its payload is valid during the call. Called with
@@ -42,14 +43,12 @@
   };
 
   ControlLinks(Parts aParts, const Hello& aSelf, OnFrame aOnFrame);
-  ~ControlLinks();
+  ~ControlLinks() override;
 
   /** Listens at this process's control address; System if it can't. */
   Result<void> Listen();
 
-  /** Sends a message; it may be lost, and is if the other side can't be
-   * reached now. */
-  void Send(const Address& aTo, MessageKind aKind, ByteView aPayload);
+  void Send(const Address& aTo, MessageKind aKind, ByteView aPayload) override;
 
   /** Lets idle connections go; call every second or so. */
   void Tick();
--- a/src/process/RunProcess.h
+++ b/src/process/RunProcess.h
@@ -17,12 +17,13 @@
   return ToExitCode(aError);
 }
 
-/** Runs a Balancer or an Agent until it is told to stop: reads the settings,
- * opens everything, runs. Errors before that go to standard error. Not thread
- * safe; call once a process.
+/** Runs a process until it is told to stop: reads its settings with aRead,
+ * opens everything with aMake, runs. Errors before that go to standard error.
+ * Not thread safe; call once a process.
  */
-template<typename Process, typename ReadSettings>
-ExitCode RunProcess(const ProcessOptions& aOptions, ReadSettings aRead)
+template<typename ReadSettings, typename MakeProcess>
+ExitCode RunProcess(const ProcessOptions& aOptions, ReadSettings aRead,
+                    MakeProcess aMake)
 {
   if (aOptions.mSettingsFile.empty()) {
     return ReportStartError({ ErrorKind::InvalidInput,
@@ -34,7 +35,7 @@
     return ReportStartError(settings.error());
   }
   StartLog(settings->mName);
-  auto process = Process::Make(*settings, aOptions.mFaultInjection);
+  auto process = aMake(*settings);
   if (!process) {
     return ReportStartError(process.error());
   }
--- a/src/status/StatusReader.h
+++ b/src/status/StatusReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 #include "src/status/StatusObject.h"
 
 namespace heatherplank {
--- a/src/platform/CallLimits.cpp
+++ b/src/store/CallLimits.cpp
@@ -1,4 +1,4 @@
-#include "src/platform/CallLimits.h"
+#include "src/store/CallLimits.h"
 
 #include <algorithm>
 
--- a/src/platform/SyncObjectStore.cpp
+++ b/src/store/SyncObjectStore.cpp
@@ -1,4 +1,4 @@
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 
 #include <algorithm>
 #include <future>
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-#include "src/platform/CallLimits.h"
+#include "src/store/CallLimits.h"
 
 namespace heatherplank {
 
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -38,6 +38,10 @@
   ConfigObjects = 32,
   StatusReport = 33,
   Hello = 40,
+  SteeredPacket = 50,
+  PlacementReport = 51,
+  InventoryNotice = 52,
+  InventoryDocument = 53,
 };
 
 using Bytes = std::vector<std::uint8_t>;
--- a/tests/HttpObjectStoreTest.cpp
+++ b/tests/HttpObjectStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "src/platform/HttpObjectStore.h"
+#include "src/store/HttpObjectStore.h"
 
 #include <optional>
 #include <string>
--- a/tests/SyncObjectStoreTest.cpp
+++ b/tests/SyncObjectStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "src/platform/SyncObjectStore.h"
+#include "src/store/SyncObjectStore.h"
 #include "tests/FakeObjectStore.h"
 
 #include <CppUTest/TestHarness.h>
