Search walks all members; SIGHUP reloads; structured log on standard output

(2) A balancer ended by SIGHUP (exit 129) on settings changes. (3) An agent whose host had gone came back as draining when it was stopped itself.

Ruled out: a cut between agents; the walk's own log lines showed eight hosts asked and the ninth, which was alive, not.

Change: ranked members first, then the others, up to 64; an agent that heard its host's first announcement asks the host about nothing; SIGHUP reads the settings again and takes the seeds over; lines go to standard output by a bounded queue.

--- a/include/heatherplank/Types.h
+++ b/include/heatherplank/Types.h
@@ -32,6 +32,9 @@
   Address mService;
 
   auto operator<=>(const FlowKey&) const = default;
+
+  /** "10.0.0.1:4000>10.0.0.2:80", the id of a flow in logs. */
+  std::string ToString() const;
 };
 
 /** A 64-bit name hash that can't be mixed up with that of another kind. */
--- a/src/agent/MemberFeed.cpp
+++ b/src/agent/MemberFeed.cpp
@@ -100,6 +100,12 @@
   }
 }
 
+void MemberFeed::SetSeeds(std::vector<Address> aSeeds)
+{
+  std::lock_guard lock(mLock);
+  mMembership.SetSeeds(std::move(aSeeds));
+}
+
 void MemberFeed::OnFrame(const Frame& aFrame)
 {
   auto message = DecodeMembership(aFrame);
--- a/src/agent/MemberFeed.h
+++ b/src/agent/MemberFeed.h
@@ -56,6 +56,9 @@
   /** Announces how many requests the host works on at once. */
   void SetSlots(std::uint16_t aSlots);
 
+  /** Other balancers to begin with: the settings changed. */
+  void SetSeeds(std::vector<Address> aSeeds);
+
   /** Takes a frame of a membership kind. Malformed ones are counted. */
   void OnFrame(const Frame& aFrame);
 
--- a/src/balancer/MemberPlane.cpp
+++ b/src/balancer/MemberPlane.cpp
@@ -101,6 +101,12 @@
   Flush();
 }
 
+void MemberPlane::SetSeeds(std::vector<Address> aSeeds)
+{
+  std::lock_guard lock(mLock);
+  mMembership.SetSeeds(std::move(aSeeds));
+}
+
 void MemberPlane::Leave()
 {
   {
--- a/src/balancer/MemberPlane.h
+++ b/src/balancer/MemberPlane.h
@@ -51,6 +51,9 @@
   /** Call every 50 ms. */
   void Tick();
 
+  /** Other balancers to begin with: the settings changed. */
+  void SetSeeds(std::vector<Address> aSeeds);
+
   /** Tells the peers that this balancer stops. */
   void Leave();
 
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,5 +1,11 @@
 #include "src/base/Log.h"
 
+#include <condition_variable>
+#include <cstdio>
+#include <memory>
+#include <mutex>
+#include <thread>
+
 #include <glog/logging.h>
 
 namespace heatherplank {
@@ -34,17 +40,97 @@
   return sName;
 }
 
-} // namespace
+/** Takes lines from glog and writes them from a thread of its own. */
+class Writer final : public google::LogSink
+{
+public:
+  /** How long lines are collected for one write: a system call for each line
+   * costs more than the line. */
+  static constexpr auto kCollectFor = std::chrono::milliseconds(100);
 
-void StartLog(std::string_view aProcess)
+  Writer()
+    : mThread([this] { Run(); })
+  {
+  }
+
+  ~Writer() override
+  {
+    {
+      std::lock_guard lock(mLock);
+      mEnding = true;
+    }
+    mWake.notify_one();
+    mThread.join();
+  }
+
+  void send(google::LogSeverity aSeverity, const char*, const char*, int,
+            const google::LogMessageTime& aTime, const char* aText,
+            std::size_t aLength) override
+  {
+    char head[32];
+    std::snprintf(head, sizeof(head), "%c%02d:%02d:%02d.%06d ",
+                  google::GetLogSeverityName(aSeverity)[0], aTime.hour(),
+                  aTime.min(), aTime.sec(), aTime.usec());
+    std::string line = head;
+    line.append(aText, aLength);
+    line += '\n';
+    std::lock_guard lock(mLock);
+    mQueue.Put(mClass, std::move(line), std::chrono::steady_clock::now());
+    mWake.notify_one();
+  }
+
+  /** The class of lines that this thread sends next. */
+  static thread_local LogClass mClass;
+
+  void Flush()
+  {
+    std::lock_guard lock(mWriting);
+    std::string text;
+    {
+      std::lock_guard queue(mLock);
+      text = mQueue.Take();
+    }
+    std::fwrite(text.data(), 1, text.size(), stdout);
+    std::fflush(stdout);
+  }
+
+  std::uint64_t Dropped()
+  {
+    std::lock_guard lock(mLock);
+    return mQueue.Dropped();
+  }
+
+private:
+  void Run()
+  {
+    std::unique_lock lock(mLock);
+    while (!mEnding) {
+      mWake.wait(lock, [this] { return mEnding || !mQueue.IsEmpty(); });
+      lock.unlock();
+      Flush();
+      lock.lock();
+      mWake.wait_for(lock, kCollectFor, [this] { return mEnding; });
+    }
+  }
+
+  std::mutex mLock;
+  std::mutex mWriting;
+  std::condition_variable mWake;
+  LogQueue mQueue;
+  bool mEnding = false;
+  std::thread mThread;
+};
+
+thread_local LogClass Writer::mClass = LogClass::Belief;
+
+std::unique_ptr<Writer>& TheWriter()
 {
-  ProcessName() = aProcess;
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging("heatherplank");
+  static std::unique_ptr<Writer> sWriter;
+  return sWriter;
 }
 
-void LogEvent(LogLevel aLevel, std::string_view aEvent,
-              std::initializer_list<LogField> aFields)
+std::string MakeLine(std::string_view aEvent,
+                     std::initializer_list<LogField> aFields)
 {
   std::string line = "process=" + ProcessName() + " event=";
   line += aEvent;
@@ -54,17 +140,58 @@
     line += '=';
     line += NeedsQuotes(it.mValue) ? Quote(it.mValue) : it.mValue;
   }
-  switch (aLevel) {
-    case LogLevel::Info:
-      LOG(INFO) << line;
-      return;
-    case LogLevel::Warning:
-      LOG(WARNING) << line;
-      return;
-    case LogLevel::Error:
-      LOG(ERROR) << line;
-      return;
+  return line;
+}
+
+void Write(LogClass aClass, google::LogSeverity aSeverity,
+           const std::string& aLine)
+{
+  Writer::mClass = aClass;
+  Writer* writer = TheWriter().get();
+  if (writer == nullptr) {
+    google::LogMessage("", 0, aSeverity).stream() << aLine;
+    return;
   }
+  google::LogMessage("", 0, aSeverity, writer, false).stream() << aLine;
+}
+
+} // namespace
+
+void StartLog(std::string_view aProcess)
+{
+  ProcessName() = aProcess;
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging("heatherplank");
+  TheWriter() = std::make_unique<Writer>();
+}
+
+void FlushLog()
+{
+  if (TheWriter()) {
+    TheWriter()->Flush();
+  }
+}
+
+std::uint64_t DroppedLogLines()
+{
+  return TheWriter() ? TheWriter()->Dropped() : 0;
+}
+
+void LogEvent(LogLevel aLevel, std::string_view aEvent,
+              std::initializer_list<LogField> aFields)
+{
+  google::LogSeverity severity = google::GLOG_INFO;
+  if (aLevel == LogLevel::Warning) {
+    severity = google::GLOG_WARNING;
+  } else if (aLevel == LogLevel::Error) {
+    severity = google::GLOG_ERROR;
+  }
+  Write(LogClass::Belief, severity, MakeLine(aEvent, aFields));
+}
+
+void LogFlow(std::string_view aEvent, std::initializer_list<LogField> aFields)
+{
+  Write(LogClass::Flow, google::GLOG_INFO, MakeLine(aEvent, aFields));
 }
 
 } // namespace heatherplank
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 
+#include "src/base/LogQueue.h"
+
 namespace heatherplank {
 
 /** How much a line matters. */
@@ -37,16 +40,28 @@
   static std::string ToText(T aValue) { return std::to_string(aValue); }
 };
 
-/** Starts glog on standard error, each line under the process's name. Call
- * once, before any other thread runs.
+/** Starts the log on standard output, each line under the process's name. A
+ * thread of its own writes, so a reader that stalls holds nobody up. Call once,
+ * before any other thread runs.
  */
 void StartLog(std::string_view aProcess);
 
+/** Writes what still waits; call it before the process ends. Thread safe. */
+void FlushLog();
+
+/** Lines dropped since the start, for lack of room. Thread safe. */
+std::uint64_t DroppedLogLines();
+
 /** Writes one structured line, event=NAME key=value ...; values with spaces
- * are quoted. Lines stand only for changes of state, what happens often is
- * counted instead. Thread safe.
+ * are quoted. For what the process believes or decided against: what happens
+ * often is counted, or written by LogFlow. Before StartLog it goes to standard
+ * error. Thread safe, never blocks.
  */
 void LogEvent(LogLevel aLevel, std::string_view aEvent,
               std::initializer_list<LogField> aFields);
 
+/** The same for the ordinary course of a flow; the first to be dropped when
+ * there are too many lines. Thread safe, never blocks. */
+void LogFlow(std::string_view aEvent, std::initializer_list<LogField> aFields);
+
 } // namespace heatherplank
--- a/src/base/Types.cpp
+++ b/src/base/Types.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+std::string FlowKey::ToString() const
+{
+  return mCaller.ToString() + ">" + mService.ToString();
+}
+
 std::string Address::ToString() const
 {
   boost::asio::ip::address_v6 v6(mIp);
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -66,17 +66,19 @@
 
 ExitCode RunFlowBalancer(Words)
 {
+  auto read = [] { return ReadFlowBalancerSettings(Options().mSettingsFile); };
   return RunProcess(Options(), ReadFlowBalancerSettings,
-                    [](const auto& aSettings) {
-                      return FlowBalancer::Make(aSettings, *Adapter());
+                    [read](const auto& aSettings) {
+                      return FlowBalancer::Make(aSettings, *Adapter(), read);
                     });
 }
 
 ExitCode RunFlowAgent(Words)
 {
+  auto read = [] { return ReadFlowAgentSettings(Options().mSettingsFile); };
   return RunProcess(Options(), ReadFlowAgentSettings,
-                    [](const auto& aSettings) {
-                      return FlowAgent::Make(aSettings, *Adapter());
+                    [read](const auto& aSettings) {
+                      return FlowAgent::Make(aSettings, *Adapter(), read);
                     });
 }
 
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -20,6 +20,7 @@
                                  std::uint64_t aSeed, Time aNow)
   : mSelf(aSelf)
   , mOptions(aOptions)
+  , mSeeds(aOptions.mSeeds)
   , mPeers(MemberTableId::Hosts, aCheck, TableOptions())
   , mBalancers(MemberTableId::Balancers, mBalancerCheck, TableOptions())
   , mRandom(aSeed)
@@ -110,16 +111,16 @@
 {
   MemberViewPtr view = Balancers();
   std::size_t known = view->mMembers.size();
-  std::size_t pick = mRandom() % (known + mOptions.mSeeds.size());
+  std::size_t pick = mRandom() % (known + mSeeds.size());
   return pick < known ? view->mMembers[pick].mControl
-                      : mOptions.mSeeds[pick - known];
+                      : mSeeds[pick - known];
 }
 
 std::vector<Address> AgentMembership::Monitors() const
 {
   MemberViewPtr view = Balancers();
   if (view->mMembers.empty()) {
-    return mOptions.mSeeds;
+    return mSeeds;
   }
   std::size_t n =
     mOptions.mMonitors == 0 ? view->mMembers.size() : mOptions.mMonitors;
@@ -127,7 +128,7 @@
   // others are known, each would hold this host for silent.
   std::vector<Address> out;
   if (mOptions.mMonitors == 0) {
-    out = mOptions.mSeeds;
+    out = mSeeds;
   }
   for (const Member& it :
        ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers, n)) {
--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
@@ -42,6 +43,9 @@
    * the present one. */
   void Restart(Incarnation aIncarnation, Time aNow);
 
+  /** Other balancers to begin with: the settings changed. */
+  void SetSeeds(std::vector<Address> aSeeds) { mSeeds = std::move(aSeeds); }
+
   void OnMessage(const MembershipMessage& aMessage, Time aNow);
   void OnTick(Time aNow);
   void OnInventory(Time aNow) { mPeers.Recheck(aNow); }
@@ -78,6 +82,7 @@
 
   Member mSelf;
   const AgentMembershipOptions mOptions;
+  std::vector<Address> mSeeds;
   BalancerCheck mBalancerCheck;
   MemberTable mPeers;
   MemberTable mBalancers;
--- a/src/membership/BalancerMembership.cpp
+++ b/src/membership/BalancerMembership.cpp
@@ -255,6 +255,12 @@
   }
 }
 
+void BalancerMembership::SetSeeds(std::vector<Address> aSeeds)
+{
+  mSeeds = std::move(aSeeds);
+  std::erase(mSeeds, mSelf.mControl);
+}
+
 void BalancerMembership::Leave(Time aNow)
 {
   mSelf.mState = HostState::Leaving;
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -73,6 +73,8 @@
   void OnTick(Time aNow);
   /** The inventory changed. */
   void OnInventory(Time aNow) { mHosts.Recheck(aNow); }
+  /** Other balancers to begin with: the settings changed. */
+  void SetSeeds(std::vector<Address> aSeeds);
   /** This balancer stops: tells its peers. */
   void Leave(Time aNow);
 
--- a/src/passthrough/CandidateOrder.cpp
+++ b/src/passthrough/CandidateOrder.cpp
@@ -6,21 +6,20 @@
 
 namespace {
 
-std::vector<const Member*> Order(const RankedMembers& aRanked,
+std::vector<const Member*> Order(std::vector<const Member*> aMembers,
                                  const OrderInputs& aInputs)
 {
-  std::vector<const Member*> out(aRanked.begin(), aRanked.end());
   auto group = [&](const Member* aIt) {
     if (aInputs.mIsSuspect(aIt->mHost)) {
       return 2;
     }
     return aIt->mDataCentre == aInputs.mDataCentre ? 0 : 1;
   };
-  std::stable_sort(out.begin(), out.end(),
+  std::stable_sort(aMembers.begin(), aMembers.end(),
                    [&](const Member* aLeft, const Member* aRight) {
                      return group(aLeft) < group(aRight);
                    });
-  return out;
+  return aMembers;
 }
 
 } // namespace
@@ -29,14 +28,28 @@
                                              std::uint64_t aFlowHash,
                                              const OrderInputs& aInputs)
 {
-  return Order(aView.Candidates(aFlowHash, kRankDepth), aInputs);
+  auto ranked = aView.Candidates(aFlowHash, kRankDepth);
+  return Order({ ranked.begin(), ranked.end() }, aInputs);
 }
 
 std::vector<const Member*> OrderForSearch(const ServiceView& aView,
                                           std::uint64_t aFlowHash,
                                           const OrderInputs& aInputs)
 {
-  return Order(aView.Ranked(aFlowHash), aInputs);
+  auto ranked = aView.Ranked(aFlowHash);
+  std::vector<const Member*> first(ranked.begin(), ranked.end());
+  auto out = Order(first, aInputs);
+  for (const Member& it : aView.Members()) {
+    if (out.size() >= kMostSearched) {
+      break;
+    }
+    bool isLeft = it.mState != HostState::Leaving &&
+                  std::find(first.begin(), first.end(), &it) == first.end();
+    if (isLeft) {
+      out.push_back(&it);
+    }
+  }
+  return out;
 }
 
 } // namespace heatherplank
--- a/src/passthrough/CandidateOrder.h
+++ b/src/passthrough/CandidateOrder.h
@@ -30,7 +30,13 @@
                                              std::uint64_t aFlowHash,
                                              const OrderInputs& aInputs);
 
-/** Hosts that may hold a flow, those that leave too. Thread safe if aInputs
+/** Most hosts that a search walks. Members come and go between the placement
+ * and the search, which pushes a flow's host down its ranks, so the others are
+ * walked after the ranked ones; a walk takes about half a millisecond a host,
+ * and callers repeat a packet after 200 ms. */
+constexpr std::size_t kMostSearched = 64;
+
+/** Hosts that may hold a flow, those that drain too. Thread safe if aInputs
  * is. */
 std::vector<const Member*> OrderForSearch(const ServiceView& aView,
                                           std::uint64_t aFlowHash,
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -30,6 +30,8 @@
 /** How long an agent goes on forwarding after it said that it stops, for the
  * flows that its host works on. */
 constexpr auto kStopAfter = std::chrono::milliseconds(4000);
+/** The same where the host has ended: for its last packets on the way. */
+constexpr auto kStopAfterHost = std::chrono::milliseconds(300);
 
 Member MakeSelf(const FlowAgentSettings& aSettings)
 {
@@ -82,8 +84,10 @@
 
 struct FlowAgent::Impl final : HostFlowsOutput
 {
-  Impl(const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter)
+  Impl(const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter,
+       Reread aReread)
     : mSettings(aSettings)
+    , mReread(std::move(aReread))
     , mAdapter(aAdapter)
     , mSelf(MakeSelf(aSettings))
     , mMalformed(
@@ -101,6 +105,7 @@
   }
 
   const FlowAgentSettings mSettings;
+  const Reread mReread;
   const PlatformAdapter& mAdapter;
   const Member mSelf;
   SteadyClock mClock;
@@ -172,6 +177,7 @@
     mRuntime.Every(kTick, [this] { Tick(); });
     mRuntime.Every(kSecond, [this] { EverySecond(); });
     mRuntime.OnStop([this] { Stop(); });
+    mRuntime.OnReload([this] { Reload(); });
     LogEvent(LogLevel::Info, "started",
              { { "service", mSettings.mService },
                { "tunnel", mSettings.mTunnel.ToString() },
@@ -253,14 +259,12 @@
   HostState CurrentState() const
   {
     const HostLife& host = mFlows.Host();
-    if (mStopping) {
-      return HostState::Draining;
-    }
     if (host.Phase() == HostPhase::Gone || !host.IsHeard(mClock.Now())) {
       return HostState::Leaving;
     }
-    return host.Phase() == HostPhase::Draining ? HostState::Draining
-                                               : HostState::Serving;
+    return mStopping || host.Phase() == HostPhase::Draining
+             ? HostState::Draining
+             : HostState::Serving;
   }
 
   void OnDatagram(ByteView aDatagram)
@@ -314,13 +318,29 @@
       aBalancer);
   }
 
+  /** Seeds are taken over; everything else is bound to open ports and waits for
+   * a restart. Settings that can't be read change nothing. */
+  void Reload()
+  {
+    auto settings = mReread();
+    if (!settings) {
+      LogEvent(LogLevel::Error, "settings_refused",
+               { { "why", settings.error().Describe() } });
+      return;
+    }
+    mMembers.SetSeeds(settings->mSeeds);
+    LogEvent(LogLevel::Info, "settings_reloaded",
+             { { "seeds", settings->mSeeds.size() } });
+  }
+
   void Stop()
   {
     mStopping = true;
     mFlows.Leave();
     TellState();
+    bool hostEnded = mFlows.Host().Phase() == HostPhase::Gone;
     auto timer = std::make_shared<boost::asio::steady_timer>(
-      mRuntime.Executor(), kStopAfter);
+      mRuntime.Executor(), hostEnded ? kStopAfterHost : kStopAfter);
     timer->async_wait([this, timer](boost::system::error_code) {
       LogEvent(LogLevel::Info, "stopped", {});
       mRuntime.Quit();
@@ -336,9 +356,9 @@
 FlowAgent::~FlowAgent() = default;
 
 Result<std::unique_ptr<FlowAgent>> FlowAgent::Make(
-  const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter)
+  const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter, Reread aReread)
 {
-  auto impl = std::make_unique<Impl>(aSettings, aAdapter);
+  auto impl = std::make_unique<Impl>(aSettings, aAdapter, std::move(aReread));
   auto opened = impl->Open();
   if (!opened) {
     return tl::unexpected(opened.error());
--- a/src/passthrough/FlowAgent.h
+++ b/src/passthrough/FlowAgent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "include/heatherplank/Error.h"
@@ -15,10 +16,13 @@
 class FlowAgent
 {
 public:
+  /** Reads the settings again. */
+  using Reread = std::function<Result<FlowAgentSettings>()>;
+
   /** Opens every port; System with the remedy if one can't be had. aAdapter
-   * must outlive it. */
+   * must outlive it. aReread is called when the settings may have changed. */
   static Result<std::unique_ptr<FlowAgent>> Make(
-    const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter);
+    const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter, Reread aReread);
 
   ~FlowAgent();
 
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -72,8 +72,10 @@
 
 struct FlowBalancer::Impl final : FlowSteeringOutput
 {
-  Impl(const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter)
+  Impl(const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter,
+       Reread aReread)
     : mSettings(aSettings)
+    , mReread(std::move(aReread))
     , mAdapter(aAdapter)
     , mSelf(MakeSelf(aSettings))
     , mMalformed(
@@ -104,6 +106,7 @@
   }
 
   const FlowBalancerSettings mSettings;
+  const Reread mReread;
   const PlatformAdapter& mAdapter;
   const Member mSelf;
   SteadyClock mClock;
@@ -177,6 +180,7 @@
     mRuntime.Every(kTick, [this] { Tick(); });
     mRuntime.Every(kSecond, [this] { EverySecond(); });
     mRuntime.OnStop([this] { Stop(); });
+    mRuntime.OnReload([this] { Reload(); });
     LogEvent(LogLevel::Info, "started",
              { { "ingress", mSettings.mIngress.ToString() },
                { "tunnel", mSettings.mTunnel.ToString() },
@@ -360,6 +364,21 @@
     });
   }
 
+  /** Seeds are taken over; everything else is bound to open ports and waits for
+   * a restart. Settings that can't be read change nothing. */
+  void Reload()
+  {
+    auto settings = mReread();
+    if (!settings) {
+      LogEvent(LogLevel::Error, "settings_refused",
+               { { "why", settings.error().Describe() } });
+      return;
+    }
+    mMembers.SetSeeds(settings->mSeeds);
+    LogEvent(LogLevel::Info, "settings_reloaded",
+             { { "seeds", settings->mSeeds.size() } });
+  }
+
   void Stop()
   {
     mStopping = true;
@@ -381,9 +400,9 @@
 FlowBalancer::~FlowBalancer() = default;
 
 Result<std::unique_ptr<FlowBalancer>> FlowBalancer::Make(
-  const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter)
+  const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter, Reread aReread)
 {
-  auto impl = std::make_unique<Impl>(aSettings, aAdapter);
+  auto impl = std::make_unique<Impl>(aSettings, aAdapter, std::move(aReread));
   auto opened = impl->Open();
   if (!opened) {
     return tl::unexpected(opened.error());
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/base/Log.h"
+
 namespace heatherplank {
 
 std::string_view ToString(SteerEvent aEvent)
@@ -112,6 +114,9 @@
 void FlowSteering::RefuseOpen(const FlowKey& aFlow, SteerEvent aWhy)
 {
   Add(aWhy);
+  LogFlow("refused", { { "flow", aFlow.ToString() },
+                       { "why", ToString(aWhy) },
+                       { "routes_version", mInventory->mVersion } });
   mOutput.ToCaller(aFlow.mCaller, mFormat.MakeReset(aFlow, 0));
 }
 
@@ -177,6 +182,10 @@
   for (std::size_t i = 1; i < aCandidates.size(); ++i) {
     aSteered.mCandidates.push_back(aCandidates[i].mTunnel);
   }
+  LogFlow("offered", { { "flow", aFlow.ToString() },
+                       { "to", aCandidates.front().mTunnel.ToString() },
+                       { "others", aSteered.mCandidates.size() },
+                       { "routes_version", mInventory->mVersion } });
   mOutput.Steer(aCandidates.front().mTunnel, aSteered);
   mWatch.Begin(aFlow, std::move(aSteered), std::move(aCandidates), aNow);
 }
@@ -184,6 +193,10 @@
 void FlowSteering::OnTick(Time aNow)
 {
   for (auto& it : mWatch.TakeLate(aNow)) {
+    LogEvent(LogLevel::Warning, "offer_unanswered",
+             { { "flow", it.mFlow.ToString() },
+               { "host", it.mSilent.ToString() },
+               { "others", it.mCandidates.size() } });
     if (it.mCandidates.empty()) {
       continue;
     }
@@ -209,22 +222,22 @@
     Add(SteerEvent::DroppedNoRoute);
     return;
   }
-  SearchAll(*route, MakeSteered(route, {}, SteerPurpose::Search, aDatagram),
+  SearchAll(flow, *route, MakeSteered(route, {}, SteerPurpose::Search, aDatagram),
             hash, aNow);
 }
 
 /** Weights may have changed since the flow was opened, so each service of its
  * route may hold it. */
-void FlowSteering::SearchAll(const FlowRoute& aRoute, SteeredPacket aSteered,
-                             std::uint64_t aHash, Time aNow)
+void FlowSteering::SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
+                             SteeredPacket aSteered, std::uint64_t aHash, Time aNow)
 {
   for (const RouteShare& it : aRoute.mShares) {
     aSteered.mService = it.mService;
-    Search(aSteered, aHash, aNow);
+    Search(aFlow, aSteered, aHash, aNow);
   }
 }
 
-void FlowSteering::Search(SteeredPacket aSteered,
+void FlowSteering::Search(const FlowKey& aFlow, SteeredPacket aSteered,
                           std::uint64_t aHash, Time aNow)
 {
   const auto* held = mViews.Find(aSteered.mService);
@@ -236,6 +249,9 @@
     return;
   }
   Add(SteerEvent::Searched);
+  LogFlow("searched", { { "flow", aFlow.ToString() },
+                        { "first", order.front()->mTunnel.ToString() },
+                        { "others", order.size() - 1 } });
   aSteered.mPurpose = SteerPurpose::Search;
   aSteered.mCandidates.clear();
   for (std::size_t i = 1; i < order.size(); ++i) {
@@ -253,12 +269,13 @@
   }
   Add(SteerEvent::HintWrong);
   FlowKey flow = packet->FlowFromCaller();
+  LogFlow("hint_wrong", { { "flow", flow.ToString() } });
   std::uint64_t hash = HashFlow(flow);
   mHints.Erase(hash);
   if (const FlowRoute* route = mInventory->Find(flow.mService)) {
-    SearchAll(*route, std::move(aSteered), hash, aNow);
+    SearchAll(flow, *route, std::move(aSteered), hash, aNow);
   } else {
-    Search(std::move(aSteered), hash, aNow);
+    Search(flow, std::move(aSteered), hash, aNow);
   }
 }
 
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -97,9 +97,9 @@
 private:
   void Open(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
-  void SearchAll(const FlowRoute& aRoute, SteeredPacket aSteered,
-                 std::uint64_t aHash, Time aNow);
-  void Search(SteeredPacket aSteered,
+  void SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
+                 SteeredPacket aSteered, std::uint64_t aHash, Time aNow);
+  void Search(const FlowKey& aFlow, SteeredPacket aSteered,
               std::uint64_t aHash, Time aNow);
   void Offer(const FlowKey& aFlow, SteeredPacket aSteered,
              std::vector<PlacementCandidate> aCandidates, Time aNow);
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/base/Log.h"
+
 namespace heatherplank {
 
 namespace {
@@ -28,6 +30,11 @@
 /** A host's first announcement comes within a heartbeat of its start. */
 constexpr auto kStartSeenWithin = std::chrono::milliseconds(1500);
 
+std::int64_t Micros(Duration aSpan)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aSpan).count();
+}
+
 } // namespace
 
 std::string_view ToString(HostFlowEvent aEvent)
@@ -139,13 +146,15 @@
       return;
     case FlowDecision::ToBest: {
       Add(HostFlowEvent::SentToBest);
+      LogFlow("sent_to_best", { { "flow", flow.ToString() },
+                                { "to", aSteered.mBest.ToString() } });
       aSteered.mMustTake = true;
       Address best = std::exchange(aSteered.mBest, Address{});
       mOutput.Steer(best, aSteered);
       return;
     }
     case FlowDecision::Refuse:
-      Refuse(aSteered, aPacket);
+      Refuse(aSteered, flow, aNow);
       return;
   }
 }
@@ -180,10 +189,14 @@
   Table::Entry* entry = mFlows.Put(flow, aNow);
   if (entry == nullptr) {
     Add(HostFlowEvent::TableFull);
-    Refuse(aSteered, aPacket);
+    Refuse(aSteered, flow, aNow);
     return;
   }
   Add(HostFlowEvent::Placed);
+  LogFlow("placed", { { "flow", flow.ToString() },
+                      { "in_progress", mWork.Size() },
+                      { "slots", mLife.Slots() },
+                      { "host_heard_ms_ago", HeardAgo(aNow) } });
   entry->mValue.mTold = aSteered.mIngress;
   mWork.Begin(flow, aNow, aNow + kAnswerWithin);
   if (mUnansweredSince == Time{}) {
@@ -198,10 +211,7 @@
                                 Time aNow)
 {
   if (aSteered.mCandidates.empty()) {
-    Add(HostFlowEvent::Refused);
-    mOutput.Report(aSteered.mIngress,
-                   { aFlow, mOptions.mHost, PlacementOutcome::Refused });
-    Reset(aFlow, 0);
+    Refuse(aSteered, aFlow, aNow);
     return;
   }
   HostCondition host = Condition(aNow);
@@ -214,17 +224,38 @@
   }
   Add(HostFlowEvent::PassedOn);
   Address next = aSteered.mCandidates.front();
+  LogFlow("passed_on", { { "flow", aFlow.ToString() },
+                         { "to", next.ToString() },
+                         { "in_progress", host.mInProgress },
+                         { "takes_new", host.mTakesNewFlows },
+                         { "seems_down", host.mSeemsDown },
+                         { "host_heard_ms_ago", HeardAgo(aNow) } });
   aSteered.mCandidates.erase(aSteered.mCandidates.begin());
   mOutput.Steer(next, aSteered);
 }
 
-void HostFlows::Refuse(const SteeredPacket& aSteered, const FlowPacket& aPacket)
+void HostFlows::Refuse(const SteeredPacket& aSteered, const FlowKey& aFlow,
+                       Time aNow)
 {
-  FlowKey flow = aPacket.FlowFromCaller();
   Add(HostFlowEvent::Refused);
+  HostCondition host = Condition(aNow);
+  LogEvent(LogLevel::Info, "refused",
+           { { "flow", aFlow.ToString() },
+             { "in_progress", host.mInProgress },
+             { "wait_us", Micros(FlowAdmission::WaitAt(host)) },
+             { "target_us", Micros(aSteered.mLatencyTarget) },
+             { "takes_new", host.mTakesNewFlows },
+             { "seems_down", host.mSeemsDown },
+             { "host_heard_ms_ago", HeardAgo(aNow) } });
   mOutput.Report(aSteered.mIngress,
-                 { flow, mOptions.mHost, PlacementOutcome::Refused });
-  Reset(flow, 0);
+                 { aFlow, mOptions.mHost, PlacementOutcome::Refused });
+  Reset(aFlow, 0);
+}
+
+std::int64_t HostFlows::HeardAgo(Time aNow) const
+{
+  return mLife.HeardAt() == Time{} ? -1
+                                   : Micros(aNow - mLife.HeardAt()) / 1000;
 }
 
 void HostFlows::Reset(const FlowKey& aFlow, std::uint32_t aSequence)
@@ -263,7 +294,7 @@
     Probe(aSteered, flow);
     return;
   }
-  PassSearchOn(aSteered);
+  PassSearchOn(aSteered, flow);
 }
 
 void HostFlows::Deliver(SteeredPacket& aSteered, const FlowPacket& aPacket,
@@ -299,10 +330,11 @@
                  { aEntry.mFlow, mOptions.mHost, PlacementOutcome::Placed });
 }
 
-void HostFlows::PassSearchOn(SteeredPacket& aSteered)
+void HostFlows::PassSearchOn(SteeredPacket& aSteered, const FlowKey& aFlow)
 {
   if (aSteered.mPurpose == SteerPurpose::Deliver) {
     Add(HostFlowEvent::NotHere);
+    LogFlow("not_here", { { "flow", aFlow.ToString() } });
     aSteered.mPurpose = SteerPurpose::NotHere;
     mOutput.Steer(aSteered.mIngress, aSteered);
     return;
@@ -310,10 +342,14 @@
   if (aSteered.mCandidates.empty()) {
     // Silence, never a reset: the flow's host may live behind a cut.
     Add(HostFlowEvent::SearchEnded);
+    LogEvent(LogLevel::Warning, "search_ended",
+             { { "flow", aFlow.ToString() } });
     return;
   }
   Add(HostFlowEvent::Searched);
   Address next = aSteered.mCandidates.front();
+  LogFlow("search_passed", { { "flow", aFlow.ToString() },
+                             { "to", next.ToString() } });
   aSteered.mCandidates.erase(aSteered.mCandidates.begin());
   mOutput.Steer(next, aSteered);
 }
@@ -321,12 +357,13 @@
 bool HostFlows::MayHoldUnknown(Time aNow) const
 {
   return aNow - mStartedAt < mOptions.mFlowsLastFor &&
-         mLife.Phase() != HostPhase::Gone;
+         !mLife.IsKnownFromStart() && mLife.Phase() != HostPhase::Gone;
 }
 
 void HostFlows::Probe(SteeredPacket& aSteered, const FlowKey& aFlow)
 {
   Add(HostFlowEvent::Probed);
+  LogFlow("probed", { { "flow", aFlow.ToString() } });
   mFormat.Tag(aSteered.mPacket, Remember(aSteered, aFlow));
   mOutput.ToHost(aSteered.mPacket);
 }
@@ -370,6 +407,9 @@
 {
   Add(HostFlowEvent::Bounced);
   FlowKey flow = aPacket.FlowFromCaller();
+  LogFlow("bounced", { { "flow", flow.ToString() },
+                       { "opens", aPacket.mSyn },
+                       { "tag", aPacket.mTag } });
   Table::Entry* entry = mFlows.Find(flow);
   Pending& pending = mPending[aPacket.mTag % kMostPending];
   bool isPending =
@@ -380,6 +420,10 @@
     if (entry != nullptr && entry->mValue.mStage == Stage::Open &&
         !entry->mValue.mFinished && !aPacket.mSyn) {
       Add(HostFlowEvent::FlowLost);
+      LogEvent(LogLevel::Warning, "flow_lost",
+               { { "flow", flow.ToString() },
+                 { "host", mLife.Id() },
+                 { "host_heard_ms_ago", HeardAgo(aNow) } });
       Reset(flow, aPacket.mAcknowledged);
     }
     Forget(flow, aNow);
@@ -393,7 +437,7 @@
   if (steered.mPurpose == SteerPurpose::Place) {
     PassPlacementOn(steered, flow, aNow);
   } else {
-    PassSearchOn(steered);
+    PassSearchOn(steered, flow);
   }
 }
 
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -148,11 +148,13 @@
   void Take(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
   void PassPlacementOn(SteeredPacket& aSteered, const FlowKey& aFlow,
                        Time aNow);
-  void Refuse(const SteeredPacket& aSteered, const FlowPacket& aPacket);
+  void Refuse(const SteeredPacket& aSteered, const FlowKey& aFlow, Time aNow);
+  /** Age of the host's last word in ms, for logs; -1 if there is none. */
+  std::int64_t HeardAgo(Time aNow) const;
   void Continue(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
   void Deliver(SteeredPacket& aSteered, const FlowPacket& aPacket,
                Table::Entry& aEntry, Time aNow);
-  void PassSearchOn(SteeredPacket& aSteered);
+  void PassSearchOn(SteeredPacket& aSteered, const FlowKey& aFlow);
   void Probe(SteeredPacket& aSteered, const FlowKey& aFlow);
   bool IsOpenHere(Flow& aFlow, const FlowPacket& aPacket) const;
   void OnBounced(ByteView aBytes, const FlowPacket& aPacket, Time aNow);
--- a/src/passthrough/HostLife.cpp
+++ b/src/passthrough/HostLife.cpp
@@ -8,6 +8,9 @@
  * a few times a day, and late calls are seconds old. */
 constexpr std::size_t kMostEarlierIds = 64;
 
+/** A host counts its announcements from 1. */
+constexpr std::uint64_t kFirstSequence = 1;
+
 } // namespace
 
 HostLife::HostLife(Duration aSilentAfter)
@@ -44,6 +47,9 @@
     }
     mEarlierIds.insert(mId);
   }
+  // A second life in sight of this process is known from its start as well.
+  mKnownFromStart =
+    mKnown || aIt.mSequence.value_or(kFirstSequence + 1) <= kFirstSequence;
   mKnown = true;
   mId = aIt.mId;
   mStartedAt = aIt.mStartedAt;
--- a/src/passthrough/HostLife.h
+++ b/src/passthrough/HostLife.h
@@ -42,6 +42,10 @@
    * an agent that restarted does not know whether the host is leaving. */
   bool TakesNewFlows(Time aNow) const;
 
+  /** The host's present life was heard from its first announcement on, so all
+   * its flows were seen. */
+  bool IsKnownFromStart() const { return mKnownFromStart; }
+
   HostPhase Phase() const { return mPhase; }
   std::uint16_t Slots() const { return mSlots; }
   bool IsCold(Time aNow) const { return aNow < mColdUntil; }
@@ -56,6 +60,7 @@
 
   const Duration mSilentAfter;
   bool mKnown = false;
+  bool mKnownFromStart = false;
   std::string mId;
   std::optional<std::int64_t> mStartedAt;
   /** Names of earlier lives that gave no start time. */
--- a/src/passthrough/PlacementWatch.cpp
+++ b/src/passthrough/PlacementWatch.cpp
@@ -13,7 +13,8 @@
   }
   mWatched.insert_or_assign(
     aFlow,
-    Watched{ { aFlow, std::move(aSteered), std::move(aCandidates) }, aNow });
+    Watched{ { aFlow, std::move(aSteered), std::move(aCandidates), {} },
+             aNow });
   mBySentAt.emplace(aNow, aFlow);
 }
 
@@ -36,6 +37,7 @@
     Retry retry = std::move(it->second.mRetry);
     mWatched.erase(it);
     mSuspects[retry.mCandidates.front().mHost] = aNow + kSuspectFor;
+    retry.mSilent = retry.mCandidates.front().mTunnel;
     retry.mCandidates.erase(retry.mCandidates.begin());
     late.push_back(std::move(retry));
   }
--- a/src/passthrough/PlacementWatch.h
+++ b/src/passthrough/PlacementWatch.h
@@ -48,6 +48,8 @@
     FlowKey mFlow;
     SteeredPacket mSteered;
     std::vector<PlacementCandidate> mCandidates;
+    /** Where the host is that said nothing. */
+    Address mSilent;
   };
 
   /** Watches a packet that went to the first of aCandidates. */
--- a/src/process/ProcessRuntime.cpp
+++ b/src/process/ProcessRuntime.cpp
@@ -47,7 +47,7 @@
 } // namespace
 
 ProcessRuntime::ProcessRuntime()
-  : mSignals(mContext, SIGTERM, SIGINT)
+  : mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
 {
   WaitForSignal();
 }
@@ -75,17 +75,40 @@
     if (aEc) {
       return;
     }
-    if (!mStop) {
-      Quit();
-      return;
-    }
-    LogEvent(LogLevel::Info, "stop_requested", { { "signal", aSignal } });
-    auto stop = std::exchange(mStop, nullptr);
     WaitForSignal();
-    stop();
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else {
+      Stop(aSignal);
+    }
   });
 }
 
+void ProcessRuntime::Stop(int aSignal)
+{
+  if (!mStop) {
+    Quit();
+    return;
+  }
+  LogEvent(LogLevel::Info, "stop_requested", { { "signal", aSignal } });
+  auto stop = std::exchange(mStop, nullptr);
+  stop();
+}
+
+void ProcessRuntime::Reload()
+{
+  if (!mReload) {
+    LogEvent(LogLevel::Info, "reload_ignored", {});
+    return;
+  }
+  mReload();
+}
+
+void ProcessRuntime::OnReload(std::function<void()> aReload)
+{
+  mReload = std::move(aReload);
+}
+
 void ProcessRuntime::Run(std::uint32_t aThreads)
 {
   for (std::uint32_t i = 1; i < aThreads; ++i) {
--- a/src/process/ProcessRuntime.h
+++ b/src/process/ProcessRuntime.h
@@ -31,6 +31,10 @@
    * ends the process at once. */
   void OnStop(std::function<void()> aStop);
 
+  /** Called at each SIGHUP: the settings file may have changed. Without it the
+   * signal is logged and ignored; it never ends the process. */
+  void OnReload(std::function<void()> aReload);
+
   /** Runs with aThreads threads until Quit. */
   void Run(std::uint32_t aThreads);
 
@@ -39,10 +43,13 @@
 
 private:
   void WaitForSignal();
+  void Stop(int aSignal);
+  void Reload();
 
   boost::asio::io_context mContext;
   boost::asio::signal_set mSignals;
   std::function<void()> mStop;
+  std::function<void()> mReload;
   std::vector<std::thread> mThreads;
 };
 
--- a/src/process/RunProcess.h
+++ b/src/process/RunProcess.h
@@ -40,6 +40,7 @@
     return ReportStartError(process.error());
   }
   (*process)->Run();
+  FlushLog();
   return ExitCode::Ok;
 }
 
