--- /dev/null
+++ b/tests/WorkInProgressTest.cpp
@@ -0,0 +1,57 @@
+#include "src/passthrough/WorkInProgress.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+FlowKey Flow(std::uint16_t aPort)
+{
+  FlowKey out;
+  out.mCaller.mPort = aPort;
+  return out;
+}
+
+} // namespace
+
+TEST_GROUP(WorkInProgress)
+{
+  ManualClock mClock;
+  WorkInProgress mWork;
+};
+
+TEST(WorkInProgress, CountsFromBeginToEnd)
+{
+  mWork.Begin(Flow(1), mClock.Now(), mClock.Now() + 1s);
+  mWork.Begin(Flow(2), mClock.Now(), mClock.Now() + 1s);
+  CHECK_EQUAL(2, mWork.Size());
+  mClock.Advance(20ms);
+  CHECK(mWork.End(Flow(1), mClock.Now()) == 20ms);
+  CHECK(mWork.End(Flow(1), mClock.Now()) == Duration::zero());
+  CHECK_EQUAL(1, mWork.Size());
+}
+
+// A caller gives up before its flow opens, and nothing ever says so. The slot
+// that was counted for it must come free by itself.
+TEST(WorkInProgress, ForgetsWhatNeverEnds)
+{
+  mWork.Begin(Flow(1), mClock.Now(), mClock.Now() + 300ms);
+  mClock.Advance(299ms);
+  mWork.Expire(mClock.Now());
+  CHECK_EQUAL(1, mWork.Size());
+  mClock.Advance(1ms);
+  mWork.Expire(mClock.Now());
+  CHECK_EQUAL(0, mWork.Size());
+}
+
+TEST(WorkInProgress, DropsWhatAnEarlierLifeOfTheHostBegan)
+{
+  mWork.Begin(Flow(1), mClock.Now(), mClock.Now() + 8s);
+  mClock.Advance(2s);
+  mWork.Begin(Flow(2), mClock.Now(), mClock.Now() + 8s);
+  mWork.DropOlderThan(mClock.Now() - 1s);
+  CHECK_EQUAL(1, mWork.Size());
+  CHECK(mWork.End(Flow(2), mClock.Now()) > Duration::zero());
+}
