Tests of the pass-through path; a stand-in of the platform's store

Cause: the path stood without tests of its parts, and the store client was tried by the bench alone.

--- /dev/null
+++ b/tests/CandidateOrderTest.cpp
@@ -0,0 +1,76 @@
+#include "src/passthrough/CandidateOrder.h"
+
+#include <map>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+
+TEST_GROUP(CandidateOrder)
+{
+  static std::vector<Member> Hosts(int aCount)
+  {
+    std::vector<Member> out;
+    for (int i = 0; i < aCount; ++i) {
+      Member member;
+      member.mHost = MakeHostId("h" + std::to_string(i));
+      member.mState = HostState::Serving;
+      member.mDataCentre = MakeDataCentreId(i % 3 == 0 ? "a" : "b");
+      out.push_back(member);
+    }
+    return out;
+  }
+
+  static OrderInputs From(const char* aDataCentre, HostId aSuspect = {})
+  {
+    return { MakeDataCentreId(aDataCentre),
+             [aSuspect](HostId aIt) { return aIt == aSuspect; } };
+  }
+};
+
+TEST(CandidateOrder, NearHostsFirstSuspectsLast)
+{
+  auto view = MakeServiceView({ 1 }, 1, Hosts(6));
+  for (std::uint64_t flow = 0; flow < 100; ++flow) {
+    HostId suspect = MakeHostId("h0");
+    auto order = OrderForPlacement(*view, MixHash(flow, 1), From("a", suspect));
+    CHECK_EQUAL(6, order.size());
+    CHECK_TRUE(order[0]->mHost == MakeHostId("h3"));
+    CHECK_TRUE(order[5]->mHost == suspect);
+  }
+}
+
+// Balancers of one data centre are replaced: the new one walks the hosts in the
+// order in which the old one placed the flow.
+TEST(CandidateOrder, IsTheSameOnEveryBalancerOfADataCentre)
+{
+  auto one = MakeServiceView({ 1 }, 1, Hosts(9));
+  auto other = MakeServiceView({ 1 }, 7, Hosts(9));
+  for (std::uint64_t flow = 0; flow < 100; ++flow) {
+    auto placed = OrderForPlacement(*one, MixHash(flow, 1), From("b"));
+    auto searched = OrderForSearch(*other, MixHash(flow, 1), From("b"));
+    CHECK_TRUE(placed[0]->mHost == searched[0]->mHost);
+    CHECK_TRUE(placed[1]->mHost == searched[1]->mHost);
+  }
+}
+
+TEST(CandidateOrder, SpreadsFlowsEvenlyOverNearHosts)
+{
+  auto view = MakeServiceView({ 1 }, 1, Hosts(9));
+  std::map<HostId, int> first;
+  for (std::uint64_t flow = 0; flow < 9000; ++flow) {
+    auto order = OrderForPlacement(*view, MixHash(flow, 1), From("a"));
+    ++first[order[0]->mHost];
+  }
+  CHECK_EQUAL(3, first.size());
+  for (const auto& [host, n] : first) {
+    CHECK_TRUE(n > 2800 && n < 3200);
+  }
+}
+
+TEST(CandidateOrder, ASearchIsBounded)
+{
+  auto view = MakeServiceView({ 1 }, 1, Hosts(200));
+  CHECK_EQUAL(kMostSearched, OrderForSearch(*view, 5, From("a")).size());
+}
--- /dev/null
+++ b/tests/FlowSteeringTest.cpp
@@ -0,0 +1,220 @@
+#include "src/passthrough/FlowSteering.h"
+
+#include <vector>
+
+#include "platform/PlatformPackets.h"
+#include "src/net/Endpoint.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+const FlowKey kFlow{ *ParseAddress("100.64.0.7:40001"),
+                     *ParseAddress("198.18.0.1:443") };
+
+} // namespace
+
+TEST_GROUP(FlowSteering)
+{
+  struct Output final : FlowSteeringOutput
+  {
+    std::vector<std::pair<Address, SteeredPacket>> mSteered;
+    std::vector<Bytes> mToCaller;
+
+    void Steer(const Address& aAgent, const SteeredPacket& aPacket) override
+    {
+      mSteered.emplace_back(aAgent, aPacket);
+    }
+    void ToCaller(const Address&, ByteView aPacket) override
+    {
+      mToCaller.emplace_back(aPacket.begin(), aPacket.end());
+    }
+  };
+
+  ManualClock mClock;
+  PlatformPackets mPackets;
+  Output mOut;
+  FlowSteering mSteering{ { *ParseAddress("10.0.2.1:7000"),
+                            MakeDataCentreId("near"), 64 },
+                          mPackets, mOut };
+  std::uint64_t mVersion = 0;
+
+  static Member Host(int aIndex, const char* aDataCentre,
+                     HostState aState = HostState::Serving)
+  {
+    Member out;
+    out.mHost = MakeHostId("h" + std::to_string(aIndex));
+    out.mService = MakeServiceId("s");
+    out.mDataCentre = MakeDataCentreId(aDataCentre);
+    out.mState = aState;
+    out.mTunnel = *ParseAddress("10.0.1." + std::to_string(aIndex) + ":7000");
+    return out;
+  }
+
+  void SetHosts(const std::vector<Member>& aMembers)
+  {
+    auto view = std::make_shared<MemberView>();
+    view->mVersion = ++mVersion;
+    view->mMembers = aMembers;
+    std::sort(view->mMembers.begin(), view->mMembers.end());
+    MemberViewPtr views[] = { view };
+    ServiceId services[] = { MakeServiceId("s") };
+    mSteering.SetViews(views, services);
+  }
+
+  void SetRoutes(std::vector<RouteShare> aShares = { { MakeServiceId("s"),
+                                                       1 } })
+  {
+    auto inventory = std::make_shared<FlowInventory>();
+    inventory->mVersion = 1;
+    inventory->mRoutes[kFlow.mService].mShares = std::move(aShares);
+    mSteering.SetInventory(inventory);
+  }
+
+  Bytes Packet(std::uint8_t aFlags, std::uint32_t aAcknowledged = 0)
+  {
+    Bytes out = mPackets.MakeReset({ kFlow.mService, kFlow.mCaller }, 1);
+    out[20] = aFlags;
+    out[35] = static_cast<std::uint8_t>(aAcknowledged);
+    return out;
+  }
+  void Syn(std::uint32_t aRepeats = 0)
+  {
+    mSteering.OnPacket(Packet(64, aRepeats), mClock.Now());
+  }
+  void Data() { mSteering.OnPacket(Packet(4, 9), mClock.Now()); }
+  void Report(int aHost, PlacementOutcome aOutcome)
+  {
+    mSteering.OnReport({ kFlow, Host(aHost, "near").mHost, aOutcome });
+  }
+};
+
+TEST(FlowSteering, OffersHostsOfItsDataCentreFirst)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "far"), Host(2, "far"), Host(3, "near"), Host(4, "far"),
+             Host(5, "near", HostState::Draining) });
+  Syn();
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  STRCMP_EQUAL("10.0.1.3:7000", mOut.mSteered[0].first.ToString().c_str());
+  CHECK_EQUAL(3, mOut.mSteered[0].second.mCandidates.size());
+}
+
+// A balancer just started and knows no routes, or its routes name no such
+// address. The first drops the packet, as its caller may be right; the second
+// tells the caller at once.
+TEST(FlowSteering, RefusesAnUnknownRouteOnlyOnceItHasRoutes)
+{
+  Syn();
+  CHECK_EQUAL(0, mOut.mToCaller.size());
+  auto inventory = std::make_shared<FlowInventory>();
+  mSteering.SetInventory(inventory);
+  Syn();
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+  CHECK_TRUE(mPackets.Parse(mOut.mToCaller[0])->mReset);
+  Data();
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+}
+
+TEST(FlowSteering, RefusesAtOnceWithoutAHost)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near", HostState::Draining) });
+  Syn();
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+}
+
+// The first candidate lost power. The opening packet goes to the others after
+// 30 ms, and the flows behind it try the silent host last.
+TEST(FlowSteering, LeavesASilentHost)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near"), Host(2, "far") });
+  Syn();
+  mClock.Advance(PlacementWatch::kAnswerWithin);
+  mSteering.OnTick(mClock.Now());
+  CHECK_EQUAL(2, mOut.mSteered.size());
+  STRCMP_EQUAL("10.0.1.2:7000", mOut.mSteered[1].first.ToString().c_str());
+  Syn(1);
+  STRCMP_EQUAL("10.0.1.2:7000", mOut.mSteered[2].first.ToString().c_str());
+}
+
+TEST(FlowSteering, FollowsAHintAndForgetsAWrongOne)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near"), Host(2, "far") });
+  Syn();
+  Report(2, PlacementOutcome::Placed);
+  Data();
+  CHECK(mOut.mSteered[1].second.mPurpose == SteerPurpose::Deliver);
+  STRCMP_EQUAL("10.0.1.2:7000", mOut.mSteered[1].first.ToString().c_str());
+  SteeredPacket back = mOut.mSteered[1].second;
+  back.mPurpose = SteerPurpose::NotHere;
+  mSteering.OnNotHere(back, mClock.Now());
+  CHECK(mOut.mSteered[2].second.mPurpose == SteerPurpose::Search);
+  Data();
+  CHECK(mOut.mSteered[3].second.mPurpose == SteerPurpose::Search);
+}
+
+// Hosts come and go until more are in view than are ranked. The flow's host
+// must be among those that a search walks, wherever it ranks, and also while
+// it drains.
+TEST(FlowSteering, ASearchWalksAllHosts)
+{
+  SetRoutes();
+  std::vector<Member> hosts;
+  for (int i = 1; i <= 20; ++i) {
+    hosts.push_back(Host(i, "near",
+                         i % 2 == 0 ? HostState::Draining
+                                    : HostState::Serving));
+  }
+  SetHosts(hosts);
+  Data();
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK_EQUAL(19, mOut.mSteered[0].second.mCandidates.size());
+}
+
+// The weights of a route changed since the flow was opened, so that its hash
+// names another service now.
+TEST(FlowSteering, ASearchAsksEachServiceOfTheRoute)
+{
+  SetRoutes({ { MakeServiceId("t"), 1 }, { MakeServiceId("s"), 1 } });
+  SetHosts({ Host(1, "near") });
+  Data();
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK_TRUE(mOut.mSteered[0].second.mService == MakeServiceId("s"));
+}
+
+TEST(FlowSteering, TellsTheCallerOfARefusalOfItsOneOffer)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near") });
+  Syn();
+  Report(1, PlacementOutcome::Refused);
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+  Syn(1);
+  Report(1, PlacementOutcome::Refused);
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+  CHECK_EQUAL(1, mSteering.Count(SteerEvent::RefusedQuietly));
+}
+
+TEST(FlowSteering, ACopyGoesToTheHostThatAnswered)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near"), Host(2, "far") });
+  Syn();
+  Report(2, PlacementOutcome::Placed);
+  Syn(1);
+  STRCMP_EQUAL("10.0.1.2:7000", mOut.mSteered[1].first.ToString().c_str());
+}
+
+TEST(FlowSteering, CountsWhatIsNoPacket)
+{
+  SetRoutes();
+  Bytes garbage(20, 0xff);
+  mSteering.OnPacket(garbage, mClock.Now());
+  CHECK_EQUAL(1, mSteering.Count(SteerEvent::Malformed));
+}
--- /dev/null
+++ b/tests/HostFlowsTest.cpp
@@ -0,0 +1,342 @@
+#include "src/passthrough/HostFlows.h"
+
+#include <vector>
+
+#include "platform/PlatformPackets.h"
+#include "src/net/Endpoint.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint8_t kSyn = 64;
+constexpr std::uint8_t kAck = 4;
+constexpr std::uint8_t kFin = 16;
+constexpr std::uint8_t kBounced = 32;
+
+const Address kBalancer = *ParseAddress("10.0.2.1:7000");
+const Address kOtherBalancer = *ParseAddress("10.0.2.2:7000");
+const Address kNext = *ParseAddress("10.0.1.2:7000");
+const FlowKey kFlow{ *ParseAddress("100.64.0.7:40001"),
+                     *ParseAddress("198.18.0.1:443") };
+
+} // namespace
+
+TEST_GROUP(HostFlows)
+{
+  struct Output final : HostFlowsOutput
+  {
+    std::vector<Bytes> mToHost;
+    std::vector<Bytes> mToCaller;
+    std::vector<std::pair<Address, SteeredPacket>> mSteered;
+    std::vector<std::pair<Address, PlacementReport>> mReports;
+
+    void ToHost(ByteView aPacket) override
+    {
+      mToHost.emplace_back(aPacket.begin(), aPacket.end());
+    }
+    void ToCaller(const Address&, ByteView aPacket) override
+    {
+      mToCaller.emplace_back(aPacket.begin(), aPacket.end());
+    }
+    void Steer(const Address& aTo, const SteeredPacket& aPacket) override
+    {
+      mSteered.emplace_back(aTo, aPacket);
+    }
+    void Report(const Address& aBalancer,
+                const PlacementReport& aReport) override
+    {
+      mReports.emplace_back(aBalancer, aReport);
+    }
+  };
+
+  ManualClock mClock;
+  PlatformPackets mPackets;
+  Output mOut;
+  std::unique_ptr<HostFlows> mFlows;
+  std::uint64_t mBeats = 0;
+
+  void setup() override { Restart(); }
+
+  void Restart()
+  {
+    HostFlows::Options options;
+    options.mHost = MakeHostId("h");
+    options.mSelf = *ParseAddress("10.0.1.1:7000");
+    options.mService = MakeServiceId("s");
+    options.mMaxFlows = 64;
+    mFlows = std::make_unique<HostFlows>(options, mPackets, mOut, mClock.Now());
+  }
+
+  void Beat(HostPhase aPhase = HostPhase::Ready)
+  {
+    HostAnnouncement beat;
+    beat.mId = "i";
+    beat.mStartedAt = 1;
+    beat.mSequence = ++mBeats;
+    beat.mPhase = aPhase;
+    beat.mSlots = 2;
+    mFlows->OnAnnouncement(beat, mClock.Now());
+  }
+
+  Bytes Packet(std::uint8_t aFlags, std::uint32_t aSequence,
+               std::uint32_t aAcknowledged, bool aFromHost = false,
+               std::uint16_t aData = 0)
+  {
+    FlowKey key = aFromHost ? kFlow : FlowKey{ kFlow.mService, kFlow.mCaller };
+    Bytes out = mPackets.MakeReset(key, aSequence);
+    out[20] = aFlags;
+    out[27] = static_cast<std::uint8_t>(aData);
+    for (int i = 0; i < 4; ++i) {
+      out[32 + i] = static_cast<std::uint8_t>(aAcknowledged >> (24 - 8 * i));
+    }
+    out.resize(out.size() + aData);
+    return out;
+  }
+
+  void Steer(SteerPurpose aPurpose, Bytes aPacket, bool aHasNext = false,
+             const Address& aFrom = kBalancer, const char* aService = "s")
+  {
+    SteeredPacket steered;
+    steered.mService = MakeServiceId(aService);
+    steered.mPurpose = aPurpose;
+    steered.mLatencyTarget = 100ms;
+    steered.mIngress = aFrom;
+    if (aHasNext) {
+      steered.mCandidates = { kNext };
+    }
+    steered.mPacket = std::move(aPacket);
+    mFlows->OnSteered(steered, mClock.Now());
+  }
+
+  /** Opens the flow at the host with its sequence 500. */
+  void Open()
+  {
+    Steer(SteerPurpose::Place, Packet(kSyn, 1, 0));
+    mFlows->OnHostPacket(Packet(kSyn | kAck, 500, 2, true), mClock.Now());
+    Steer(SteerPurpose::Deliver, Packet(kAck, 2, 501, false, 10));
+  }
+
+  /** The last packet to the host, returned by it. */
+  void Bounce()
+  {
+    Bytes packet = mOut.mToHost.back();
+    packet[20] |= kBounced;
+    mFlows->OnHostPacket(packet, mClock.Now());
+  }
+};
+
+TEST(HostFlows, PlacesAFlowAndTellsTheBalancerOnceTheHostAnswered)
+{
+  Beat();
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0));
+  CHECK_EQUAL(1, mOut.mToHost.size());
+  CHECK_EQUAL(0, mOut.mReports.size());
+  mFlows->OnHostPacket(Packet(kSyn | kAck, 500, 2, true), mClock.Now());
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+  CHECK_EQUAL(1, mOut.mReports.size());
+  CHECK_TRUE(mOut.mReports[0].first == kBalancer);
+  CHECK(mOut.mReports[0].second.mOutcome == PlacementOutcome::Placed);
+}
+
+TEST(HostFlows, CountsARequestUntilItIsAnswered)
+{
+  Beat();
+  Open();
+  CHECK_EQUAL(1, mFlows->Condition(mClock.Now()).mInProgress);
+  mClock.Advance(15ms);
+  mFlows->OnHostPacket(Packet(kAck, 501, 12, true, 100), mClock.Now());
+  CHECK_EQUAL(0, mFlows->Condition(mClock.Now()).mInProgress);
+}
+
+TEST(HostFlows, PassesOnWithItsWaitWhenTheSlotsAreTaken)
+{
+  Beat();
+  for (std::uint16_t port : { 1, 2 }) {
+    Bytes syn = Packet(kSyn, 1, 0);
+    syn[1] = static_cast<std::uint8_t>(port);
+    Steer(SteerPurpose::Place, syn, true);
+  }
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0), true);
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK_TRUE(mOut.mSteered[0].first == kNext);
+  CHECK_TRUE(mOut.mSteered[0].second.mBest == *ParseAddress("10.0.1.1:7000"));
+  CHECK(mOut.mSteered[0].second.mBestWait > 0ms);
+}
+
+// An agent restarts beside a host that had said that it leaves, and was
+// acknowledged by the agent's earlier life. Until the host was heard again it
+// gets nothing new.
+TEST(HostFlows, AfterARestartNothingNewBeforeTheHostWasHeard)
+{
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0), true);
+  CHECK_EQUAL(0, mOut.mToHost.size());
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0));
+  CHECK_EQUAL(0, mOut.mToHost.size());
+  CHECK(mOut.mReports[0].second.mOutcome == PlacementOutcome::Refused);
+}
+
+// A host leaves while the copy of an opening packet that it never answered is
+// on its way. For the host the copy would open a new flow.
+TEST(HostFlows, ALeavingHostGetsNoCopyOfAnUnansweredOpening)
+{
+  Beat();
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0));
+  Beat(HostPhase::Draining);
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 1), true);
+  CHECK_EQUAL(1, mOut.mToHost.size());
+  CHECK_EQUAL(1, mOut.mSteered.size());
+}
+
+TEST(HostFlows, ALeavingHostKeepsItsFlows)
+{
+  Beat();
+  Open();
+  Beat(HostPhase::Draining);
+  Steer(SteerPurpose::Deliver, Packet(kAck, 12, 501, false, 10));
+  CHECK_EQUAL(3, mOut.mToHost.size());
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 1));
+  CHECK_EQUAL(4, mOut.mToHost.size());
+}
+
+// Two hosts answered copies of one opening packet, and the caller took the
+// other one's answer. What it sends is not for this host.
+TEST(HostFlows, AFlowThatTheCallerOpenedElsewhereIsPassedOn)
+{
+  Beat();
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0));
+  mFlows->OnHostPacket(Packet(kSyn | kAck, 500, 2, true), mClock.Now());
+  Steer(SteerPurpose::Search, Packet(kAck, 2, 900501, false, 10), true);
+  CHECK_EQUAL(1, mOut.mToHost.size());
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK_EQUAL(0, mFlows->Size());
+}
+
+// An agent restarted beside a living host that holds flows. It knows none of
+// them; a packet may reach the host to ask, and goes on if it comes back.
+TEST(HostFlows, AfterARestartTheHostIsAskedAboutUnknownFlows)
+{
+  mBeats = 6;
+  Beat();
+  Steer(SteerPurpose::Search, Packet(kAck, 2, 501, false, 10), true);
+  CHECK_EQUAL(1, mOut.mToHost.size());
+  CHECK_TRUE(mPackets.Parse(mOut.mToHost[0])->mTag != 0);
+  Bounce();
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK_TRUE(mOut.mSteered[0].second.mPacket ==
+             Packet(kAck, 2, 501, false, 10));
+  // Flows from before the restart are over by then.
+  mClock.Advance(61s);
+  Steer(SteerPurpose::Search, Packet(kAck, 2, 501, false, 10), true);
+  CHECK_EQUAL(1, mOut.mToHost.size());
+}
+
+TEST(HostFlows, AHostKnownFromItsStartIsNotAsked)
+{
+  Beat();
+  Steer(SteerPurpose::Search, Packet(kAck, 2, 501, false, 10), true);
+  CHECK_EQUAL(0, mOut.mToHost.size());
+  CHECK_EQUAL(1, mOut.mSteered.size());
+}
+
+TEST(HostFlows, AWrongHintGoesBackToTheBalancer)
+{
+  Beat();
+  Steer(SteerPurpose::Deliver, Packet(kAck, 2, 501, false, 10));
+  CHECK_TRUE(mOut.mSteered[0].first == kBalancer);
+  CHECK(mOut.mSteered[0].second.mPurpose == SteerPurpose::NotHere);
+}
+
+// The search found no host. The flow's host may live behind a cut: a reset
+// would break a flow that silence leaves whole.
+TEST(HostFlows, ASearchEndsInSilence)
+{
+  Beat();
+  Steer(SteerPurpose::Search, Packet(kAck, 2, 501, false, 10));
+  CHECK_EQUAL(0, mOut.mToCaller.size());
+  CHECK_EQUAL(0, mOut.mSteered.size());
+  CHECK_EQUAL(1, mFlows->Count(HostFlowEvent::SearchEnded));
+}
+
+// A host crashed and started anew under the eyes of its agent. A caller that
+// still writes to the lost flow would wait out its deadline.
+TEST(HostFlows, AFlowThatItsHostLostIsResetAtOnce)
+{
+  Beat();
+  Open();
+  Bounce();
+  CHECK_EQUAL(2, mOut.mToCaller.size());
+  auto reset = mPackets.Parse(mOut.mToCaller[1]);
+  CHECK_TRUE(reset->mReset);
+  CHECK_EQUAL(501, reset->mSequence);
+  CHECK_EQUAL(0, mFlows->Size());
+}
+
+TEST(HostFlows, AHostThatIsFullIsPassedBy)
+{
+  Beat();
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0), true);
+  Bounce();
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK_TRUE(mOut.mSteered[0].second.mPacket == Packet(kSyn, 1, 0));
+  CHECK_EQUAL(0, mFlows->Condition(mClock.Now()).mInProgress);
+}
+
+// A host's address went to another service; a balancer still has the old member
+// and sends it a flow of the old service.
+TEST(HostFlows, NothingForAnotherServiceReachesTheHost)
+{
+  Beat();
+  for (auto purpose :
+       { SteerPurpose::Place, SteerPurpose::Deliver, SteerPurpose::Search }) {
+    Steer(purpose, Packet(kSyn, 1, 0), true, kBalancer, "other");
+  }
+  CHECK_EQUAL(0, mOut.mToHost.size());
+  CHECK_EQUAL(3, mFlows->Count(HostFlowEvent::RefusedOtherService));
+}
+
+// All balancers were replaced; the next packet comes by one that was never
+// told where the flow is.
+TEST(HostFlows, ANewBalancerIsTold)
+{
+  Beat();
+  Open();
+  Steer(SteerPurpose::Search, Packet(kAck, 12, 501), false, kOtherBalancer);
+  CHECK_EQUAL(2, mOut.mReports.size());
+  CHECK_TRUE(mOut.mReports[1].first == kOtherBalancer);
+}
+
+// A host goes dark while its agent lives. One flow finds out; the ones behind
+// it go to other hosts, and one in a while tries again.
+TEST(HostFlows, AHostThatAnswersNothingIsPassedBy)
+{
+  Beat();
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0), true);
+  mClock.Advance(130ms);
+  mFlows->OnTick(mClock.Now());
+  Bytes other = Packet(kSyn, 1, 0);
+  other[1] = 9;
+  Steer(SteerPurpose::Place, other, true);
+  CHECK_EQUAL(1, mOut.mToHost.size());
+  mClock.Advance(150ms);
+  Steer(SteerPurpose::Place, other, true);
+  CHECK_EQUAL(2, mOut.mToHost.size());
+}
+
+TEST(HostFlows, IsBoundedAndForgetsWhatIsOld)
+{
+  Beat();
+  for (std::uint16_t i = 0; i < 200; ++i) {
+    Bytes answer = Packet(kAck | kFin, 501, 12, true);
+    answer[7] = static_cast<std::uint8_t>(i);
+    mFlows->OnHostPacket(answer, mClock.Now());
+  }
+  CHECK_EQUAL(64, mFlows->Size());
+  mClock.Advance(61s);
+  mFlows->OnTick(mClock.Now());
+  CHECK_EQUAL(0, mFlows->Size());
+}
--- /dev/null
+++ b/tests/InventoryWatchTest.cpp
@@ -0,0 +1,163 @@
+#include "src/passthrough/InventoryWatch.h"
+
+#include <deque>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A store whose answers the test gives, one call at a time. */
+class HeldStore final : public ObjectStore
+{
+public:
+  struct Call
+  {
+    std::uint64_t mAfter = 0;
+    bool mIsWatch = false;
+    Done<Object> mGot;
+    Done<std::optional<Object>> mWatched;
+  };
+  std::deque<Call> mHeld;
+  int mCalls = 0;
+
+  void Get(std::string_view, Done<Object> aDone) override
+  {
+    ++mCalls;
+    mHeld.push_back({ 0, false, std::move(aDone), {} });
+  }
+  void Watch(std::string_view, std::uint64_t aAfter, Duration,
+             Done<std::optional<Object>> aDone) override
+  {
+    ++mCalls;
+    mHeld.push_back({ aAfter, true, {}, std::move(aDone) });
+  }
+  void Put(std::string_view, std::string, WriteCondition,
+           Done<std::uint64_t>) override
+  {
+  }
+  void Delete(std::string_view, WriteCondition, Done<std::uint64_t>) override {}
+  void List(std::string_view, Done<std::vector<ObjectName>>) override {}
+
+  Call Take()
+  {
+    Call call = std::move(mHeld.front());
+    mHeld.pop_front();
+    return call;
+  }
+};
+
+/** The document is the version in digits. */
+class PlainReader final : public FlowInventoryReader
+{
+public:
+  Result<FlowInventoryPtr> Read(std::string_view aDocument) const override
+  {
+    auto out = std::make_shared<FlowInventory>();
+    out->mVersion =
+      static_cast<std::uint64_t>(std::atoi(std::string(aDocument).c_str()));
+    if (out->mVersion == 0) {
+      return Fail(ErrorKind::Malformed, "no version", "write one");
+    }
+    return out;
+  }
+};
+
+Object Doc(const char* aText, std::uint64_t aVersion)
+{
+  return { "k", aText, aVersion };
+}
+
+} // namespace
+
+TEST_GROUP(InventoryWatch)
+{
+  ManualClock mClock;
+  HeldStore mStore;
+  PlainReader mReader;
+  std::vector<std::uint64_t> mSeen;
+  std::shared_ptr<InventoryWatch> mWatch = InventoryWatch::Make(
+    mClock, mStore, mReader, {},
+    [this](const FlowInventoryPtr& aIt, const std::string&) {
+      mSeen.push_back(aIt->mVersion);
+    });
+
+  void ReadFirst()
+  {
+    mWatch->OnTick();
+    mStore.Take().mGot(Doc("7", 100));
+  }
+};
+
+TEST(InventoryWatch, ReadsThenWatchesFromThere)
+{
+  ReadFirst();
+  CHECK_EQUAL(7, mWatch->Version());
+  CHECK_EQUAL(1, mStore.mHeld.size());
+  CHECK_TRUE(mStore.mHeld[0].mIsWatch);
+  CHECK_EQUAL(100, mStore.mHeld[0].mAfter);
+  mStore.Take().mWatched(std::optional<Object>(Doc("9", 105)));
+  CHECK_EQUAL(9, mWatch->Version());
+  CHECK_EQUAL(105, mStore.mHeld[0].mAfter);
+  STRCMP_EQUAL("9", mWatch->Document().c_str());
+}
+
+// A stale read, a slow peer and a late answer each bring an older version. Were
+// one put in force, routes that were dropped would serve again.
+TEST(InventoryWatch, NeverGoesBack)
+{
+  ReadFirst();
+  mWatch->OnPeerDocument("12");
+  mWatch->OnPeerDocument("11");
+  mStore.Take().mWatched(std::optional<Object>(Doc("9", 105)));
+  CHECK_EQUAL(12, mWatch->Version());
+  CHECK_EQUAL(2, mSeen.size());
+}
+
+// The store is away: calls fail at once. They must not come in a stream, and
+// after the first success everything is read anew.
+TEST(InventoryWatch, PausesAfterFailuresAndReadsWhole)
+{
+  ReadFirst();
+  mStore.Take().mWatched(
+    Fail(ErrorKind::Unavailable, "refuses: 503", "try again later"));
+  int calls = mStore.mCalls;
+  for (int i = 0; i < 200; ++i) {
+    mClock.Advance(50ms);
+    mWatch->OnTick();
+    while (!mStore.mHeld.empty()) {
+      CHECK_FALSE(mStore.mHeld[0].mIsWatch);
+      mStore.Take().mGot(Fail(ErrorKind::Timeout, "no answer", "wait"));
+    }
+  }
+  // Ten seconds of pauses that grow to 1.5 s, drawn from zero on.
+  CHECK_TRUE(mStore.mCalls - calls < 40);
+  CHECK_TRUE(mStore.mCalls - calls > 5);
+}
+
+// The process was suspended with a watch under way. Its answer, when it comes,
+// is older than what is read after waking.
+TEST(InventoryWatch, AfterAStandstillItReadsAndDropsTheOldCall)
+{
+  ReadFirst();
+  auto old = mStore.Take();
+  mWatch->ReadNow();
+  CHECK_FALSE(mStore.mHeld[0].mIsWatch);
+  old.mWatched(std::optional<Object>(Doc("8", 101)));
+  CHECK_EQUAL(7, mWatch->Version());
+  mStore.Take().mGot(Doc("9", 105));
+  CHECK_EQUAL(9, mWatch->Version());
+}
+
+TEST(InventoryWatch, ADocumentThatCanNotBeReadChangesNothing)
+{
+  ReadFirst();
+  mStore.Take().mWatched(std::optional<Object>(Doc("x", 105)));
+  CHECK_EQUAL(7, mWatch->Version());
+  CHECK_EQUAL(1, mSeen.size());
+  // It goes on from there, not in a circle.
+  CHECK_EQUAL(105, mStore.mHeld[0].mAfter);
+}
