A fault soak with real processes on loopback

Change: lab soak starts balancers and agents as processes, plays a fabric that hashes by modulo, hosts, callers and the store from one thread, and harms them from outside: kills, stops, freezes, host crashes and drains, the store away, its links cut one way, delayed, reset by a proxy, reloads, in series that overlap. Promises are checked from what callers and hosts see.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,9 +1,14 @@
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <string>
 #include <string_view>
 
+#include <unistd.h>
+
 #include "lab/Garbage.h"
 #include "lab/Run.h"
+#include "lab/soak/FlowSoak.h"
 
 using namespace heatherplank::lab;
 
@@ -12,6 +17,8 @@
 constexpr const char* kUsage =
   "usage: lab run SCENARIO.json --bin PATH/heatherplank [--keep]\n"
   "       lab garbage --bin PATH/heatherplank\n"
+  "       lab soak --bin PATH/heatherplank [--seed N] [--seconds S]\n"
+  "           [--balancers B] [--hosts H]\n"
   "Plays a scenario with real processes, or throws garbage at their ports\n"
   "(docs/LAB.md). Exit codes: 0 all\n"
   "expectations met, 1 some not, 2 wrong usage or scenario, 3 not played.\n";
@@ -36,6 +43,42 @@
   return !aOut.mBin.empty();
 }
 
+/** Plays one seed of the soak of opaque flows. */
+int Soak(int aCount, char** aArguments)
+{
+  SoakOptions options;
+  for (int i = 2; i + 1 < aCount; i += 2) {
+    std::string_view argument = aArguments[i];
+    const char* value = aArguments[i + 1];
+    if (argument == "--bin") {
+      options.mBin = value;
+    } else if (argument == "--seed") {
+      options.mSeed = std::strtoull(value, nullptr, 10);
+    } else if (argument == "--seconds") {
+      options.mSeconds = std::atoi(value);
+    } else if (argument == "--balancers") {
+      options.mBalancers = std::atoi(value);
+    } else if (argument == "--hosts") {
+      options.mHosts = std::atoi(value);
+    } else {
+      std::cerr << kUsage;
+      return static_cast<int>(RunResult::Usage);
+    }
+  }
+  // One machine's last address byte holds either kind.
+  bool fits = options.mBalancers >= 1 && options.mBalancers <= 49 &&
+              options.mHosts >= 3 && options.mHosts <= 190 &&
+              options.mSeconds >= 1 && aCount % 2 == 0;
+  if (options.mBin.empty() || !fits) {
+    std::cerr << kUsage << "--balancers 1 to 49, --hosts 3 to 190\n";
+    return static_cast<int>(RunResult::Usage);
+  }
+  options.mFolder = "/tmp/heatherplank-soak-" + std::to_string(getpid()) + "-" +
+                    std::to_string(options.mSeed);
+  return static_cast<int>(RunSoak(options) ? RunResult::Met
+                                           : RunResult::Unmet);
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -45,6 +88,9 @@
   if (garbage) {
     return static_cast<int>(RunGarbage(aArguments[3]));
   }
+  if (aCount > 1 && std::string_view(aArguments[1]) == "soak") {
+    return Soak(aCount, aArguments);
+  }
   RunOptions options;
   if (!ParseArguments(aCount, aArguments, options)) {
     std::cerr << kUsage;
--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -2,21 +2,22 @@
 
 #include <algorithm>
 
+#include "lab/soak/PacketMaker.h"
 #include "src/net/Endpoint.h"
 
 namespace heatherplank {
 
 using namespace std::chrono_literals;
+using lab::kAck;
+using lab::kFin;
+using lab::kSyn;
+using lab::MakePacket;
 
 namespace {
 
 constexpr int kBalancers = 3;
 constexpr int kHostsOfOne = 4;
 constexpr int kHostsOfOther = 2;
-constexpr std::uint8_t kSyn = 64;
-constexpr std::uint8_t kAck = 4;
-constexpr std::uint8_t kFin = 16;
-constexpr std::uint8_t kBounced = 32;
 constexpr auto kTroubleFor = 2500ms;
 constexpr auto kCalmAfter = 4000ms;
 constexpr auto kBeatEvery = 300ms;
@@ -412,22 +413,6 @@
   });
 }
 
-Bytes PassthroughWorld::MakePacket(const Address& aFrom, const Address& aTo,
-                                   std::uint8_t aFlags,
-                                   std::uint32_t aSequence,
-                                   std::uint32_t aAcknowledged,
-                                   std::uint16_t aData) const
-{
-  Bytes out = mPackets.MakeReset({ aTo, aFrom }, aSequence);
-  out[20] = aFlags;
-  out[27] = static_cast<std::uint8_t>(aData);
-  for (int i = 0; i < 4; ++i) {
-    out[32 + i] = static_cast<std::uint8_t>(aAcknowledged >> (24 - 8 * i));
-  }
-  out.resize(out.size() + aData, 0x5a);
-  return out;
-}
-
 void PassthroughWorld::OnCallerPacket(Bytes aPacket)
 {
   Balancer& balancer = *mBalancers[Pick(mBalancers.size())];
@@ -519,9 +504,7 @@
   bool holds = it != host.mFlows.end() &&
                aPacket.mAcknowledged - it->second.mSequence <= 1000;
   if (!holds) {
-    aBytes[20] |= kBounced;
-    std::fill_n(aBytes.begin() + 21, 5, std::uint8_t{ 0 });
-    FromHost(aAgent, std::move(aBytes));
+    FromHost(aAgent, lab::MakeBounced(std::move(aBytes)));
     return;
   }
   for (auto& caller : mCallers) {
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -88,9 +88,6 @@
   void SendSyn(Caller& aCaller, std::uint32_t aCopy);
   void SendRequest(Caller& aCaller, int aTries, Duration aAgainAfter);
   void SendFromCaller(Caller& aCaller, Bytes aPacket);
-  Bytes MakePacket(const Address& aFrom, const Address& aTo,
-                   std::uint8_t aFlags, std::uint32_t aSequence,
-                   std::uint32_t aAcknowledged, std::uint16_t aData) const;
   Host* HostOf(const Caller& aCaller);
   void CheckCalm();
   void Violated(std::string aWhat);
