--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -75,8 +75,7 @@
   }
   options.mFolder = "/tmp/heatherplank-soak-" + std::to_string(getpid()) + "-" +
                     std::to_string(options.mSeed);
-  return static_cast<int>(RunSoak(options) ? RunResult::Met
-                                           : RunResult::Unmet);
+  return static_cast<int>(RunSoak(options) ? RunResult::Met : RunResult::Unmet);
 }
 
 } // namespace
--- a/lab/soak/FlowCallers.cpp
+++ b/lab/soak/FlowCallers.cpp
@@ -52,8 +52,7 @@
 
 void FlowCallers::Later(Duration aAfter, std::function<void()> aWhat)
 {
-  auto timer =
-    std::make_shared<boost::asio::steady_timer>(mExecutor, aAfter);
+  auto timer = std::make_shared<boost::asio::steady_timer>(mExecutor, aAfter);
   timer->async_wait(
     [timer, what = std::move(aWhat)](boost::system::error_code aEc) {
       if (!aEc) {
@@ -109,16 +108,15 @@
 
 void FlowCallers::Ask(const FlowKey& aFlow)
 {
-  mToFabric(aFlow, MakePacket(aFlow.mCaller, aFlow.mService, kAck,
-                              kFirstSequence, mCalls[aFlow].mHostSequence + 1,
-                              kRequestBytes));
+  mToFabric(aFlow,
+            MakePacket(aFlow.mCaller, aFlow.mService, kAck, kFirstSequence,
+                       mCalls[aFlow].mHostSequence + 1, kRequestBytes));
 }
 
 void FlowCallers::Take(ByteView aDatagram)
 {
   auto packet = PlatformPackets().Parse(aDatagram);
-  auto it =
-    packet ? mCalls.find(packet->FlowFromHost()) : mCalls.end();
+  auto it = packet ? mCalls.find(packet->FlowFromHost()) : mCalls.end();
   if (it == mCalls.end() || it->second.mEnded) {
     return;
   }
--- a/lab/soak/FlowHost.cpp
+++ b/lab/soak/FlowHost.cpp
@@ -102,9 +102,8 @@
     return;
   }
   auto it = mFlows.find(key);
-  bool holds =
-    it != mFlows.end() &&
-    packet->mAcknowledged - it->second.mSequence <= kWindow;
+  bool holds = it != mFlows.end() &&
+               packet->mAcknowledged - it->second.mSequence <= kWindow;
   if (!holds) {
     mSocket->Send(MakeBounced({ aDatagram.begin(), aDatagram.end() }),
                   mSettings.mOutbox);
@@ -125,9 +124,9 @@
   timer->async_wait([this, timer, aFlow, aSequence,
                      life = mLife](boost::system::error_code aEc) {
     if (!aEc && mAlive && mLife == life) {
-      mSocket->Send(MakePacket(aFlow.mService, aFlow.mCaller, kAck,
-                               aSequence + 1, 6, 10),
-                    mSettings.mOutbox);
+      mSocket->Send(
+        MakePacket(aFlow.mService, aFlow.mCaller, kAck, aSequence + 1, 6, 10),
+        mSettings.mOutbox);
     }
   });
 }
--- a/lab/soak/FlowSoak.cpp
+++ b/lab/soak/FlowSoak.cpp
@@ -56,11 +56,12 @@
     , mStore(mContext.get_executor())
     , mNet("127." + std::to_string(16 + aOptions.mSeed / 200 % 200) + "." +
            std::to_string(aOptions.mSeed % 200) + ".")
-    , mCallers(mContext.get_executor(), At(250, kCallerPort),
-               [this](const FlowKey& aFlow, const Bytes& aPacket) {
-                 ToBalancer(aFlow, aPacket);
-               },
-               [this](const FlowCallers::Call& aCall) { OnReset(aCall); })
+    , mCallers(
+        mContext.get_executor(), At(250, kCallerPort),
+        [this](const FlowKey& aFlow, const Bytes& aPacket) {
+          ToBalancer(aFlow, aPacket);
+        },
+        [this](const FlowCallers::Call& aCall) { OnReset(aCall); })
   {
   }
 
@@ -205,9 +206,11 @@
     host.mInbox = At(machine, kInboxPort);
     host.mOutbox = At(machine, kOutboxPort);
     host.mCalls = At(machine, kCallsPort);
-    agent->mHost = std::make_unique<FlowHost>(
-      mContext.get_executor(), host, mRandom(),
-      [this, &agent = *agent](ByteView aPacket) { OnHostGets(agent, aPacket); });
+    agent->mHost =
+      std::make_unique<FlowHost>(mContext.get_executor(), host, mRandom(),
+                                 [this, &agent = *agent](ByteView aPacket) {
+                                   OnHostGets(agent, aPacket);
+                                 });
     if (!Must(agent->mHost->Listen())) {
       return false;
     }
@@ -247,9 +250,8 @@
               const std::string& aSettings, const std::string& aLog)
   {
     aProcess.reset();
-    auto started =
-      Process::Start({ mOptions.mBin, aCommand, "--settings=" + aSettings },
-                     aLog);
+    auto started = Process::Start(
+      { mOptions.mBin, aCommand, "--settings=" + aSettings }, aLog);
     if (started) {
       aProcess = std::move(*started);
     } else {
@@ -264,12 +266,13 @@
   {
     HttpRequest request(http::verb::get, "/readyz", 11);
     request.set(http::field::host, "balancer");
-    aBalancer.mReady->Send(
-      std::move(request), kReadyEvery,
-      [&aBalancer](Result<HttpResponse> aAnswer) {
-        bool ready = aAnswer && aAnswer->result() == http::status::ok;
-        aBalancer.mMisses = ready ? 0 : aBalancer.mMisses + 1;
-      });
+    aBalancer.mReady->Send(std::move(request), kReadyEvery,
+                           [&aBalancer](Result<HttpResponse> aAnswer) {
+                             bool ready =
+                               aAnswer && aAnswer->result() == http::status::ok;
+                             aBalancer.mMisses =
+                               ready ? 0 : aBalancer.mMisses + 1;
+                           });
     Later(kReadyEvery, [this, &aBalancer] { AskReady(aBalancer); });
   }
 
@@ -317,9 +320,9 @@
     }
     mCallers.Begin(RouteOf(mRandom() % 4 == 0 ? 2 : 1));
     std::exponential_distribution<double> gap(kFlowsPerSecond);
-    Later(std::chrono::microseconds(
-            static_cast<std::int64_t>(gap(mRandom) * 1e6)),
-          [this] { NextFlow(); });
+    Later(
+      std::chrono::microseconds(static_cast<std::int64_t>(gap(mRandom) * 1e6)),
+      [this] { NextFlow(); });
   }
 
   // What must hold, as callers and hosts see it.
@@ -386,7 +389,8 @@
     for (int i = 0; i < n; ++i) {
       const auto& [name, fault] = kFaults[mRandom() % std::size(kFaults)];
       mPlayed.emplace_back(name);
-      auto at = milliseconds(mRandom() % (800 * mOptions.mSeconds));
+      auto at = milliseconds(
+        mRandom() % (800 * static_cast<std::uint64_t>(mOptions.mSeconds)));
       Later(at, [this, fault = fault] { (this->*fault)(); });
     }
   }
--- a/lab/soak/StoreStandIn.cpp
+++ b/lab/soak/StoreStandIn.cpp
@@ -20,12 +20,11 @@
   std::map<std::string, std::string> mQuery;
 };
 
-Target Split(std::string aTarget)
+Target Split(const std::string& aTarget)
 {
   Target out;
   auto mark = aTarget.find('?');
-  std::string query =
-    mark == std::string::npos ? "" : aTarget.substr(mark + 1);
+  std::string query = mark == std::string::npos ? "" : aTarget.substr(mark + 1);
   std::string path = aTarget.substr(0, mark);
   while (!query.empty()) {
     auto end = query.find('&');
@@ -69,11 +68,11 @@
 
 Result<void> StoreStandIn::Listen(const Address& aAddress)
 {
-  auto server =
-    HttpServer::Make(mExecutor, aAddress,
-                     [this](HttpRequest aRequest, HttpServer::Respond aRespond) {
-                       Handle(std::move(aRequest), std::move(aRespond));
-                     });
+  auto server = HttpServer::Make(
+    mExecutor, aAddress,
+    [this](const HttpRequest& aRequest, const HttpServer::Respond& aRespond) {
+      Handle(aRequest, aRespond);
+    });
   if (!server) {
     return tl::unexpected(server.error());
   }
@@ -94,9 +93,9 @@
                         bool aDeleted)
 {
   json::object event{ { "Deleted", aDeleted } };
-  event["Object"] = aDeleted ? json::value(json::object{
-                                 { "meta", { { "Name", aName } } } })
-                             : ToJson(aName, mObjects[aKind][aName]);
+  event["Object"] =
+    aDeleted ? json::value(json::object{ { "meta", { { "Name", aName } } } })
+             : ToJson(aName, mObjects[aKind][aName]);
   mHistory.push_back({ mRevision, aKind, std::move(event) });
   for (auto it = mWatches.begin(); it != mWatches.end();) {
     it = AnswerWatch(*it, false) ? mWatches.erase(it) : std::next(it);
@@ -121,7 +120,8 @@
   mWatches.clear();
 }
 
-void StoreStandIn::Handle(HttpRequest aRequest, HttpServer::Respond aRespond)
+void StoreStandIn::Handle(const HttpRequest& aRequest,
+                          const HttpServer::Respond& aRespond)
 {
   ++mCalls;
   if (mFaults.mSilent) {
@@ -144,10 +144,10 @@
   }
   auto timer =
     std::make_shared<boost::asio::steady_timer>(mExecutor, mFaults.mDelay);
-  timer->async_wait([this, timer, aRequest,
-                     aRespond](boost::system::error_code) {
-    Serve(aRequest, aRespond);
-  });
+  timer->async_wait(
+    [this, timer, aRequest, aRespond](boost::system::error_code) {
+      Serve(aRequest, aRespond);
+    });
 }
 
 void StoreStandIn::Serve(const HttpRequest& aRequest,
@@ -197,8 +197,7 @@
   json::error_code ec;
   auto body = json::parse(aRequest.body(), ec);
   const auto* object = ec ? nullptr : body.if_object();
-  const auto* meta =
-    object != nullptr ? object->if_contains("meta") : nullptr;
+  const auto* meta = object != nullptr ? object->if_contains("meta") : nullptr;
   bool creates = aRequest.method() == http::verb::post;
   std::string name = aName;
   std::uint64_t expected = 0;
@@ -228,10 +227,9 @@
     Note(aKind, name, true);
     return Answer(aRequest, http::status::ok, last);
   }
-  objects[name] = { mRevision,
-                    object != nullptr && object->contains("spec")
-                      ? object->at("spec")
-                      : json::value(nullptr) };
+  objects[name] = { mRevision, object != nullptr && object->contains("spec")
+                                 ? object->at("spec")
+                                 : json::value(nullptr) };
   Note(aKind, name, false);
   return Answer(aRequest, http::status::ok, ToJson(name, objects[name]));
 }
@@ -272,9 +270,9 @@
   if (events.empty() && !aTimeIsUp) {
     return false;
   }
-  aWatch.mRespond(Answer(aWatch.mRequest, http::status::ok,
-                         json::object{ { "events", std::move(events) },
-                                       { "At", mRevision } }));
+  aWatch.mRespond(Answer(
+    aWatch.mRequest, http::status::ok,
+    json::object{ { "events", std::move(events) }, { "At", mRevision } }));
   return true;
 }
 
--- a/lab/soak/StoreStandIn.h
+++ b/lab/soak/StoreStandIn.h
@@ -80,7 +80,7 @@
     std::unique_ptr<boost::asio::steady_timer> mTimer;
   };
 
-  void Handle(HttpRequest aRequest, HttpServer::Respond aRespond);
+  void Handle(const HttpRequest& aRequest, const HttpServer::Respond& aRespond);
   void Serve(const HttpRequest& aRequest, const HttpServer::Respond& aRespond);
   HttpResponse Read(const HttpRequest& aRequest, const std::string& aKind,
                     const std::string& aName);
--- a/lab/soak/TcpProxy.cpp
+++ b/lab/soak/TcpProxy.cpp
@@ -32,9 +32,9 @@
   {
     auto buffer = std::make_shared<std::array<char, 16384>>();
     aFrom.async_read_some(
-      asio::buffer(*buffer), [self = shared_from_this(), this, &aFrom, &aTo,
-                              &aSwallows, buffer](error_code aEc,
-                                                  std::size_t aCount) {
+      asio::buffer(*buffer),
+      [self = shared_from_this(), this, &aFrom, &aTo, &aSwallows,
+       buffer](error_code aEc, std::size_t aCount) {
         if (aEc) {
           Close();
           return;
@@ -43,8 +43,7 @@
           Pump(aFrom, aTo, aSwallows);
           return;
         }
-        auto timer =
-          std::make_shared<asio::steady_timer>(aFrom.get_executor());
+        auto timer = std::make_shared<asio::steady_timer>(aFrom.get_executor());
         timer->expires_after(mFaults.mDelay);
         timer->async_wait([self, this, &aFrom, &aTo, &aSwallows, buffer, timer,
                            aCount](error_code) {
@@ -85,8 +84,8 @@
 
 struct TcpProxy::Impl : std::enable_shared_from_this<Impl>
 {
-  Impl(asio::any_io_executor aExecutor, const Address& aServer)
-    : mAcceptor(std::move(aExecutor))
+  Impl(const asio::any_io_executor& aExecutor, const Address& aServer)
+    : mAcceptor(aExecutor)
     , mServer(ToEndpoint<tcp>(aServer))
   {
   }
@@ -94,18 +93,18 @@
   void Accept()
   {
     auto pair = std::make_shared<Pair>(mAcceptor.get_executor(), mFaults);
-    mAcceptor.async_accept(pair->mClient, [self = shared_from_this(), this,
-                                           pair](error_code aEc) {
-      if (aEc == asio::error::operation_aborted) {
-        return;
-      }
-      if (aEc || mFaults.mRefuses) {
-        pair->Reset();
-      } else {
-        Connect(pair);
-      }
-      Accept();
-    });
+    mAcceptor.async_accept(
+      pair->mClient, [self = shared_from_this(), this, pair](error_code aEc) {
+        if (aEc == asio::error::operation_aborted) {
+          return;
+        }
+        if (aEc || mFaults.mRefuses) {
+          pair->Reset();
+        } else {
+          Connect(pair);
+        }
+        Accept();
+      });
   }
 
   void Connect(const std::shared_ptr<Pair>& aPair)
@@ -129,8 +128,9 @@
   std::vector<std::weak_ptr<Pair>> mPairs;
 };
 
-TcpProxy::TcpProxy(asio::any_io_executor aExecutor, const Address& aServer)
-  : mImpl(std::make_shared<Impl>(std::move(aExecutor), aServer))
+TcpProxy::TcpProxy(const asio::any_io_executor& aExecutor,
+                   const Address& aServer)
+  : mImpl(std::make_shared<Impl>(aExecutor, aServer))
 {
 }
 
--- a/lab/soak/TcpProxy.h
+++ b/lab/soak/TcpProxy.h
@@ -30,7 +30,8 @@
 class TcpProxy
 {
 public:
-  TcpProxy(boost::asio::any_io_executor aExecutor, const Address& aServer);
+  TcpProxy(const boost::asio::any_io_executor& aExecutor,
+           const Address& aServer);
   ~TcpProxy();
 
   /** Takes a free port at this address. */
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -105,8 +105,7 @@
   for (const std::string& file : aWords.subspan(1)) {
     std::ifstream in(file);
     if (!in) {
-      return ReportStartError({ ErrorKind::InvalidInput,
-                                "can't read " + file,
+      return ReportStartError({ ErrorKind::InvalidInput, "can't read " + file,
                                 "give the path of a log" });
     }
     for (std::string text; std::getline(in, text);) {
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -112,8 +112,7 @@
   MemberViewPtr view = Balancers();
   std::size_t known = view->mMembers.size();
   std::size_t pick = mRandom() % (known + mSeeds.size());
-  return pick < known ? view->mMembers[pick].mControl
-                      : mSeeds[pick - known];
+  return pick < known ? view->mMembers[pick].mControl : mSeeds[pick - known];
 }
 
 std::vector<Address> AgentMembership::Monitors() const
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -98,8 +98,8 @@
              { mSelf.mHost, mSelf.mControl },
              [this](const Hello&, const Frame& aFrame) { OnFrame(aFrame); })
     , mMessages(mLinks)
-    , mMembers({ mClock, mMetrics, mMessages, {} },
-               mSelf, MakeMembershipOptions(aSettings.mSeeds))
+    , mMembers({ mClock, mMetrics, mMessages, {} }, mSelf,
+               MakeMembershipOptions(aSettings.mSeeds))
     , mFlows(MakeFlowOptions(aSettings, mSelf), aAdapter.Packets(), *this,
              mClock.Now())
     , mAdmin(mMetrics, [this] { return Ready(); })
@@ -155,8 +155,7 @@
     mOutbox = *outbox;
     auto calls = HttpServer::Make(
       executor, mSettings.mHostCalls,
-      [this](const HttpRequest& aRequest,
-             const HttpServer::Respond& aRespond) {
+      [this](const HttpRequest& aRequest, const HttpServer::Respond& aRespond) {
         aRespond(OnHostCall(aRequest));
       },
       [this] { mMalformed.Add(); });
@@ -377,7 +376,8 @@
 FlowAgent::~FlowAgent() = default;
 
 Result<std::unique_ptr<FlowAgent>> FlowAgent::Make(
-  const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter, Reread aReread)
+  const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter,
+  Reread aReread)
 {
   auto impl = std::make_unique<Impl>(aSettings, aAdapter, std::move(aReread));
   auto opened = impl->Open();
--- a/src/passthrough/FlowAgent.h
+++ b/src/passthrough/FlowAgent.h
@@ -22,7 +22,8 @@
   /** Opens every port; System with the remedy if one can't be had. aAdapter
    * must outlive it. aReread is called when the settings may have changed. */
   static Result<std::unique_ptr<FlowAgent>> Make(
-    const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter, Reread aReread);
+    const FlowAgentSettings& aSettings, const PlatformAdapter& aAdapter,
+    Reread aReread);
 
   ~FlowAgent();
 
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/FlowBalancer.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -11,6 +12,7 @@
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/InventoryPeers.h"
 #include "src/passthrough/InventoryWatch.h"
+#include "src/passthrough/IsolationWatch.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
 #include "src/process/DatagramMessages.h"
@@ -135,6 +137,9 @@
   std::shared_ptr<DatagramSocket> mTunnel;
   std::shared_ptr<DatagramSocket> mIngress;
   const Time mStartedAt;
+  IsolationWatch mIsolation;
+  bool mIsolated = false;
+  std::vector<Address> mBalancerAddresses;
   bool mStopping = false;
 
   Result<void> Ready()
@@ -147,6 +152,10 @@
       return Fail(ErrorKind::Unavailable, "no routes yet",
                   "look at the store and the other balancers");
     }
+    if (mIsolated) {
+      return Fail(ErrorKind::Unavailable, "hardly any agent is heard",
+                  "mend the network of this machine");
+    }
     bool waited = mClock.Now() - mStartedAt >= kReadyWithoutHosts;
     if (mSteering.UsableHosts() == 0 && !waited) {
       return Fail(ErrorKind::Unavailable, "no host was heard of yet",
@@ -186,8 +195,9 @@
       mSteering.OnPacket(aDatagram, CheckStandstill());
       ArmRetry();
     });
-    mTunnel->Start(
-      [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
+    mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
+      OnDatagram(aDatagram, aFrom);
+    });
     mRuntime.Every(kTick, [this] { Tick(); });
     mRuntime.Every(kSecond, [this] { EverySecond(); });
     mRuntime.OnStop([this] { Stop(); });
@@ -203,6 +213,7 @@
   void Tick()
   {
     Time now = CheckStandstill();
+    JudgeIsolation(now);
     mWatch->OnTick();
     mMembers.Tick();
     Send(mPeers.OnTick(PeerAddresses(), mWatch->Version(), now));
@@ -226,11 +237,27 @@
     auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aGap);
     LogEvent(LogLevel::Warning, "stood_still", { { "ms", ms.count() } });
     mSteering.OnStandstill(aNow);
+    mIsolation.OnStandstill(aNow);
     if (aGap >= kStaleRoutesAfter) {
       mWatch->ReadNow();
     }
   }
 
+  void JudgeIsolation(Time aNow)
+  {
+    mBalancerAddresses.clear();
+    for (const Member& it : mMembers.Balancers()) {
+      mBalancerAddresses.push_back(it.mTunnel);
+    }
+    std::size_t agents = mMembers.Size();
+    bool isolated = mIsolation.IsIsolated(agents, aNow);
+    if (isolated != mIsolated) {
+      mIsolated = isolated;
+      LogEvent(LogLevel::Warning, isolated ? "isolated" : "rejoined",
+               { { "agents", agents } });
+    }
+  }
+
   void EverySecond()
   {
     mLinks.Tick();
@@ -278,13 +305,19 @@
     }
   }
 
-  void OnDatagram(ByteView aDatagram)
+  void OnDatagram(ByteView aDatagram, const Address& aFrom)
   {
     auto frame = DecodeDatagram(aDatagram);
     if (!frame) {
       mMalformed.Add();
       return;
     }
+    bool fromBalancer =
+      std::find(mBalancerAddresses.begin(), mBalancerAddresses.end(), aFrom) !=
+      mBalancerAddresses.end();
+    if (!fromBalancer) {
+      mIsolation.OnHeard(aFrom, mClock.Now());
+    }
     OnFrame(*frame);
   }
 
@@ -340,9 +373,9 @@
     }
     std::uint64_t version = mWatch->Version();
     if (InventoryPeers::IsOwedDocument(*aNotice, version)) {
-      mMessages.Send(aNotice->mControl, MessageKind::InventoryDocument,
-                     EncodePayload(
-                       InventoryDocument{ version, mWatch->Document() }));
+      mMessages.Send(
+        aNotice->mControl, MessageKind::InventoryDocument,
+        EncodePayload(InventoryDocument{ version, mWatch->Document() }));
       return true;
     }
     Send(mPeers.OnNotice(*aNotice, version, mClock.Now()));
@@ -430,7 +463,8 @@
 FlowBalancer::~FlowBalancer() = default;
 
 Result<std::unique_ptr<FlowBalancer>> FlowBalancer::Make(
-  const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter, Reread aReread)
+  const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter,
+  Reread aReread)
 {
   auto impl = std::make_unique<Impl>(aSettings, aAdapter, std::move(aReread));
   auto opened = impl->Open();
--- a/src/passthrough/FlowInventory.cpp
+++ b/src/passthrough/FlowInventory.cpp
@@ -14,11 +14,11 @@
 
 ServiceId FlowRoute::ServiceOf(std::uint64_t aFlowHash) const
 {
-  std::uint64_t total = std::accumulate(
-    mShares.begin(), mShares.end(), std::uint64_t{ 0 },
-    [](std::uint64_t aSum, const RouteShare& aIt) {
-      return aSum + aIt.mWeight;
-    });
+  std::uint64_t total =
+    std::accumulate(mShares.begin(), mShares.end(), std::uint64_t{ 0 },
+                    [](std::uint64_t aSum, const RouteShare& aIt) {
+                      return aSum + aIt.mWeight;
+                    });
   if (total == 0) {
     return mShares.front().mService;
   }
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -168,8 +168,9 @@
   mOutput.ToCaller(aFlow.mCaller, mFormat.MakeReset(aFlow, 0));
 }
 
-std::vector<PlacementCandidate> FlowSteering::CandidatesFor(
-  ServiceId aService, std::uint64_t aHash, Time aNow)
+std::vector<PlacementCandidate> FlowSteering::CandidatesFor(ServiceId aService,
+                                                            std::uint64_t aHash,
+                                                            Time aNow)
 {
   std::vector<PlacementCandidate> out;
   const auto* held = mViews.Find(aService);
@@ -208,9 +209,8 @@
   SteeredPacket steered =
     MakeSteered(route, service, SteerPurpose::Place, aDatagram);
   const Member* hinted = HintedMember(hash);
-  bool isLater =
-    aPacket.mRepeats > 0 || hinted != nullptr || mWatch.IsWatched(flow) ||
-    aNow < mStaleUntil;
+  bool isLater = aPacket.mRepeats > 0 || hinted != nullptr ||
+                 mWatch.IsWatched(flow) || aNow < mStaleUntil;
   // A copy of an opening packet goes to the host that answered the first one,
   // if any: there it opens nothing new.
   if (hinted != nullptr && hinted->mService == service) {
@@ -274,23 +274,25 @@
   const FlowRoute* route = mInventory->Find(flow.mService);
   if (const Member* member = HintedMember(hash)) {
     Add(SteerEvent::Hinted);
-    mOutput.Steer(member->mTunnel,
-                  MakeSteered(route, member->mService, SteerPurpose::Deliver,
-                              aDatagram));
+    mOutput.Steer(
+      member->mTunnel,
+      MakeSteered(route, member->mService, SteerPurpose::Deliver, aDatagram));
     return;
   }
   if (route == nullptr) {
     Add(SteerEvent::DroppedNoRoute);
     return;
   }
-  SearchAll(flow, *route, MakeSteered(route, {}, SteerPurpose::Search, aDatagram),
-            hash, aNow);
+  SearchAll(flow, *route,
+            MakeSteered(route, {}, SteerPurpose::Search, aDatagram), hash,
+            aNow);
 }
 
 /** Weights may have changed since the flow was opened, so each service of its
  * route may hold it. */
 void FlowSteering::SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
-                             SteeredPacket aSteered, std::uint64_t aHash, Time aNow)
+                             SteeredPacket aSteered, std::uint64_t aHash,
+                             Time aNow)
 {
   for (const RouteShare& it : aRoute.mShares) {
     aSteered.mService = it.mService;
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -113,16 +113,15 @@
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   void SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
                  SteeredPacket aSteered, std::uint64_t aHash, Time aNow);
-  void Search(const FlowKey& aFlow, SteeredPacket aSteered,
-              std::uint64_t aHash, Time aNow);
+  void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
+              Time aNow);
   void Offer(const FlowKey& aFlow, SteeredPacket aSteered,
              std::vector<PlacementCandidate> aCandidates,
              PlacementWatch::Copy aCopy, Time aNow, int aRetries = 0);
   void RefuseOpen(const FlowKey& aFlow, SteerEvent aWhy);
   const Member* HintedMember(std::uint64_t aHash);
   std::vector<PlacementCandidate> CandidatesFor(ServiceId aService,
-                                                std::uint64_t aHash,
-                                                Time aNow);
+                                                std::uint64_t aHash, Time aNow);
   OrderInputs Inputs(Time aNow) const;
   SteeredPacket MakeSteered(const FlowRoute* aRoute, ServiceId aService,
                             SteerPurpose aPurpose, ByteView aDatagram) const;
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -88,8 +88,7 @@
 {
   HostCondition out;
   bool unheard = !mOptions.mGuards.mHearFirst && !mLife.IsHeard(aNow);
-  out.mTakesNewFlows =
-    !mLeaving && (unheard || mLife.TakesNewFlows(aNow));
+  out.mTakesNewFlows = !mLeaving && (unheard || mLife.TakesNewFlows(aNow));
   bool unanswered =
     mUnansweredSince != Time{} && aNow - mUnansweredSince > kAnswerWithin;
   out.mSeemsDown = unanswered && aNow - mTriedAt < kTryEvery;
@@ -253,8 +252,7 @@
 
 std::int64_t HostFlows::HeardAgo(Time aNow) const
 {
-  return mLife.HeardAt() == Time{} ? -1
-                                   : Micros(aNow - mLife.HeardAt()) / 1000;
+  return mLife.HeardAt() == Time{} ? -1 : Micros(aNow - mLife.HeardAt()) / 1000;
 }
 
 void HostFlows::Reset(const FlowKey& aFlow, std::uint32_t aSequence)
@@ -347,8 +345,8 @@
   }
   Add(HostFlowEvent::Searched);
   Address next = aSteered.mCandidates.front();
-  LogFlow("search_passed", { { "flow", aFlow.ToString() },
-                             { "to", next.ToString() } });
+  LogFlow("search_passed",
+          { { "flow", aFlow.ToString() }, { "to", next.ToString() } });
   aSteered.mCandidates.erase(aSteered.mCandidates.begin());
   mOutput.Steer(next, aSteered);
 }
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -191,7 +191,10 @@
   void Forget(const FlowKey& aFlow, Time aNow);
   std::uint32_t Remember(const SteeredPacket& aSteered, const FlowKey& aFlow);
   bool MayHoldUnknown(Time aNow) const;
-  void Add(HostFlowEvent aEvent) { ++mCounts[static_cast<std::size_t>(aEvent)]; }
+  void Add(HostFlowEvent aEvent)
+  {
+    ++mCounts[static_cast<std::size_t>(aEvent)];
+  }
 
   const Options mOptions;
   const PacketFormat& mFormat;
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -10,9 +10,8 @@
   const Clock& aClock, ObjectStore& aStore, const FlowInventoryReader& aReader,
   Options aOptions, OnInventory aOnInventory)
 {
-  return std::shared_ptr<InventoryWatch>(
-    new InventoryWatch(aClock, aStore, aReader, std::move(aOptions),
-                       std::move(aOnInventory)));
+  return std::shared_ptr<InventoryWatch>(new InventoryWatch(
+    aClock, aStore, aReader, std::move(aOptions), std::move(aOnInventory)));
 }
 
 InventoryWatch::InventoryWatch(const Clock& aClock, ObjectStore& aStore,
@@ -69,11 +68,11 @@
 
 void InventoryWatch::Watch(std::uint64_t aCall, std::uint64_t aAfter)
 {
-  mStore.Watch(mOptions.mKey, aAfter, mOptions.mWatchFor,
-               [self = shared_from_this(),
-                aCall](Result<std::optional<Object>> aChange) {
-                 self->OnWatched(aCall, std::move(aChange));
-               });
+  mStore.Watch(
+    mOptions.mKey, aAfter, mOptions.mWatchFor,
+    [self = shared_from_this(), aCall](Result<std::optional<Object>> aChange) {
+      self->OnWatched(aCall, std::move(aChange));
+    });
 }
 
 bool InventoryWatch::EndCall(std::uint64_t aCall)
@@ -154,9 +153,9 @@
 {
   auto inventory = mReader.Read(aDocument);
   if (!inventory) {
-    LogEvent(LogLevel::Error, "routes_unreadable",
-             { { "source", aSource },
-               { "why", inventory.error().Describe() } });
+    LogEvent(
+      LogLevel::Error, "routes_unreadable",
+      { { "source", aSource }, { "why", inventory.error().Describe() } });
     return;
   }
   {
--- a/src/passthrough/PlacementWatch.cpp
+++ b/src/passthrough/PlacementWatch.cpp
@@ -13,13 +13,10 @@
   }
   mWatched.insert_or_assign(
     aFlow,
-    Watched{ { aFlow,
-               std::move(aSteered),
-               std::move(aCandidates),
-               {},
-               aRetries },
-             aCopy,
-             aNow });
+    Watched{
+      { aFlow, std::move(aSteered), std::move(aCandidates), {}, aRetries },
+      aCopy,
+      aNow });
   mBySentAt.emplace(aNow, aFlow);
 }
 
--- a/src/passthrough/PlacementWatch.h
+++ b/src/passthrough/PlacementWatch.h
@@ -99,7 +99,10 @@
   std::optional<Time> NextAt() const;
 
   /** Whether an opening packet of the flow is unanswered. */
-  bool IsWatched(const FlowKey& aFlow) const { return mWatched.contains(aFlow); }
+  bool IsWatched(const FlowKey& aFlow) const
+  {
+    return mWatched.contains(aFlow);
+  }
 
   bool IsSuspect(HostId aHost, Time aNow) const;
 
--- a/src/passthrough/WorkInProgress.h
+++ b/src/passthrough/WorkInProgress.h
@@ -38,7 +38,10 @@
   /** Drops every count that began before aBefore. */
   void DropOlderThan(Time aBefore);
 
-  std::uint32_t Size() const { return static_cast<std::uint32_t>(mWork.size()); }
+  std::uint32_t Size() const
+  {
+    return static_cast<std::uint32_t>(mWork.size());
+  }
 
 private:
   struct Work
--- a/src/settings/SettingsParts.h
+++ b/src/settings/SettingsParts.h
@@ -31,7 +31,7 @@
 /** Reads one document with aRead; InvalidInput that lists every fault. */
 template<typename Settings>
 Result<Settings> ParseSettings(std::string_view aText, const std::string& aFile,
-                       void (*aRead)(JsonReader&, Settings&))
+                               void (*aRead)(JsonReader&, Settings&))
 {
   Settings settings;
   JsonFaults faults(aFile);
--- a/src/status/StatusReader.h
+++ b/src/status/StatusReader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "src/store/SyncObjectStore.h"
 #include "src/status/StatusObject.h"
+#include "src/store/SyncObjectStore.h"
 
 namespace heatherplank {
 
--- a/src/steer/RankTable.cpp
+++ b/src/steer/RankTable.cpp
@@ -79,8 +79,7 @@
 
 } // namespace
 
-RankTable::RankTable(std::span<const Member> aMembers,
-                     std::size_t aScanLimit)
+RankTable::RankTable(std::span<const Member> aMembers, std::size_t aScanLimit)
 {
   mHosts.reserve(aMembers.size());
   for (std::size_t i = 0; i < aMembers.size(); ++i) {
--- a/src/wire/PassthroughCodec.cpp
+++ b/src/wire/PassthroughCodec.cpp
@@ -101,9 +101,9 @@
 {
   Builder builder(128);
   auto flow = ToWire(aMessage.mFlow);
-  builder.Finish(wire::CreatePlacementReport(
-    builder, &flow, aMessage.mHost.mValue,
-    static_cast<std::uint8_t>(aMessage.mOutcome)));
+  builder.Finish(
+    wire::CreatePlacementReport(builder, &flow, aMessage.mHost.mValue,
+                                static_cast<std::uint8_t>(aMessage.mOutcome)));
   return Finish(builder);
 }
 
--- a/tests/CandidateOrderTest.cpp
+++ b/tests/CandidateOrderTest.cpp
@@ -7,27 +7,25 @@
 
 using namespace heatherplank;
 
-TEST_GROUP(CandidateOrder)
-{
-  static std::vector<Member> Hosts(int aCount)
-  {
-    std::vector<Member> out;
-    for (int i = 0; i < aCount; ++i) {
-      Member member;
-      member.mHost = MakeHostId("h" + std::to_string(i));
-      member.mState = HostState::Serving;
-      member.mDataCentre = MakeDataCentreId(i % 3 == 0 ? "a" : "b");
-      out.push_back(member);
-    }
-    return out;
-  }
+TEST_GROUP(CandidateOrder){
+  static std::vector<Member> Hosts(int aCount){ std::vector<Member> out;
+for (int i = 0; i < aCount; ++i) {
+  Member member;
+  member.mHost = MakeHostId("h" + std::to_string(i));
+  member.mState = HostState::Serving;
+  member.mDataCentre = MakeDataCentreId(i % 3 == 0 ? "a" : "b");
+  out.push_back(member);
+}
+return out;
+}
 
-  static OrderInputs From(const char* aDataCentre, HostId aSuspect = {})
-  {
-    return { MakeDataCentreId(aDataCentre),
-             [aSuspect](HostId aIt) { return aIt == aSuspect; } };
-  }
-};
+static OrderInputs From(const char* aDataCentre, HostId aSuspect = {})
+{
+  return { MakeDataCentreId(aDataCentre),
+           [aSuspect](HostId aIt) { return aIt == aSuspect; } };
+}
+}
+;
 
 TEST(CandidateOrder, NearHostsFirstSuspectsLast)
 {
--- a/tests/FlowAdmissionTest.cpp
+++ b/tests/FlowAdmissionTest.cpp
@@ -91,8 +91,7 @@
         case FlowDecision::ToBest: {
           auto must = Offer(false, aImportance);
           must.mMustTake = true;
-          auto decided =
-            admission.Decide(Host(InProgress(*best, aNow)), must);
+          auto decided = admission.Decide(Host(InProgress(*best, aNow)), must);
           return decided == FlowDecision::Take ? best : nullptr;
         }
         case FlowDecision::PassOn:
@@ -121,9 +120,9 @@
       ++tally.mAsked;
       std::size_t first = mRandom() % mHosts.size();
       Machine* host =
-        aByWalk ? Walk(first,
-                       important ? Importance::High : Importance::Normal, now)
-                : &mHosts[first];
+        aByWalk
+          ? Walk(first, important ? Importance::High : Importance::Normal, now)
+          : &mHosts[first];
       if (host == nullptr) {
         ++tally.mRefused;
         continue;
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -41,7 +41,8 @@
   Output mOut;
   FlowSteering mSteering{ { *ParseAddress("10.0.2.1:7000"),
                             MakeDataCentreId("near"), 64 },
-                          mPackets, mOut };
+                          mPackets,
+                          mOut };
   std::uint64_t mVersion = 0;
 
   static Member Host(int aIndex, const char* aDataCentre,
@@ -67,8 +68,8 @@
     mSteering.SetViews(views, services);
   }
 
-  void SetRoutes(std::vector<RouteShare> aShares = { { MakeServiceId("s"),
-                                                       1 } })
+  void SetRoutes(
+    std::vector<RouteShare> aShares = { { MakeServiceId("s"), 1 } })
   {
     auto inventory = std::make_shared<FlowInventory>();
     inventory->mVersion = 1;
@@ -87,7 +88,10 @@
   {
     mSteering.OnPacket(Packet(64, aRepeats), mClock.Now());
   }
-  void Data() { mSteering.OnPacket(Packet(4, 9), mClock.Now()); }
+  void Data()
+  {
+    mSteering.OnPacket(Packet(4, 9), mClock.Now());
+  }
   void Report(int aHost, PlacementOutcome aOutcome)
   {
     mSteering.OnReport({ kFlow, Host(aHost, "near").mHost, aOutcome },
@@ -171,9 +175,8 @@
   SetRoutes();
   std::vector<Member> hosts;
   for (int i = 1; i <= 20; ++i) {
-    hosts.push_back(Host(i, "near",
-                         i % 2 == 0 ? HostState::Draining
-                                    : HostState::Serving));
+    hosts.push_back(
+      Host(i, "near", i % 2 == 0 ? HostState::Draining : HostState::Serving));
   }
   SetHosts(hosts);
   Data();
@@ -205,9 +208,9 @@
   CHECK_EQUAL(1, mSteering.Count(SteerEvent::RefusedQuietly));
 }
 
-// A balancer stood still with an opening packet in its socket; the caller opened
-// the flow by a copy at another balancer meanwhile. The old packet's refusal
-// must not reach the caller.
+// A balancer stood still with an opening packet in its socket; the caller
+// opened the flow by a copy at another balancer meanwhile. The old packet's
+// refusal must not reach the caller.
 TEST(FlowSteering, AfterAStandstillNothingIsRefusedAloud)
 {
   SetRoutes();
--- a/tests/FlowStoryTest.cpp
+++ b/tests/FlowStoryTest.cpp
@@ -91,7 +91,6 @@
   }
   CHECK_TRUE(events.size() > 20);
   for (const auto& it : events) {
-    CHECK_TRUE_TEXT(page.find("`" + it + "`") != std::string::npos,
-                    it.c_str());
+    CHECK_TRUE_TEXT(page.find("`" + it + "`") != std::string::npos, it.c_str());
   }
 }
--- a/tests/HostCallsTest.cpp
+++ b/tests/HostCallsTest.cpp
@@ -40,13 +40,10 @@
   { "service of another type",
     R"({"Service":7,"Slots":2,"State":"ready","Seq":4})" },
   { "unknown state", R"({"Service":"s","Slots":2,"State":"up","Seq":4})" },
-  { "state of another type",
-    R"({"Service":"s","Slots":2,"State":1,"Seq":4})" },
+  { "state of another type", R"({"Service":"s","Slots":2,"State":1,"Seq":4})" },
   { "no count", R"({"Service":"s","Slots":2,"State":"ready"})" },
-  { "count as text",
-    R"({"Service":"s","Slots":2,"State":"ready","Seq":"4"})" },
-  { "negative count",
-    R"({"Service":"s","Slots":2,"State":"ready","Seq":-4})" },
+  { "count as text", R"({"Service":"s","Slots":2,"State":"ready","Seq":"4"})" },
+  { "negative count", R"({"Service":"s","Slots":2,"State":"ready","Seq":-4})" },
   { "no slots", R"({"Service":"s","Slots":0,"State":"ready","Seq":4})" },
   { "start time as text",
     R"({"Service":"s","Slots":2,"State":"ready","Seq":4,"born":"x"})" },
@@ -90,8 +87,8 @@
   }
   CHECK_FALSE(ReadHostCall(Call(http::verb::get, "/api/instances/i-1", kGood))
                 .has_value());
-  CHECK_FALSE(ReadHostCall(Call(http::verb::put, "/api/instances/", kGood))
-                .has_value());
+  CHECK_FALSE(
+    ReadHostCall(Call(http::verb::put, "/api/instances/", kGood)).has_value());
   CHECK_FALSE(ReadHostCall(Call(http::verb::put, "/other", kGood)).has_value());
 }
 
--- a/tests/HostFlowsTest.cpp
+++ b/tests/HostFlowsTest.cpp
@@ -64,7 +64,10 @@
   std::unique_ptr<HostFlows> mFlows;
   std::uint64_t mBeats = 0;
 
-  void setup() override { Restart(); }
+  void setup() override
+  {
+    Restart();
+  }
 
   void Restart()
   {
@@ -335,8 +338,8 @@
 }
 
 // A surge: callers whose copies went to several hosts open the flow at one. The
-// flows that never open must not fill the slots of an idle host, or its refusals
-// bring more copies and the surge feeds itself.
+// flows that never open must not fill the slots of an idle host, or its
+// refusals bring more copies and the surge feeds itself.
 TEST(HostFlows, FlowsThatNeverOpenFreeTheirSlotsSoon)
 {
   Beat();
--- a/tests/PassthroughCodecTest.cpp
+++ b/tests/PassthroughCodecTest.cpp
@@ -20,7 +20,8 @@
   out.mMustTake = true;
   out.mLatencyTarget = 120ms;
   out.mIngress = *ParseAddress("10.0.0.1:7");
-  out.mCandidates = { *ParseAddress("10.0.0.2:7"), *ParseAddress("10.0.0.3:7") };
+  out.mCandidates = { *ParseAddress("10.0.0.2:7"),
+                      *ParseAddress("10.0.0.3:7") };
   out.mBest = *ParseAddress("10.0.0.4:7");
   out.mBestWait = 1500us;
   out.mPacket = { 1, 2, 3 };
--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -504,9 +504,9 @@
     auto read = mPackets.Parse(packet);
     Bytes plain = packet;
     mPackets.Tag(plain, 0);
-    bool asked = std::any_of(
-      mCallers.begin(), mCallers.end(),
-      [&](const auto& aIt) { return aIt->mSent.contains(plain); });
+    bool asked =
+      std::any_of(mCallers.begin(), mCallers.end(),
+                  [&](const auto& aIt) { return aIt->mSent.contains(plain); });
     if (!read || !asked) {
       Violated("a host got a packet that no caller wrote");
       return;
@@ -647,7 +647,8 @@
                  MakePacket(aCaller.mFlow.mCaller, aCaller.mFlow.mService, kAck,
                             1, aCaller.mHostSequence + 1, 5));
   At(aAgainAfter, [this, &aCaller, aTries, aAgainAfter] {
-    SendRequest(aCaller, aTries - 1, std::min<Duration>(2 * aAgainAfter, 1600ms));
+    SendRequest(aCaller, aTries - 1,
+                std::min<Duration>(2 * aAgainAfter, 1600ms));
   });
 }
 
@@ -681,12 +682,12 @@
 {
   for (int i = 0; i < mOptions.mCallers; ++i) {
     auto caller = std::make_unique<Caller>();
-    caller->mFlow.mCaller = At4("100.64.0.", static_cast<std::size_t>(i), 40000);
+    caller->mFlow.mCaller =
+      At4("100.64.0.", static_cast<std::size_t>(i), 40000);
     bool one = Chance() < 0.7;
     caller->mFlow.mService = one ? kRouteOne : kRouteOther;
     mCallers.push_back(std::move(caller));
-    At(Between(0, 2300),
-       [this, &it = *mCallers.back()] { StartCaller(it); });
+    At(Between(0, 2300), [this, &it = *mCallers.back()] { StartCaller(it); });
   }
   for (int i = 0; i < mOptions.mFaults; ++i) {
     PlanFault();
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -78,8 +78,7 @@
   void Offer(Balancer& aBalancer, const Bytes& aPacket);
   void ToAgent(const Address& aTo, const SteeredPacket& aPacket,
                const Agent* aFrom);
-  void ToBalancer(const Address& aTo,
-                  std::function<void(Balancer&)> aWhat);
+  void ToBalancer(const Address& aTo, std::function<void(Balancer&)> aWhat);
   void ToHost(Agent& aAgent, Bytes aPacket);
   void HostOpens(Agent& aAgent, const FlowPacket& aPacket);
   void HostContinues(Agent& aAgent, const FlowPacket& aPacket, Bytes aBytes);
--- a/tests/PlacementWatchTest.cpp
+++ b/tests/PlacementWatchTest.cpp
@@ -76,7 +76,8 @@
 TEST(PlacementWatch, IsBounded)
 {
   for (std::size_t i = 0; i < PlacementWatch::kMostWatched + 10; ++i) {
-    mWatch.Begin(Flow(static_cast<std::uint16_t>(i)), {}, Candidates(), PlacementWatch::Copy::First, mClock.Now());
+    mWatch.Begin(Flow(static_cast<std::uint16_t>(i)), {}, Candidates(),
+                 PlacementWatch::Copy::First, mClock.Now());
   }
   CHECK_EQUAL(PlacementWatch::kMostWatched, mWatch.Size());
 }
@@ -96,8 +97,9 @@
   CHECK_FALSE(mWatch.EndRefused(Flow(3)));
 }
 
-// A balancer gets little of its core. Answers wait in its socket for longer than
-// hosts may take; nobody is to blame, and offering all again makes it worse.
+// A balancer gets little of its core. Answers wait in its socket for longer
+// than hosts may take; nobody is to blame, and offering all again makes it
+// worse.
 TEST(PlacementWatch, WhatIsFoundFarTooLateIsGivenMoreTime)
 {
   mWatch.Begin(Flow(1), {}, Candidates(), PlacementWatch::Copy::First,
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -40,7 +40,10 @@
     mStandIn.Write("config", "main", { { "Version", 7 } });
   }
 
-  void Play(Duration aFor = 200ms) { mContext.run_for(aFor); }
+  void Play(Duration aFor = 200ms)
+  {
+    mContext.run_for(aFor);
+  }
 
   std::uint64_t Version()
   {
