Balancers are found in the store when the seeds lead nowhere

Cause: seeds may be stale or down. A process that starts then hears nobody: an agent's host gets no flow, a balancer routes to none, until settings change.

Ruled out: waiting for others to call (nobody knows of it).

Change: BalancerDirectory: each balancer writes its address as an object's name, again when the store comes back; who hears nobody for 1.5 to 2 s lists them, with pauses that grow to 10 s. Lists are read page by page. A store that has no routes yet is not lost.

--- a/lab/soak/StoreStandIn.cpp
+++ b/lab/soak/StoreStandIn.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view kObjects = "/api/objects/";
+/** Objects of one page of a list. */
+constexpr std::size_t kPage = 5;
 
 struct Target
 {
@@ -162,7 +164,8 @@
     return;
   }
   if (!target.mQuery.contains("Watch")) {
-    aRespond(Read(aRequest, target.mKind, target.mName));
+    aRespond(
+      Read(aRequest, target.mKind, target.mName, target.mQuery["after"]));
     return;
   }
   BeginWatch(aRequest, target.mKind, Number(target, "Watch"),
@@ -171,7 +174,8 @@
 
 HttpResponse StoreStandIn::Read(const HttpRequest& aRequest,
                                 const std::string& aKind,
-                                const std::string& aName)
+                                const std::string& aName,
+                                const std::string& aAfter)
 {
   auto& objects = mObjects[aKind];
   if (!aName.empty()) {
@@ -181,12 +185,13 @@
              : Answer(aRequest, http::status::ok, ToJson(aName, it->second));
   }
   json::array items;
-  for (const auto& [name, stored] : objects) {
-    items.push_back(ToJson(name, stored));
+  auto it = aAfter.empty() ? objects.begin() : objects.upper_bound(aAfter);
+  for (; it != objects.end() && items.size() < kPage; ++it) {
+    items.push_back(ToJson(it->first, it->second));
   }
   return Answer(aRequest, http::status::ok,
                 json::object{ { "items", std::move(items) },
-                              { "HasMore", false },
+                              { "HasMore", it != objects.end() },
                               { "At", mRevision } });
 }
 
--- a/lab/soak/StoreStandIn.h
+++ b/lab/soak/StoreStandIn.h
@@ -83,7 +83,7 @@
   void Handle(const HttpRequest& aRequest, const HttpServer::Respond& aRespond);
   void Serve(const HttpRequest& aRequest, const HttpServer::Respond& aRespond);
   HttpResponse Read(const HttpRequest& aRequest, const std::string& aKind,
-                    const std::string& aName);
+                    const std::string& aName, const std::string& aAfter);
   HttpResponse Change(const HttpRequest& aRequest, const std::string& aKind,
                       const std::string& aName);
   void BeginWatch(const HttpRequest& aRequest, const std::string& aKind,
--- a/src/agent/MemberFeed.cpp
+++ b/src/agent/MemberFeed.cpp
@@ -168,6 +168,12 @@
   }
 }
 
+Time MemberFeed::ConfirmedAt() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.ConfirmedAt();
+}
+
 bool MemberFeed::IsInView() const
 {
   std::lock_guard lock(mLock);
--- a/src/agent/MemberFeed.h
+++ b/src/agent/MemberFeed.h
@@ -67,6 +67,10 @@
   /** Call every 50 ms. */
   void Tick();
 
+  /** When the latest heartbeat that a balancer answered was sent; zero before
+   * the first. */
+  Time ConfirmedAt() const;
+
   /** A balancer has answered and this host stands in the view. */
   bool IsInView() const;
 
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -75,7 +75,7 @@
     line.append(aText, aLength);
     line += '\n';
     std::lock_guard lock(mLock);
-    mQueue.Put(mClass, std::move(line), std::chrono::steady_clock::now());
+    mQueue.Put(mClass, line, std::chrono::steady_clock::now());
     mWake.notify_one();
   }
 
--- a/src/base/LogQueue.cpp
+++ b/src/base/LogQueue.cpp
@@ -4,7 +4,7 @@
 
 namespace heatherplank {
 
-void LogQueue::Put(LogClass aClass, std::string aLine, Time aNow)
+void LogQueue::Put(LogClass aClass, std::string_view aLine, Time aNow)
 {
   if (aNow - mSecond >= std::chrono::seconds(1)) {
     mSecond = aNow;
--- a/src/base/LogQueue.h
+++ b/src/base/LogQueue.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "include/heatherplank/Clock.h"
 
@@ -36,7 +37,7 @@
   static constexpr std::uint32_t kMostFlowLinesPerSecond = 300;
 
   /** Takes a line, or counts it as dropped. */
-  void Put(LogClass aClass, std::string aLine, Time aNow);
+  void Put(LogClass aClass, std::string_view aLine, Time aNow);
 
   /** Everything that waits, with a line on what was dropped since the last
    * call; empty if there is nothing. */
--- /dev/null
+++ b/src/passthrough/BalancerDirectory.cpp
@@ -0,0 +1,146 @@
+#include "src/passthrough/BalancerDirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/algorithm/hex.hpp>
+
+#include "src/base/Log.h"
+
+namespace heatherplank {
+
+namespace {
+
+constexpr std::size_t kAddressBytes = 18;
+
+} // namespace
+
+std::shared_ptr<BalancerDirectory> BalancerDirectory::Make(ObjectStore& aStore,
+                                                           Options aOptions,
+                                                           OnFound aOnFound)
+{
+  return std::shared_ptr<BalancerDirectory>(
+    new BalancerDirectory(aStore, std::move(aOptions), std::move(aOnFound)));
+}
+
+BalancerDirectory::BalancerDirectory(ObjectStore& aStore, Options aOptions,
+                                     OnFound aOnFound)
+  : mStore(aStore)
+  , mOptions(std::move(aOptions))
+  , mOnFound(std::move(aOnFound))
+  , mRandom(mOptions.mSeed)
+  , mRegisterPause(kFirstPause, kLongestPause, mOptions.mSeed)
+  , mLookPause(kFirstPause, kLongestPause, mOptions.mSeed + 1)
+{
+}
+
+std::string BalancerDirectory::NameOf(const Address& aAddress)
+{
+  std::string bytes(aAddress.mIp.begin(), aAddress.mIp.end());
+  bytes += static_cast<char>(aAddress.mPort >> 8U);
+  bytes += static_cast<char>(aAddress.mPort & 255U);
+  return boost::algorithm::hex_lower(bytes);
+}
+
+std::optional<Address> BalancerDirectory::Parse(std::string_view aName)
+{
+  bool isHex =
+    aName.size() == 2 * kAddressBytes &&
+    aName.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+  if (!isHex) {
+    return std::nullopt;
+  }
+  std::string bytes = boost::algorithm::unhex(std::string(aName));
+  Address out;
+  std::copy_n(bytes.begin(), out.mIp.size(), out.mIp.begin());
+  out.mPort =
+    static_cast<std::uint16_t>(static_cast<std::uint8_t>(bytes[16]) << 8U |
+                               static_cast<std::uint8_t>(bytes[17]));
+  return out.mPort == 0 ? std::nullopt : std::optional(out);
+}
+
+std::string BalancerDirectory::OwnKey() const
+{
+  return mOptions.mKind + "/" + NameOf(*mOptions.mSelf);
+}
+
+void BalancerDirectory::OnTick(bool aIsLost, Time aNow)
+{
+  bool mayRegister = mOptions.mSelf && !mRegistered && !mRegistering && !mLeft;
+  if (mayRegister && aNow >= mRegisterAt) {
+    Register(aNow);
+  }
+  if (!aIsLost) {
+    mLookPause.Reset();
+  } else if (!mLooking && aNow >= mLookAt) {
+    Look(aNow);
+  }
+}
+
+void BalancerDirectory::RegisterAgain()
+{
+  mRegistered = false;
+}
+
+void BalancerDirectory::Register(Time aNow)
+{
+  mRegistering = true;
+  mRegisterAt = aNow + mRegisterPause.Next();
+  mStore.Put(OwnKey(), "{}", WriteCondition::IfAbsent(),
+             [self = shared_from_this()](Result<std::uint64_t> aWritten) {
+               self->mRegistering = false;
+               // A conflict is the entry of an earlier start, or one whose
+               // answer was lost.
+               self->mRegistered =
+                 aWritten || aWritten.error().mKind == ErrorKind::Conflict;
+               if (self->mRegistered) {
+                 self->mRegisterPause.Reset();
+               }
+             });
+}
+
+void BalancerDirectory::Look(Time aNow)
+{
+  mLooking = true;
+  mLookAt = aNow + kFirstPause + mLookPause.Next();
+  mStore.List(mOptions.mKind + "/", [self = shared_from_this()](
+                                      Result<std::vector<ObjectName>> aNames) {
+    self->mLooking = false;
+    if (aNames) {
+      self->OnListed(*aNames);
+    }
+  });
+}
+
+void BalancerDirectory::OnListed(const std::vector<ObjectName>& aNames)
+{
+  std::vector<Address> found;
+  for (const ObjectName& it : aNames) {
+    auto slash = it.mKey.find('/');
+    auto address = slash == std::string::npos
+                     ? std::nullopt
+                     : Parse(std::string_view(it.mKey).substr(slash + 1));
+    if (address && address != mOptions.mSelf) {
+      found.push_back(*address);
+    }
+  }
+  std::shuffle(found.begin(), found.end(), mRandom);
+  found.resize(std::min(found.size(), kMostFound));
+  LogEvent(LogLevel::Info, "directory_read",
+           { { "entries", aNames.size() }, { "taken", found.size() } });
+  if (!found.empty()) {
+    mOnFound(std::move(found));
+  }
+}
+
+void BalancerDirectory::Leave()
+{
+  mLeft = true;
+  if (mOptions.mSelf && mRegistered) {
+    // If it fails the entry stays, stale; others only send it some datagrams.
+    mStore.Delete(OwnKey(), WriteCondition::Always(),
+                  [](const Result<std::uint64_t>&) {});
+  }
+}
+
+} // namespace heatherplank
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/FlowAgent.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,7 @@
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
 #include "src/net/HttpServer.h"
+#include "src/passthrough/BalancerDirectory.h"
 #include "src/passthrough/HostFlows.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
@@ -27,6 +29,9 @@
 constexpr auto kHeartbeatEvery = std::chrono::milliseconds(500);
 /** Announcements that a host may miss before it counts as silent. */
 constexpr int kMissedAnnouncements = 3;
+/** Heartbeats are answered within milliseconds, and one of them may be lost; an
+ * agent that no balancer answered for this long looks into the directory. */
+constexpr auto kLostAfter = std::chrono::milliseconds(2000);
 /** How long an agent goes on forwarding after it said that it stops, for the
  * flows that its host works on. */
 constexpr auto kStopAfter = std::chrono::milliseconds(4000);
@@ -102,6 +107,11 @@
                MakeMembershipOptions(aSettings.mSeeds))
     , mFlows(MakeFlowOptions(aSettings, mSelf), aAdapter.Packets(), *this,
              mClock.Now())
+    , mStore(aAdapter.MakeStore(mRuntime.Executor(), aSettings.mPlatform))
+    , mDirectory(BalancerDirectory::Make(
+        *mStore, { aSettings.mDirectory, std::nullopt, mSelf.mIncarnation },
+        [this](std::vector<Address> aFound) { AddSeeds(std::move(aFound)); }))
+    , mSeeds(aSettings.mSeeds)
     , mAdmin(mMetrics, [this] { return Ready(); })
   {
   }
@@ -121,12 +131,17 @@
   DatagramMessages mMessages;
   MemberFeed mMembers;
   HostFlows mFlows;
+  std::unique_ptr<ObjectStore> mStore;
+  std::shared_ptr<BalancerDirectory> mDirectory;
+  /** Of the settings in force. */
+  std::vector<Address> mSeeds;
   AdminServer mAdmin;
   std::shared_ptr<HttpServer> mHostCalls;
   std::shared_ptr<DatagramSocket> mTunnel;
   std::shared_ptr<DatagramSocket> mOutbox;
   /** What the balancers were told last. */
   std::optional<HostState> mAnnounced;
+  Time mAnnouncedAt{};
   bool mStopping = false;
 
   Result<void> Ready()
@@ -197,6 +212,23 @@
     mFlows.OnTick(mClock.Now());
     TellState();
     mMembers.Tick();
+    TendDirectory(mClock.Now());
+  }
+
+  /** A host that no balancer answers for gets no flow. */
+  void TendDirectory(Time aNow)
+  {
+    if (mSettings.mDirectory.empty() || !mAnnounced) {
+      return;
+    }
+    Time since = std::max(mAnnouncedAt, mMembers.ConfirmedAt());
+    mDirectory->OnTick(aNow - since > kLostAfter, aNow);
+  }
+
+  void AddSeeds(std::vector<Address> aFound)
+  {
+    aFound.insert(aFound.end(), mSeeds.begin(), mSeeds.end());
+    mMembers.SetSeeds(std::move(aFound));
   }
 
   void EverySecond()
@@ -260,6 +292,9 @@
     if (mAnnounced == now) {
       return;
     }
+    if (!mAnnounced) {
+      mAnnouncedAt = mClock.Now();
+    }
     if (!mAnnounced || now > *mAnnounced) {
       mMembers.Announce();
       mMembers.SetState(now);
@@ -341,7 +376,8 @@
                { { "why", settings.error().Describe() } });
       return;
     }
-    mMembers.SetSeeds(settings->mSeeds);
+    mSeeds = settings->mSeeds;
+    mMembers.SetSeeds(mSeeds);
     LogEvent(LogLevel::Info, "settings_reloaded",
              { { "seeds", settings->mSeeds.size() } });
   }
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -9,6 +9,7 @@
 #include "src/metrics/Metrics.h"
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
+#include "src/passthrough/BalancerDirectory.h"
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/InventoryPeers.h"
 #include "src/passthrough/InventoryWatch.h"
@@ -37,6 +38,9 @@
  * would go nowhere, where a ready one can refuse them at once. */
 constexpr auto kReadyWithoutHosts = std::chrono::milliseconds(3000);
 
+/** Heartbeats to seeds are answered within milliseconds; who has heard nobody
+ * after this looks into the directory. */
+constexpr auto kLostAfter = std::chrono::milliseconds(1500);
 /** After a standstill of this length routes are read anew: a shorter one leaves
  * the watch's connection alive, and a machine that is slow would call the store
  * again and again. */
@@ -107,6 +111,10 @@
           OnInventory(std::move(aInventory));
         }))
     , mPeers(mSelf.mControl, mSelf.mIncarnation)
+    , mDirectory(BalancerDirectory::Make(
+        *mStore, { aSettings.mDirectory, mSelf.mControl, mSelf.mIncarnation },
+        [this](std::vector<Address> aFound) { AddSeeds(std::move(aFound)); }))
+    , mSeeds(aSettings.mSeeds)
     , mAdmin(mMetrics, [this] { return Ready(); })
     , mRetryTimer(mRuntime.Executor())
     , mStartedAt(mClock.Now())
@@ -130,6 +138,9 @@
   MemberPlane mMembers;
   std::shared_ptr<InventoryWatch> mWatch;
   InventoryPeers mPeers;
+  std::shared_ptr<BalancerDirectory> mDirectory;
+  /** Of the settings in force. */
+  std::vector<Address> mSeeds;
   AdminServer mAdmin;
   boost::asio::steady_timer mRetryTimer;
   std::optional<Time> mRetryAt;
@@ -139,6 +150,7 @@
   const Time mStartedAt;
   IsolationWatch mIsolation;
   bool mIsolated = false;
+  bool mStoreAnswered = false;
   std::vector<Address> mBalancerAddresses;
   bool mStopping = false;
 
@@ -214,6 +226,7 @@
   {
     Time now = CheckStandstill();
     JudgeIsolation(now);
+    TendDirectory(now);
     mWatch->OnTick();
     mMembers.Tick();
     Send(mPeers.OnTick(PeerAddresses(), mWatch->Version(), now));
@@ -258,6 +271,26 @@
     }
   }
 
+  void TendDirectory(Time aNow)
+  {
+    if (mSettings.mDirectory.empty()) {
+      return;
+    }
+    bool storeAnswers = mWatch->HeardAt() != Time{} && !mWatch->IsStoreLost();
+    if (storeAnswers && !std::exchange(mStoreAnswered, storeAnswers)) {
+      mDirectory->RegisterAgain();
+    }
+    mStoreAnswered = storeAnswers;
+    bool nobody = mMembers.Balancers().empty() && mMembers.Size() == 0;
+    mDirectory->OnTick(nobody && aNow - mStartedAt > kLostAfter, aNow);
+  }
+
+  void AddSeeds(std::vector<Address> aFound)
+  {
+    aFound.insert(aFound.end(), mSeeds.begin(), mSeeds.end());
+    mMembers.SetSeeds(std::move(aFound));
+  }
+
   void EverySecond()
   {
     mLinks.Tick();
@@ -285,7 +318,7 @@
       out.push_back(it.mControl);
     }
     if (out.empty()) {
-      out = mSettings.mSeeds;
+      out = mSeeds;
     }
     return out;
   }
@@ -437,7 +470,8 @@
                { { "why", settings.error().Describe() } });
       return;
     }
-    mMembers.SetSeeds(settings->mSeeds);
+    mSeeds = settings->mSeeds;
+    mMembers.SetSeeds(mSeeds);
     LogEvent(LogLevel::Info, "settings_reloaded",
              { { "seeds", settings->mSeeds.size() } });
   }
@@ -445,6 +479,7 @@
   void Stop()
   {
     mStopping = true;
+    mDirectory->Leave();
     mMembers.Leave();
     auto timer = std::make_shared<boost::asio::steady_timer>(
       mRuntime.Executor(), kStopAfter);
--- a/src/passthrough/InventoryPeers.cpp
+++ b/src/passthrough/InventoryPeers.cpp
@@ -34,6 +34,7 @@
   std::sample(aPeers.begin(), aPeers.end(), std::back_inserter(chosen), kFanOut,
               mRandom);
   std::vector<Send> out;
+  out.reserve(chosen.size());
   for (const Address& it : chosen) {
     // Without routes there is nothing to tell, only to ask for.
     out.push_back({ it, { aVersion, mSelf, aVersion == 0 } });
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -134,7 +134,9 @@
     std::lock_guard lock(mLock);
     mNextAt = mClock.Now() + mBackoff.Next();
     mObjectVersion = 0;
-    lost = !std::exchange(mStoreLost, true);
+    // No routes yet is an answer: the store is there.
+    lost =
+      aWhy.mKind != ErrorKind::NotFound && !std::exchange(mStoreLost, true);
   }
   if (lost) {
     LogEvent(LogLevel::Warning, "store_lost", { { "why", aWhy.Describe() } });
@@ -185,6 +187,12 @@
   return mDocument;
 }
 
+bool InventoryWatch::IsStoreLost() const
+{
+  std::lock_guard lock(mLock);
+  return mStoreLost;
+}
+
 Time InventoryWatch::HeardAt() const
 {
   std::lock_guard lock(mLock);
--- a/src/passthrough/InventoryWatch.h
+++ b/src/passthrough/InventoryWatch.h
@@ -63,6 +63,9 @@
   std::uint64_t Version() const;
   std::string Document() const;
 
+  /** The last call failed, and none has succeeded since. */
+  bool IsStoreLost() const;
+
   /** When the store last answered; zero if it never did. */
   Time HeardAt() const;
 
--- a/src/passthrough/PassthroughSettings.cpp
+++ b/src/passthrough/PassthroughSettings.cpp
@@ -23,6 +23,7 @@
     it.mPort = aOut.mSeedPort == 0 ? it.mPort : aOut.mSeedPort;
   }
   std::erase(aOut.mSeeds, aOut.mControl);
+  aOut.mDirectory = aReader.String("directory", "");
   if (aReader.Has("caller_port_of")) {
     aOut.mCallerPort = RequiredAddress(aReader, "caller_port_of").mPort;
   }
--- a/src/passthrough/PassthroughSettings.h
+++ b/src/passthrough/PassthroughSettings.h
@@ -20,6 +20,9 @@
   /** Seeds take control connections at this port, whatever port is listed; 0:
    * at the listed one. */
   std::uint16_t mSeedPort = 0;
+  /** The kind of the store's objects under which balancers are found by those
+   * that their seeds lead nowhere; empty: no such objects. */
+  std::string mDirectory;
   /** Packets to callers go to this port of the caller's machine, taken from the
    * address at the key "caller_port_of"; 0: to the port of the flow itself. */
   std::uint16_t mCallerPort = 0;
--- a/tests/InventoryWatchTest.cpp
+++ b/tests/InventoryWatchTest.cpp
@@ -138,6 +138,17 @@
   CHECK_TRUE(mStore.mCalls - calls > 5);
 }
 
+TEST(InventoryWatch, AStoreWithoutRoutesIsNotLost)
+{
+  mWatch->OnTick();
+  mStore.Take().mGot(Fail(ErrorKind::NotFound, "no object", "write it"));
+  CHECK_FALSE(mWatch->IsStoreLost());
+  mClock.Advance(2s);
+  mWatch->OnTick();
+  mStore.Take().mGot(Fail(ErrorKind::Unavailable, "refuses", "wait"));
+  CHECK_TRUE(mWatch->IsStoreLost());
+}
+
 // The process was suspended with a watch under way. Its answer, when it comes,
 // is older than what is read after waking.
 TEST(InventoryWatch, AfterAStandstillItReadsAndDropsTheOldCall)
--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -240,7 +240,7 @@
 Duration PassthroughWorld::Between(int aFromMs, int aToMs)
 {
   return std::chrono::microseconds(
-    1000 * aFromMs +
+    std::int64_t{ 1000 } * aFromMs +
     static_cast<std::int64_t>(Chance() * 1000 * (aToMs - aFromMs)));
 }
 
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -155,6 +155,18 @@
   CHECK_TRUE(mWritten->has_value());
 }
 
+TEST(PlatformStore, ReadsAListOfSeveralPages)
+{
+  for (int i = 0; i < 23; ++i) {
+    mStandIn.Write("many", "n" + std::to_string(100 + i), 1);
+  }
+  std::optional<Result<std::vector<ObjectName>>> listed;
+  mStore->List("many/", Into(listed));
+  Play();
+  CHECK_EQUAL(23, (*listed)->size());
+  STRCMP_EQUAL("many/n122", (**listed)[22].mKey.c_str());
+}
+
 // The answer to a write was lost, though it took effect. It must not be told
 // as a refusal.
 TEST(PlatformStore, ALostAnswerIsAnUnknownOutcome)
