--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -6,16 +6,9 @@
 
 #include "src/agent/MemberFeed.h"
 #include "src/base/Log.h"
-#include "src/metrics/Metrics.h"
-#include "src/net/CutList.h"
-#include "src/net/DatagramSocket.h"
 #include "src/net/HttpServer.h"
-#include "src/passthrough/BalancerDirectory.h"
 #include "src/passthrough/HostFlows.h"
-#include "src/process/AdminServer.h"
-#include "src/process/ControlLinks.h"
-#include "src/process/DatagramMessages.h"
-#include "src/process/ProcessRuntime.h"
+#include "src/passthrough/PassthroughProcess.h"
 #include "src/process/WallClock.h"
 #include "src/wire/MembershipCodec.h"
 #include "src/wire/PassthroughCodec.h"
@@ -95,24 +88,19 @@
     , mReread(std::move(aReread))
     , mAdapter(aAdapter)
     , mSelf(MakeSelf(aSettings))
-    , mMalformed(
-        mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\""))
-    , mOpeningTime(mMetrics.GetHistogram("opening_ms"))
-    , mAnswerTime(mMetrics.GetHistogram("answer_ms"))
-    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
-             { mSelf.mHost, mSelf.mControl },
-             [this](const Hello&, const Frame& aFrame) { OnFrame(aFrame); })
-    , mMessages(mLinks)
-    , mMembers({ mClock, mMetrics, mMessages, {} }, mSelf,
+    , mProcess({ mSettings, aAdapter, mSelf.mHost, mSelf.mIncarnation,
+                 std::nullopt, [this] { return Ready(); },
+                 [this](const Frame& aFrame) { OnFrame(aFrame); },
+                 [this](std::vector<Address> aSeeds) {
+                   mMembers.SetSeeds(std::move(aSeeds));
+                 } })
+    , mClock(mProcess.mClock)
+    , mOpeningTime(mProcess.mMetrics.GetHistogram("opening_ms"))
+    , mAnswerTime(mProcess.mMetrics.GetHistogram("answer_ms"))
+    , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages, {} }, mSelf,
                MakeMembershipOptions(aSettings.mSeeds))
     , mFlows(MakeFlowOptions(aSettings, mSelf), aAdapter.Packets(), *this,
              mClock.Now())
-    , mStore(aAdapter.MakeStore(mRuntime.Executor(), aSettings.mPlatform))
-    , mDirectory(BalancerDirectory::Make(
-        *mStore, { aSettings.mDirectory, std::nullopt, mSelf.mIncarnation },
-        [this](std::vector<Address> aFound) { AddSeeds(std::move(aFound)); }))
-    , mSeeds(aSettings.mSeeds)
-    , mAdmin(mMetrics, [this] { return Ready(); })
   {
   }
 
@@ -120,24 +108,13 @@
   const Reread mReread;
   const PlatformAdapter& mAdapter;
   const Member mSelf;
-  SteadyClock mClock;
-  MetricsRegistry mMetrics;
-  CutList mCuts;
-  ProcessRuntime mRuntime;
-  Counter& mMalformed;
+  PassthroughProcess mProcess;
+  const Clock& mClock;
   Histogram& mOpeningTime;
   Histogram& mAnswerTime;
-  ControlLinks mLinks;
-  DatagramMessages mMessages;
   MemberFeed mMembers;
   HostFlows mFlows;
-  std::unique_ptr<ObjectStore> mStore;
-  std::shared_ptr<BalancerDirectory> mDirectory;
-  /** Of the settings in force. */
-  std::vector<Address> mSeeds;
-  AdminServer mAdmin;
   std::shared_ptr<HttpServer> mHostCalls;
-  std::shared_ptr<DatagramSocket> mTunnel;
   std::shared_ptr<DatagramSocket> mOutbox;
   /** What the balancers were told last. */
   std::optional<HostState> mAnnounced;
@@ -156,14 +133,9 @@
 
   Result<void> Open()
   {
-    auto executor = mRuntime.Executor();
-    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
-    if (!tunnel) {
-      return tl::unexpected(tunnel.error());
-    }
-    mTunnel = *tunnel;
-    mMessages.SetSocket(mTunnel);
-    auto outbox = DatagramSocket::Make(executor, mSettings.mHostOutbox, &mCuts);
+    auto executor = mProcess.mRuntime.Executor();
+    auto outbox =
+      DatagramSocket::Make(executor, mSettings.mHostOutbox, &mProcess.mCuts);
     if (!outbox) {
       return tl::unexpected(outbox.error());
     }
@@ -173,33 +145,25 @@
       [this](const HttpRequest& aRequest, const HttpServer::Respond& aRespond) {
         aRespond(OnHostCall(aRequest));
       },
-      [this] { mMalformed.Add(); });
+      [this] { mProcess.CountMalformed(); });
     if (!calls) {
       return tl::unexpected(calls.error());
     }
     mHostCalls = *calls;
-    auto listening = mLinks.Listen();
-    if (!listening) {
-      return listening;
-    }
-    auto admin = mAdmin.Start(executor, mSettings.mAdmin);
-    if (!admin || mSettings.mMetrics.IsNone()) {
-      return admin;
-    }
-    return mAdmin.Start(executor, mSettings.mMetrics);
+    return mProcess.Open();
   }
 
   void Start()
   {
-    mTunnel->Start(
+    mProcess.mTunnel->Start(
       [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
     mOutbox->Start([this](ByteView aDatagram, const Address&) {
       mFlows.OnHostPacket(aDatagram, mClock.Now());
     });
-    mRuntime.Every(kTick, [this] { Tick(); });
-    mRuntime.Every(kSecond, [this] { EverySecond(); });
-    mRuntime.OnStop([this] { Stop(); });
-    mRuntime.OnReload([this] { Reload(); });
+    mProcess.mRuntime.Every(kTick, [this] { Tick(); });
+    mProcess.mRuntime.Every(kSecond, [this] { EverySecond(); });
+    mProcess.mRuntime.OnStop([this] { Stop(); });
+    mProcess.mRuntime.OnReload([this] { mProcess.OnReread(mReread()); });
     LogEvent(LogLevel::Info, "started",
              { { "service", mSettings.mService },
                { "tunnel", mSettings.mTunnel.ToString() },
@@ -218,50 +182,35 @@
   /** A host that no balancer answers for gets no flow. */
   void TendDirectory(Time aNow)
   {
-    if (mSettings.mDirectory.empty() || !mAnnounced) {
-      return;
-    }
     Time since = std::max(mAnnouncedAt, mMembers.ConfirmedAt());
-    mDirectory->OnTick(aNow - since > kLostAfter, aNow);
-  }
-
-  void AddSeeds(std::vector<Address> aFound)
-  {
-    aFound.insert(aFound.end(), mSeeds.begin(), mSeeds.end());
-    mMembers.SetSeeds(std::move(aFound));
+    mProcess.TendDirectory(mAnnounced && aNow - since > kLostAfter, aNow);
   }
 
   void EverySecond()
   {
-    mLinks.Tick();
-    mMetrics.GetGauge("log_lines_dropped")
-      .Set(static_cast<double>(DroppedLogLines()));
-    mMetrics.GetGauge("host_in_progress")
-      .Set(mFlows.Condition(mClock.Now()).mInProgress);
-    mMetrics.GetGauge("host_heard_s_ago")
-      .Set(InMs(mClock.Now() - mFlows.Host().HeardAt()) / 1000);
-    mMetrics.GetGauge("flows").Set(static_cast<double>(mFlows.Size()));
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(HostFlowEvent::Last);
-         ++i) {
-      auto event = static_cast<HostFlowEvent>(i);
-      std::string label = "event=\"";
-      label.append(heatherplank::ToString(event)).append("\"");
-      mMetrics.GetGauge("flow_events", label)
-        .Set(static_cast<double>(mFlows.Count(event)));
-    }
+    mProcess.EverySecond();
+    auto& metrics = mProcess.mMetrics;
+    Time now = mClock.Now();
+    metrics.GetGauge("host_in_progress").Set(mFlows.Condition(now).mInProgress);
+    metrics.GetGauge("host_heard_s_ago")
+      .Set(InMs(now - mFlows.Host().HeardAt()) / 1000);
+    metrics.GetGauge("flows").Set(static_cast<double>(mFlows.Size()));
+    mProcess.Export(
+      "flow_events", HostFlowEvent::Last,
+      [this](HostFlowEvent aEvent) { return mFlows.Count(aEvent); });
   }
 
   HttpResponse OnHostCall(const HttpRequest& aRequest)
   {
     auto announcement = mAdapter.ReadHostCall(aRequest);
     if (!announcement) {
-      mMetrics.GetCounter("host_calls_refused_total").Add();
+      mProcess.mMetrics.GetCounter("host_calls_refused_total").Add();
       return mAdapter.AnswerHostCall(aRequest,
                                      tl::unexpected(announcement.error()));
     }
     if (!announcement->mService.empty() &&
         announcement->mService != mSettings.mService) {
-      mMetrics.GetCounter("host_calls_refused_total").Add();
+      mProcess.mMetrics.GetCounter("host_calls_refused_total").Add();
       return mAdapter.AnswerHostCall(
         aRequest,
         Fail(ErrorKind::Forbidden,
@@ -317,12 +266,9 @@
 
   void OnDatagram(ByteView aDatagram)
   {
-    auto frame = DecodeDatagram(aDatagram);
-    if (!frame) {
-      mMalformed.Add();
-      return;
+    if (auto frame = mProcess.Unwrap(aDatagram)) {
+      OnFrame(*frame);
     }
-    OnFrame(*frame);
   }
 
   void OnFrame(const Frame& aFrame)
@@ -335,7 +281,7 @@
                      ? DecodeSteeredPacket(aFrame.mPayload)
                      : Fail(ErrorKind::Malformed, "unknown kind", "");
     if (!steered || steered->mPurpose == SteerPurpose::NotHere) {
-      mMalformed.Add();
+      mProcess.CountMalformed();
       return;
     }
     mFlows.OnSteered(std::move(*steered), mClock.Now());
@@ -348,38 +294,17 @@
 
   void ToCaller(const Address& aCaller, ByteView aPacket) override
   {
-    Address to = aCaller;
-    to.mPort = mSettings.mCallerPort == 0 ? to.mPort : mSettings.mCallerPort;
-    mTunnel->Send(aPacket, to);
+    mProcess.ToCaller(aCaller, aPacket);
   }
 
   void Steer(const Address& aTo, const SteeredPacket& aPacket) override
   {
-    mTunnel->Send(
-      EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)), aTo);
+    mProcess.Steer(aTo, aPacket);
   }
 
   void Report(const Address& aBalancer, const PlacementReport& aReport) override
   {
-    mTunnel->Send(
-      EncodeDatagram(MessageKind::PlacementReport, EncodePayload(aReport)),
-      aBalancer);
-  }
-
-  /** Seeds are taken over; everything else is bound to open ports and waits for
-   * a restart. Settings that can't be read change nothing. */
-  void Reload()
-  {
-    auto settings = mReread();
-    if (!settings) {
-      LogEvent(LogLevel::Error, "settings_refused",
-               { { "why", settings.error().Describe() } });
-      return;
-    }
-    mSeeds = settings->mSeeds;
-    mMembers.SetSeeds(mSeeds);
-    LogEvent(LogLevel::Info, "settings_reloaded",
-             { { "seeds", settings->mSeeds.size() } });
+    mProcess.Report(aBalancer, aReport);
   }
 
   void Measured(HostTiming aTiming, Duration aTook) override
@@ -395,12 +320,7 @@
     mFlows.Leave();
     TellState();
     bool hostEnded = mFlows.Host().Phase() == HostPhase::Gone;
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-      mRuntime.Executor(), hostEnded ? kStopAfterHost : kStopAfter);
-    timer->async_wait([this, timer](boost::system::error_code) {
-      LogEvent(LogLevel::Info, "stopped", {});
-      mRuntime.Quit();
-    });
+    mProcess.StopAfter(hostEnded ? kStopAfterHost : kStopAfter);
   }
 };
 
@@ -426,7 +346,7 @@
 void FlowAgent::Run()
 {
   mImpl->Start();
-  mImpl->mRuntime.Run(1);
+  mImpl->mProcess.mRuntime.Run(1);
 }
 
 } // namespace heatherplank
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -6,18 +6,11 @@
 
 #include "src/balancer/MemberPlane.h"
 #include "src/base/Log.h"
-#include "src/metrics/Metrics.h"
-#include "src/net/CutList.h"
-#include "src/net/DatagramSocket.h"
-#include "src/passthrough/BalancerDirectory.h"
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/InventoryPeers.h"
 #include "src/passthrough/InventoryWatch.h"
 #include "src/passthrough/IsolationWatch.h"
-#include "src/process/AdminServer.h"
-#include "src/process/ControlLinks.h"
-#include "src/process/DatagramMessages.h"
-#include "src/process/ProcessRuntime.h"
+#include "src/passthrough/PassthroughProcess.h"
 #include "src/process/StandstillWatch.h"
 #include "src/process/WallClock.h"
 #include "src/wire/MembershipCodec.h"
@@ -87,65 +80,47 @@
        Reread aReread)
     : mSettings(aSettings)
     , mReread(std::move(aReread))
-    , mAdapter(aAdapter)
     , mSelf(MakeSelf(aSettings))
-    , mMalformed(
-        mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\""))
-    , mPlaceTime(mMetrics.GetHistogram("placement_ms"))
-    , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
-             { mSelf.mHost, mSelf.mControl },
-             [this](const Hello&, const Frame& aFrame) { OnFrame(aFrame); })
-    , mMessages(mLinks)
+    , mProcess({ mSettings, aAdapter, mSelf.mHost, mSelf.mIncarnation,
+                 mSelf.mControl, [this] { return Ready(); },
+                 [this](const Frame& aFrame) { OnFrame(aFrame); },
+                 [this](std::vector<Address> aSeeds) {
+                   mMembers.SetSeeds(std::move(aSeeds));
+                 } })
+    , mClock(mProcess.mClock)
+    , mPlaceTime(mProcess.mMetrics.GetHistogram("placement_ms"))
     , mSteering({ mSelf.mTunnel, mSelf.mDataCentre, aSettings.mMaxHints },
                 aAdapter.Packets(), *this)
-    , mStore(aAdapter.MakeStore(mRuntime.Executor(), aSettings.mPlatform))
-    , mMembers({ mClock, mMetrics, mMessages,
+    , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages,
                  [this](auto aViews, auto aServices) {
                    mSteering.SetViews(aViews, aServices);
                  } },
                mSelf, MakeMembershipOptions(aSettings.mSeeds))
     , mWatch(InventoryWatch::Make(
-        mClock, *mStore, aAdapter.Inventories(),
+        mClock, *mProcess.mStore, aAdapter.Inventories(),
         MakeWatchOptions(aSettings, mSelf),
         [this](FlowInventoryPtr aInventory, const std::string&) {
           OnInventory(std::move(aInventory));
         }))
     , mPeers(mSelf.mControl, mSelf.mIncarnation)
-    , mDirectory(BalancerDirectory::Make(
-        *mStore, { aSettings.mDirectory, mSelf.mControl, mSelf.mIncarnation },
-        [this](std::vector<Address> aFound) { AddSeeds(std::move(aFound)); }))
-    , mSeeds(aSettings.mSeeds)
-    , mAdmin(mMetrics, [this] { return Ready(); })
-    , mRetryTimer(mRuntime.Executor())
+    , mRetryTimer(mProcess.mRuntime.Executor())
     , mStartedAt(mClock.Now())
   {
   }
 
   const FlowBalancerSettings mSettings;
   const Reread mReread;
-  const PlatformAdapter& mAdapter;
   const Member mSelf;
-  SteadyClock mClock;
-  MetricsRegistry mMetrics;
-  CutList mCuts;
-  ProcessRuntime mRuntime;
-  Counter& mMalformed;
+  PassthroughProcess mProcess;
+  const Clock& mClock;
   Histogram& mPlaceTime;
-  ControlLinks mLinks;
-  DatagramMessages mMessages;
   FlowSteering mSteering;
-  std::unique_ptr<ObjectStore> mStore;
   MemberPlane mMembers;
   std::shared_ptr<InventoryWatch> mWatch;
   InventoryPeers mPeers;
-  std::shared_ptr<BalancerDirectory> mDirectory;
-  /** Of the settings in force. */
-  std::vector<Address> mSeeds;
-  AdminServer mAdmin;
   boost::asio::steady_timer mRetryTimer;
   std::optional<Time> mRetryAt;
   StandstillWatch mStandstill;
-  std::shared_ptr<DatagramSocket> mTunnel;
   std::shared_ptr<DatagramSocket> mIngress;
   const Time mStartedAt;
   IsolationWatch mIsolation;
@@ -178,27 +153,13 @@
 
   Result<void> Open()
   {
-    auto executor = mRuntime.Executor();
-    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
-    if (!tunnel) {
-      return tl::unexpected(tunnel.error());
-    }
-    mTunnel = *tunnel;
-    mMessages.SetSocket(mTunnel);
-    auto ingress = DatagramSocket::Make(executor, mSettings.mIngress, &mCuts);
+    auto ingress = DatagramSocket::Make(mProcess.mRuntime.Executor(),
+                                        mSettings.mIngress, &mProcess.mCuts);
     if (!ingress) {
       return tl::unexpected(ingress.error());
     }
     mIngress = *ingress;
-    auto listening = mLinks.Listen();
-    if (!listening) {
-      return listening;
-    }
-    auto admin = mAdmin.Start(executor, mSettings.mAdmin);
-    if (!admin || mSettings.mMetrics.IsNone()) {
-      return admin;
-    }
-    return mAdmin.Start(executor, mSettings.mMetrics);
+    return mProcess.Open();
   }
 
   void Start()
@@ -207,13 +168,13 @@
       mSteering.OnPacket(aDatagram, CheckStandstill());
       ArmRetry();
     });
-    mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
+    mProcess.mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
       OnDatagram(aDatagram, aFrom);
     });
-    mRuntime.Every(kTick, [this] { Tick(); });
-    mRuntime.Every(kSecond, [this] { EverySecond(); });
-    mRuntime.OnStop([this] { Stop(); });
-    mRuntime.OnReload([this] { Reload(); });
+    mProcess.mRuntime.Every(kTick, [this] { Tick(); });
+    mProcess.mRuntime.Every(kSecond, [this] { EverySecond(); });
+    mProcess.mRuntime.OnStop([this] { Stop(); });
+    mProcess.mRuntime.OnReload([this] { mProcess.OnReread(mReread()); });
     LogEvent(LogLevel::Info, "started",
              { { "ingress", mSettings.mIngress.ToString() },
                { "tunnel", mSettings.mTunnel.ToString() },
@@ -273,42 +234,27 @@
 
   void TendDirectory(Time aNow)
   {
-    if (mSettings.mDirectory.empty()) {
-      return;
-    }
     bool storeAnswers = mWatch->HeardAt() != Time{} && !mWatch->IsStoreLost();
-    if (storeAnswers && !std::exchange(mStoreAnswered, storeAnswers)) {
-      mDirectory->RegisterAgain();
+    if (storeAnswers && !mStoreAnswered) {
+      mProcess.RegisterAgain();
     }
     mStoreAnswered = storeAnswers;
     bool nobody = mMembers.Balancers().empty() && mMembers.Size() == 0;
-    mDirectory->OnTick(nobody && aNow - mStartedAt > kLostAfter, aNow);
-  }
-
-  void AddSeeds(std::vector<Address> aFound)
-  {
-    aFound.insert(aFound.end(), mSeeds.begin(), mSeeds.end());
-    mMembers.SetSeeds(std::move(aFound));
+    mProcess.TendDirectory(nobody && aNow - mStartedAt > kLostAfter, aNow);
   }
 
   void EverySecond()
   {
-    mLinks.Tick();
-    mMetrics.GetGauge("log_lines_dropped")
-      .Set(static_cast<double>(DroppedLogLines()));
-    mMetrics.GetGauge("store_heard_s_ago")
+    mProcess.EverySecond();
+    auto& metrics = mProcess.mMetrics;
+    metrics.GetGauge("store_heard_s_ago")
       .Set(InMs(mClock.Now() - mWatch->HeardAt()) / 1000);
-    mMetrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
-    mMetrics.GetGauge("routes_version")
+    metrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
+    metrics.GetGauge("routes_version")
       .Set(static_cast<double>(mWatch->Version()));
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(SteerEvent::Last);
-         ++i) {
-      auto event = static_cast<SteerEvent>(i);
-      std::string label = "event=\"";
-      label.append(ToString(event)).append("\"");
-      mMetrics.GetGauge("steer_events", label)
-        .Set(static_cast<double>(mSteering.Count(event)));
-    }
+    mProcess.Export(
+      "steer_events", SteerEvent::Last,
+      [this](SteerEvent aEvent) { return mSteering.Count(aEvent); });
   }
 
   std::vector<Address> PeerAddresses() const
@@ -318,7 +264,7 @@
       out.push_back(it.mControl);
     }
     if (out.empty()) {
-      out = mSeeds;
+      out = mProcess.Seeds();
     }
     return out;
   }
@@ -333,16 +279,15 @@
   void Send(const std::vector<InventoryPeers::Send>& aNotices)
   {
     for (const auto& it : aNotices) {
-      mMessages.Send(it.mTo, MessageKind::InventoryNotice,
-                     EncodePayload(it.mNotice));
+      mProcess.mMessages.Send(it.mTo, MessageKind::InventoryNotice,
+                              EncodePayload(it.mNotice));
     }
   }
 
   void OnDatagram(ByteView aDatagram, const Address& aFrom)
   {
-    auto frame = DecodeDatagram(aDatagram);
+    auto frame = mProcess.Unwrap(aDatagram);
     if (!frame) {
-      mMalformed.Add();
       return;
     }
     bool fromBalancer =
@@ -378,7 +323,7 @@
         break;
     }
     if (!taken) {
-      mMalformed.Add();
+      mProcess.CountMalformed();
     }
   }
 
@@ -406,7 +351,7 @@
     }
     std::uint64_t version = mWatch->Version();
     if (InventoryPeers::IsOwedDocument(*aNotice, version)) {
-      mMessages.Send(
+      mProcess.mMessages.Send(
         aNotice->mControl, MessageKind::InventoryDocument,
         EncodePayload(InventoryDocument{ version, mWatch->Document() }));
       return true;
@@ -425,16 +370,12 @@
 
   void Steer(const Address& aAgent, const SteeredPacket& aPacket) override
   {
-    mTunnel->Send(
-      EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)),
-      aAgent);
+    mProcess.Steer(aAgent, aPacket);
   }
 
   void ToCaller(const Address& aCaller, ByteView aPacket) override
   {
-    Address to = aCaller;
-    to.mPort = mSettings.mCallerPort == 0 ? to.mPort : mSettings.mCallerPort;
-    mTunnel->Send(aPacket, to);
+    mProcess.ToCaller(aCaller, aPacket);
   }
 
   void Placed(Duration aTook) override { mPlaceTime.Record(InMs(aTook)); }
@@ -454,39 +395,17 @@
       }
       mRetryAt.reset();
       // Answers that came while this process did not run go first.
-      mTunnel->ReadNow();
+      mProcess.mTunnel->ReadNow();
       mSteering.OnTick(mClock.Now());
       ArmRetry();
     });
   }
 
-  /** Seeds are taken over; everything else is bound to open ports and waits for
-   * a restart. Settings that can't be read change nothing. */
-  void Reload()
-  {
-    auto settings = mReread();
-    if (!settings) {
-      LogEvent(LogLevel::Error, "settings_refused",
-               { { "why", settings.error().Describe() } });
-      return;
-    }
-    mSeeds = settings->mSeeds;
-    mMembers.SetSeeds(mSeeds);
-    LogEvent(LogLevel::Info, "settings_reloaded",
-             { { "seeds", settings->mSeeds.size() } });
-  }
-
   void Stop()
   {
     mStopping = true;
-    mDirectory->Leave();
     mMembers.Leave();
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-      mRuntime.Executor(), kStopAfter);
-    timer->async_wait([this, timer](boost::system::error_code) {
-      LogEvent(LogLevel::Info, "stopped", {});
-      mRuntime.Quit();
-    });
+    mProcess.StopAfter(kStopAfter);
   }
 };
 
@@ -512,7 +431,7 @@
 void FlowBalancer::Run()
 {
   mImpl->Start();
-  mImpl->mRuntime.Run(1);
+  mImpl->mProcess.mRuntime.Run(1);
 }
 
 } // namespace heatherplank
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -136,6 +136,13 @@
   }
 
 private:
+  /** Flows that are being opened count as work for as long as a caller takes to
+   * send its request: a round trip, some 10 ms, and what slow balancers add. Of
+   * those that were offered to two hosts one never opens. Counted for 300 ms
+   * each they filled the slots of idle hosts, whose refusals brought more
+   * copies. */
+  static constexpr Duration kOpenWithin = std::chrono::milliseconds(50);
+
   enum class Stage : std::uint8_t
   {
     /** The opening packet went to the host. */
--- /dev/null
+++ b/src/passthrough/PassthroughProcess.cpp
@@ -0,0 +1,121 @@
+#include "src/passthrough/PassthroughProcess.h"
+
+#include <utility>
+
+#include "src/base/Log.h"
+#include "src/wire/PassthroughCodec.h"
+
+namespace heatherplank {
+
+PassthroughProcess::PassthroughProcess(Parts aParts)
+  : mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+           { aParts.mSelf, aParts.mSettings.mControl },
+           [onFrame = std::move(aParts.mOnFrame)](
+             const Hello&, const Frame& aFrame) { onFrame(aFrame); })
+  , mMessages(mLinks)
+  , mStore(aParts.mAdapter.MakeStore(mRuntime.Executor(),
+                                     aParts.mSettings.mPlatform))
+  , mMalformed(
+      mMetrics.GetCounter("messages_refused_total", "reason=\"malformed\""))
+  , mSettings(aParts.mSettings)
+  , mOnSeeds(std::move(aParts.mOnSeeds))
+  , mSeeds(aParts.mSettings.mSeeds)
+  , mDirectory(BalancerDirectory::Make(
+      *mStore, { aParts.mSettings.mDirectory, aParts.mRegisters, aParts.mSeed },
+      [this](std::vector<Address> aFound) {
+        aFound.insert(aFound.end(), mSeeds.begin(), mSeeds.end());
+        mOnSeeds(std::move(aFound));
+      }))
+  , mAdmin(mMetrics, std::move(aParts.mReady))
+{
+}
+
+Result<void> PassthroughProcess::Open()
+{
+  auto executor = mRuntime.Executor();
+  auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+  if (!tunnel) {
+    return tl::unexpected(tunnel.error());
+  }
+  mTunnel = *tunnel;
+  mMessages.SetSocket(mTunnel);
+  auto listening = mLinks.Listen();
+  if (!listening) {
+    return listening;
+  }
+  auto admin = mAdmin.Start(executor, mSettings.mAdmin);
+  if (!admin || mSettings.mMetrics.IsNone()) {
+    return admin;
+  }
+  return mAdmin.Start(executor, mSettings.mMetrics);
+}
+
+std::optional<Frame> PassthroughProcess::Unwrap(ByteView aDatagram)
+{
+  auto frame = DecodeDatagram(aDatagram);
+  if (!frame) {
+    CountMalformed();
+    return std::nullopt;
+  }
+  return *frame;
+}
+
+void PassthroughProcess::Steer(const Address& aTo, const SteeredPacket& aPacket)
+{
+  mTunnel->Send(
+    EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)), aTo);
+}
+
+void PassthroughProcess::Report(const Address& aBalancer,
+                                const PlacementReport& aReport)
+{
+  mTunnel->Send(
+    EncodeDatagram(MessageKind::PlacementReport, EncodePayload(aReport)),
+    aBalancer);
+}
+
+void PassthroughProcess::ToCaller(const Address& aCaller, ByteView aPacket)
+{
+  Address to = aCaller;
+  to.mPort = mSettings.mCallerPort == 0 ? to.mPort : mSettings.mCallerPort;
+  mTunnel->Send(aPacket, to);
+}
+
+void PassthroughProcess::EverySecond()
+{
+  mLinks.Tick();
+  mMetrics.GetGauge("log_lines_dropped")
+    .Set(static_cast<double>(DroppedLogLines()));
+}
+
+void PassthroughProcess::TendDirectory(bool aIsLost, Time aNow)
+{
+  if (!mSettings.mDirectory.empty()) {
+    mDirectory->OnTick(aIsLost, aNow);
+  }
+}
+
+void PassthroughProcess::TakeSeeds(const std::vector<Address>& aSeeds)
+{
+  mSeeds = aSeeds;
+  mOnSeeds(mSeeds);
+  LogEvent(LogLevel::Info, "settings_reloaded", { { "seeds", mSeeds.size() } });
+}
+
+void PassthroughProcess::RefuseSettings(const Error& aWhy)
+{
+  LogEvent(LogLevel::Error, "settings_refused", { { "why", aWhy.Describe() } });
+}
+
+void PassthroughProcess::StopAfter(Duration aAfter)
+{
+  mDirectory->Leave();
+  auto timer =
+    std::make_shared<boost::asio::steady_timer>(mRuntime.Executor(), aAfter);
+  timer->async_wait([this, timer](boost::system::error_code) {
+    LogEvent(LogLevel::Info, "stopped", {});
+    mRuntime.Quit();
+  });
+}
+
+} // namespace heatherplank
--- /dev/null
+++ b/tests/PassthroughWorldFaults.cpp
@@ -0,0 +1,102 @@
+// The faults of a schedule.
+#include "tests/PassthroughWorldParts.h"
+
+namespace heatherplank {
+
+void PassthroughWorld::PlanFault()
+{
+  static constexpr void (PassthroughWorld::*kFaults[])() = {
+    &PassthroughWorld::KillBalancer, &PassthroughWorld::FreezeBalancer,
+    &PassthroughWorld::KillAgent,    &PassthroughWorld::FreezeAgent,
+    &PassthroughWorld::CrashHost,    &PassthroughWorld::DrainHost,
+    &PassthroughWorld::ReuseAddress, &PassthroughWorld::CutAgents
+  };
+  auto fault = kFaults[Pick(std::size(kFaults))];
+  At(Between(100, 2200), [this, fault] { (this->*fault)(); });
+}
+
+void PassthroughWorld::KillBalancer()
+{
+  mBalancers[Pick(mBalancers.size())]->Start();
+}
+
+void PassthroughWorld::FreezeBalancer()
+{
+  Balancer& balancer = *mBalancers[Pick(mBalancers.size())];
+  balancer.mFrozen = true;
+  At(Between(150, 1500), [&balancer] { balancer.Wake(); });
+}
+
+void PassthroughWorld::KillAgent()
+{
+  Agent& agent = *mAgents[Pick(mAgents.size())];
+  agent.mFlows.reset();
+  agent.mHeld.clear();
+  agent.mFrozen = false;
+  ViewsChanged();
+  At(Between(20, 300), [this, &agent] {
+    if (!agent.mFlows) {
+      agent.Start();
+      ViewsChanged();
+    }
+  });
+}
+
+void PassthroughWorld::FreezeAgent()
+{
+  Agent& agent = *mAgents[Pick(mAgents.size())];
+  agent.mFrozen = agent.mFlows != nullptr;
+  At(Between(50, 1200), [&agent] {
+    agent.mFrozen = false;
+    for (auto& it : std::exchange(agent.mHeld, {})) {
+      agent.Do(std::move(it));
+    }
+  });
+}
+
+void PassthroughWorld::CrashHost()
+{
+  Agent& agent = *mAgents[Pick(mAgents.size())];
+  agent.mHost->mAlive = false;
+  // It comes back as a host of the service that its slot is for by then: that
+  // of its agent, as both are set up together.
+  At(Between(50, 900), [this, &agent] {
+    if (!agent.mHost->mAlive) {
+      StartHost(agent, agent.mService.c_str());
+    }
+  });
+}
+
+void PassthroughWorld::DrainHost()
+{
+  Agent& agent = *mAgents[Pick(kHostsOfOne)];
+  agent.mHost->mPhase = HostPhase::Draining;
+  Announce(agent);
+}
+
+/** A host of one service ends, its address and slot go to one of another. */
+void PassthroughWorld::ReuseAddress()
+{
+  Agent& agent = *mAgents[Pick(mAgents.size())];
+  agent.mHost->mAlive = false;
+  agent.mFrozen = false;
+  agent.mHeld.clear();
+  agent.mService = agent.mService == "one" ? "other" : "one";
+  agent.Start();
+  StartHost(agent, agent.mService.c_str());
+  ViewsChanged();
+}
+
+void PassthroughWorld::CutAgents()
+{
+  Agent& one = *mAgents[Pick(mAgents.size())];
+  std::size_t other = Pick(mAgents.size());
+  one.mCutFrom.insert(other);
+  mAgents[other]->mCutFrom.insert(one.mIndex);
+  At(Between(50, 900), [this, &one, other] {
+    one.mCutFrom.erase(other);
+    mAgents[other]->mCutFrom.erase(one.mIndex);
+  });
+}
+
+} // namespace heatherplank
