--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -191,7 +191,6 @@
   void Probe(SteeredPacket& aSteered, const FlowKey& aFlow);
   bool IsOpenHere(Flow& aFlow, const FlowPacket& aPacket) const;
   void OnBounced(ByteView aBytes, const FlowPacket& aPacket, Time aNow);
-  void OnAnswer(const FlowPacket& aPacket, Time aNow);
   void FromHost(const FlowPacket& aPacket, Time aNow);
   void Tell(Table::Entry& aEntry, const Address& aIngress);
   void Reset(const FlowKey& aFlow, std::uint32_t aSequence);
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -36,6 +36,7 @@
       return;
     }
     mCalling = true;
+    mCalledAt = mClock.Now();
     call = ++mCall;
     after = mObjectVersion;
   }
@@ -108,9 +109,14 @@
   {
     std::lock_guard lock(mLock);
     regained = std::exchange(mStoreLost, false);
-    mBackoff.Reset();
     mHeardAt = mClock.Now();
-    mNextAt = mHeardAt;
+    bool waited = mHeardAt - mCalledAt >= mOptions.mShortestWatch;
+    if (*aChange || waited) {
+      mBackoff.Reset();
+      mNextAt = mHeardAt;
+    } else {
+      mNextAt = mHeardAt + mOptions.mFirstPause + mBackoff.Next();
+    }
     if (*aChange) {
       mObjectVersion = (*aChange)->mVersion;
     }
--- a/src/passthrough/InventoryWatch.h
+++ b/src/passthrough/InventoryWatch.h
@@ -37,6 +37,10 @@
      * it is at most this and the call's time-out behind; a shorter wait costs
      * a call each time. */
     Duration mWatchFor = std::chrono::milliseconds(5000);
+    /** A watch that ends with nothing sooner than this did not wait: the next
+     * call pauses, or a store that answers at once would be called in a
+     * stream. */
+    Duration mShortestWatch = std::chrono::milliseconds(250);
     Duration mFirstPause = std::chrono::milliseconds(100);
     Duration mLongestPause = std::chrono::milliseconds(1500);
     std::uint64_t mSeed = 1;
@@ -94,6 +98,7 @@
   std::uint64_t mCall = 0;
   bool mCalling = false;
   Time mNextAt{};
+  Time mCalledAt{};
   /** The object's version at the store, to watch from; 0 to read it whole. */
   std::uint64_t mObjectVersion = 0;
   bool mStoreLost = false;
--- a/tests/InventoryWatchTest.cpp
+++ b/tests/InventoryWatchTest.cpp
@@ -138,6 +138,21 @@
   CHECK_TRUE(mStore.mCalls - calls > 5);
 }
 
+// A store, or something before it, answers each watch at once with nothing.
+TEST(InventoryWatch, WatchesThatDoNotWaitAreNotMadeInAStream)
+{
+  ReadFirst();
+  int calls = mStore.mCalls;
+  for (int i = 0; i < 200; ++i) {
+    if (!mStore.mHeld.empty()) {
+      mStore.Take().mWatched(std::optional<Object>());
+    }
+    mClock.Advance(50ms);
+    mWatch->OnTick();
+  }
+  CHECK_TRUE(mStore.mCalls - calls < 40);
+}
+
 TEST(InventoryWatch, AStoreWithoutRoutesIsNotLost)
 {
   mWatch->OnTick();
