A search is eight walks, so that a dead agent hides little

Ruled out: the limit of 64 hosts (43 in view), the flow's agent (the host was in the order by its rank).

Change: eight walks side by side, the tail shuffled anew for each search.

--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -1,6 +1,7 @@
 #include "src/passthrough/FlowSteering.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "src/base/Log.h"
@@ -18,6 +19,26 @@
  * thousand packets at 50 microseconds. */
 constexpr auto kQueueReadWithin = std::chrono::milliseconds(250);
 
+/** Walks of one search, side by side.
+ *
+ * Failure met: an agent in the middle of a walk was just killed; the packet
+ * ends there, and so does each repeat, until membership misses the agent some
+ * seconds later. Shown by packets that reach the hosts before it and never the
+ * flow's own. Eight walks put each of the ranked hosts at the head of one, and
+ * a dead agent hides at most an eighth of the others. Searches are few: those
+ * of the flows that are open as the fabric moves them. */
+constexpr std::size_t kWalks = 8;
+
+/** Shuffles what comes after the heads, another way for each search, so that a
+ * repeat passes a dead agent at another place. */
+void ShuffleTail(std::vector<const Member*>& aOrder, std::uint64_t aSeed)
+{
+  if (aOrder.size() > kWalks) {
+    std::minstd_rand random(static_cast<std::uint32_t>(aSeed));
+    std::shuffle(aOrder.begin() + kWalks, aOrder.end(), random);
+  }
+}
+
 } // namespace
 
 std::string_view ToString(SteerEvent aEvent)
@@ -316,11 +337,15 @@
                         { "first", order.front()->mTunnel.ToString() },
                         { "others", order.size() - 1 } });
   aSteered.mPurpose = SteerPurpose::Search;
-  aSteered.mCandidates.clear();
-  for (std::size_t i = 1; i < order.size(); ++i) {
-    aSteered.mCandidates.push_back(order[i]->mTunnel);
+  ShuffleTail(order, ++mSearches);
+  std::size_t walks = std::min(kWalks, order.size());
+  for (std::size_t walk = 0; walk < walks; ++walk) {
+    aSteered.mCandidates.clear();
+    for (std::size_t i = walk + walks; i < order.size(); i += walks) {
+      aSteered.mCandidates.push_back(order[i]->mTunnel);
+    }
+    mOutput.Steer(order[walk]->mTunnel, aSteered);
   }
-  mOutput.Steer(order.front()->mTunnel, aSteered);
 }
 
 void FlowSteering::OnNotHere(SteeredPacket aSteered, Time aNow)
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -136,6 +136,8 @@
   std::unordered_map<HostId, Member> mMembers;
   HintCache mHints;
   PlacementWatch mWatch;
+  /** Searches so far. */
+  std::uint64_t mSearches = 0;
   /** Until then packets may have waited for this process to run. */
   Time mStaleUntil{};
   std::array<std::uint64_t, static_cast<std::size_t>(SteerEvent::Last) + 1>
