A host is asked about a flow once

Ruled out: a wrong claim on the flow (a host that answered a second copy is told apart by what the caller acknowledges; guard test).

Change: what a host returned is remembered as not here, until an opening packet.

--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -115,7 +115,8 @@
                       Time aNow)
 {
   FlowKey flow = aPacket.FlowFromCaller();
-  if (auto* entry = mFlows.Find(flow)) {
+  auto* entry = mFlows.Find(flow);
+  if (entry != nullptr && entry->mValue.mStage != Stage::NotHere) {
     PlaceKnown(aSteered, aPacket, *entry, aNow);
     return;
   }
@@ -181,6 +182,7 @@
     Refuse(aSteered, flow, aNow);
     return;
   }
+  entry->mValue.mStage = std::max(entry->mValue.mStage, Stage::Offered);
   Add(HostFlowEvent::Placed);
   LogFlow("placed", { { "flow", flow.ToString() },
                       { "in_progress", mWork.Size() },
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -145,6 +145,14 @@
 
   enum class Stage : std::uint8_t
   {
+    /** The host returned a packet of the flow: it does not hold it, and will
+     * not unless an opening packet comes.
+     *
+     * Failure met: while the agent of a flow's host restarts, the caller's
+     * repeats are searched for, and each of them reaches the hosts of all
+     * agents that restarted before. Shown by packets of an open flow that
+     * arrive at other hosts again and again. A host is asked once. */
+    NotHere,
     /** The opening packet went to the host. */
     Offered,
     /** The host answered it; the caller may still open the flow elsewhere. */
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -24,7 +24,7 @@
 bool HostFlows::IsOpenHere(Flow& aFlow, const FlowPacket& aPacket) const
 {
   if (aFlow.mStage == Stage::Open || !aFlow.mHostSequenceKnown) {
-    return aFlow.mStage != Stage::Offered;
+    return aFlow.mStage >= Stage::Answered;
   }
   if (!aPacket.mAck || !mOptions.mGuards.mMatchAcknowledged) {
     return true;
@@ -42,10 +42,10 @@
     Deliver(aSteered, aPacket, *entry, aNow);
     return;
   }
-  if (entry != nullptr) {
+  if (entry != nullptr && entry->mValue.mStage != Stage::NotHere) {
     // The caller opened the flow at another host that had answered too.
     Forget(flow, aNow);
-  } else if (MayHoldUnknown(aNow)) {
+  } else if (entry == nullptr && MayHoldUnknown(aNow)) {
     Probe(aSteered, flow);
     return;
   }
@@ -192,9 +192,12 @@
   Forget(flow, aNow);
   if (steered.mPurpose == SteerPurpose::Place) {
     PassPlacementOn(steered, flow, aNow);
-  } else {
-    PassSearchOn(steered, flow);
+    return;
+  }
+  if (auto* asked = mFlows.Put(flow, aNow)) {
+    asked->mValue.mStage = Stage::NotHere;
   }
+  PassSearchOn(steered, flow);
 }
 
 void HostFlows::FromHost(const FlowPacket& aPacket, Time aNow)
--- a/tests/HostFlowsTest.cpp
+++ b/tests/HostFlowsTest.cpp
@@ -245,6 +245,28 @@
   CHECK_EQUAL(1, mOut.mToHost.size());
 }
 
+// The agent of a flow's host restarts, and the caller repeats a packet until it
+// is back. Each repeat is searched for; another host must not get them all.
+TEST(HostFlows, AHostIsAskedAboutAFlowOnce)
+{
+  mBeats = 6;
+  Beat();
+  Steer(SteerPurpose::Search, Packet(kAck, 2, 501, false, 10), true);
+  Bounce();
+  for (int i = 0; i < 3; ++i) {
+    mClock.Advance(400ms);
+    Steer(SteerPurpose::Search, Packet(kAck, 2, 501, false, 10), true);
+  }
+  CHECK_EQUAL(1, mOut.mToHost.size());
+  CHECK_EQUAL(4, mOut.mSteered.size());
+  // An opening packet of the same key is a new flow.
+  Steer(SteerPurpose::Place, Packet(kSyn, 1, 0));
+  CHECK_EQUAL(2, mOut.mToHost.size());
+  mFlows->OnHostPacket(Packet(kSyn | kAck, 500, 2, true), mClock.Now());
+  Steer(SteerPurpose::Deliver, Packet(kAck, 2, 501, false, 10));
+  CHECK_EQUAL(3, mOut.mToHost.size());
+}
+
 TEST(HostFlows, AHostKnownFromItsStartIsNotAsked)
 {
   Beat();
