--- a/lab/Garbage.cpp
+++ b/lab/Garbage.cpp
@@ -263,8 +263,11 @@
   }
   report["met"] = met;
   for (const std::string& role : roles) {
-    unlink((folder + "/" + role + ".json").c_str());
-    unlink((folder + "/" + role + ".log").c_str());
+    for (const char* ending : { ".json", ".log" }) {
+      std::string path = folder;
+      path.append("/").append(role).append(ending);
+      unlink(path.c_str());
+    }
   }
   rmdir(folder.c_str());
   std::cout << json::serialize(report) << "\n";
--- a/tests/FlowAdmissionTest.cpp
+++ b/tests/FlowAdmissionTest.cpp
@@ -262,6 +262,43 @@
   CHECK_TRUE(walk.mOrdinary.Share() > 0.98);
 }
 
+// Load: everybody comes back at once after an outage, three seconds' worth of
+// requests in half a second. What can't be in time is told so at once, the
+// important is served first, and a second later nobody notices any more.
+TEST(FlowAdmission, AMassReturnIsOverSoon)
+{
+  Farm walk(7, 7);
+  walk.Play(2800, 0.5, 0.2, true);
+  CHECK_TRUE(walk.mImportant.Share() > 0.8);
+  CHECK_TRUE(walk.mOrdinary.mRefused > walk.mOrdinary.mAsked / 3);
+  walk.Play(470, 1, 0.2, true);
+  walk.mOrdinary = {};
+  walk.Play(470, 5, 0.2, true);
+  CHECK_EQUAL(0, walk.mOrdinary.mRefused);
+  CHECK_TRUE(walk.mOrdinary.Share() > 0.99);
+}
+
+// Load: a few callers make most of the flows, so that their ranks begin at the
+// same two hosts. The walk spreads them over all slots all the same.
+TEST(FlowAdmission, AFewBusyCallersDoNotFillTheirFirstHosts)
+{
+  Farm walk(7, 8);
+  FlowAdmission admission;
+  std::exponential_distribution<double> gap(0.47);
+  std::lognormal_distribution<double> work(2.6, 0.5);
+  int asked = 0;
+  int inTime = 0;
+  for (double now = 0; now < 20000; now += gap(walk.mRandom)) {
+    std::size_t first =
+      walk.mRandom() % 10 < 8 ? walk.mRandom() % 2 : walk.mRandom() % 7;
+    auto* host = walk.Walk(first, Importance::Normal, now);
+    ++asked;
+    inTime +=
+      host != nullptr && walk.Run(*host, now, work(walk.mRandom)) <= 88 ? 1 : 0;
+  }
+  CHECK_TRUE(inTime > asked * 0.995);
+}
+
 // Load: few requests that take twenty times as long among many short ones.
 TEST(FlowAdmission, LongWorkAmongShortBlocksNobodyWhileSlotsAreFree)
 {
