--- a/tests/FlowAdmissionTest.cpp
+++ b/tests/FlowAdmissionTest.cpp
@@ -283,7 +283,6 @@
 TEST(FlowAdmission, AFewBusyCallersDoNotFillTheirFirstHosts)
 {
   Farm walk(7, 8);
-  FlowAdmission admission;
   std::exponential_distribution<double> gap(0.47);
   std::lognormal_distribution<double> work(2.6, 0.5);
   int asked = 0;
