Heartbeats go to three monitors above 24 balancers; searches walk by rank

Ruled out: the fan-out of route versions (8 peers, 48 bytes) and the store's watch do not grow with hosts.

Change: MonitorRule (three monitors, one elsewhere, above 24 balancers); agents that want no peers say so by a digest of 0; the isolation watch weighs the agents that beat to this balancer; searches take the 64 best ranks.

--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -345,9 +345,9 @@
                std::size_t aMonitors)
   {
     BalancerMembershipOptions balancer;
-    balancer.mMonitors = aMonitors;
+    balancer.mMonitors.mCount = aMonitors;
     AgentMembershipOptions agent;
-    agent.mMonitors = aMonitors;
+    agent.mMonitors.mCount = aMonitors;
     agent.mHeartbeatEvery = milliseconds(300);
     balancer.mSeeds = agent.mSeeds = { AddressOf(0) };
     for (std::int64_t i = 0; i < aBalancers; ++i) {
@@ -489,9 +489,9 @@
               std::size_t aMonitors)
   {
     BalancerMembershipOptions balancer;
-    balancer.mMonitors = aMonitors;
+    balancer.mMonitors.mCount = aMonitors;
     AgentMembershipOptions agent;
-    agent.mMonitors = aMonitors;
+    agent.mMonitors.mCount = aMonitors;
     for (int i = 0; i < aDataCentres; ++i) {
       balancer.mSeeds.push_back(AddressOf(i));
     }
--- a/bench/MembershipBench.cpp
+++ b/bench/MembershipBench.cpp
@@ -175,7 +175,7 @@
       mList.push_back(it.mMember);
     }
     BalancerMembershipOptions options;
-    options.mMonitors = 3;
+    options.mMonitors.mCount = 3;
     options.mTable.mSuspectAfter = std::chrono::hours(1);
     mNode = std::make_unique<BalancerMembership>(mList[0], kAllowAll, options,
                                                  1, mNow);
--- a/src/balancer/MemberPlane.cpp
+++ b/src/balancer/MemberPlane.cpp
@@ -171,4 +171,10 @@
   return mMembership.Hosts().Size();
 }
 
+std::size_t MemberPlane::Judged() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.Hosts().Judged(mParts.mClock.Now());
+}
+
 } // namespace heatherplank
--- a/src/balancer/MemberPlane.h
+++ b/src/balancer/MemberPlane.h
@@ -66,6 +66,9 @@
   /** Hosts in view. */
   std::size_t Size() const;
 
+  /** Those of them that should be heard here by now. */
+  std::size_t Judged() const;
+
 private:
   class ConfiguredInventory;
 
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/membership/Monitors.h"
-
 namespace heatherplank {
 
 namespace {
@@ -91,10 +89,12 @@
   beat.mRecord.mAge = aNow - mServingSince;
   beat.mVersion = mPeers.Version();
   mPeers.OnHeartbeat(beat, aNow);
-  beat.mServiceDigest = mPeers.ServiceDigest(mSelf.mService);
+  beat.mServiceDigest =
+    mOptions.mWantsPeers ? mPeers.ServiceDigest(mSelf.mService) : kWantsNoPeers;
   beat.mBalancerDigest = mBalancers.ServiceDigest(BalancerService());
   std::vector<Address> to = Monitors();
-  bool probes = mBeat % kBeatsPerProbe == 0 && mOptions.mMonitors != 0;
+  bool probes = mBeat % kBeatsPerProbe == 0 &&
+                !mOptions.mMonitors.AreAll(Balancers()->mMembers.size());
   if (probes && !to.empty()) {
     to.push_back(AnyBalancer());
   }
@@ -121,16 +121,16 @@
   if (view->mMembers.empty()) {
     return mSeeds;
   }
-  std::size_t n =
-    mOptions.mMonitors == 0 ? view->mMembers.size() : mOptions.mMonitors;
+  std::size_t known = view->mMembers.size();
   // Where all balancers are monitors, those of the settings are too: until the
   // others are known, each would hold this host for silent.
   std::vector<Address> out;
-  if (mOptions.mMonitors == 0) {
+  if (mOptions.mMonitors.AreAll(known)) {
     out = mSeeds;
   }
   for (const Member& it :
-       ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers, n)) {
+       ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers,
+                      mOptions.mMonitors.CountOf(known))) {
     if (std::find(out.begin(), out.end(), it.mControl) == out.end()) {
       out.push_back(it.mControl);
     }
--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -9,6 +9,7 @@
 #include "include/heatherplank/Member.h"
 #include "src/membership/MemberTable.h"
 #include "src/membership/MembershipActions.h"
+#include "src/membership/Monitors.h"
 
 namespace heatherplank {
 
@@ -17,8 +18,11 @@
   /** Control addresses of balancers to begin with, from the settings. */
   std::vector<Address> mSeeds;
   Duration mHeartbeatEvery = std::chrono::milliseconds(500);
-  /** Balancers that are sent heartbeats; 0 for all, as at today's size. */
-  std::size_t mMonitors = 0;
+  /** Balancers that are sent heartbeats. */
+  MonitorRule mMonitors;
+  /** Off where nobody reads Peers: balancers then send no members of the
+   * service, which each change of one would cost in each agent. */
+  bool mWantsPeers = true;
   /** A member that a complete list lacks is dropped after this silence. */
   Duration mDropUnlistedAfter = std::chrono::seconds(30);
 };
--- a/src/membership/BalancerMembership.cpp
+++ b/src/membership/BalancerMembership.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/membership/Monitors.h"
-
 namespace heatherplank {
 
 namespace {
@@ -103,7 +101,8 @@
     mAgents.erase(member.mHost);
     return;
   }
-  mAgents[member.mHost] = { member.mControl, member.mService, aNow };
+  mAgents[member.mHost] = { member.mControl, member.mService,
+                            aBeat.mServiceDigest != kWantsNoPeers, aNow };
   Confirm(aBeat);
   RepairAgent(aBeat, aNow);
 }
@@ -130,7 +129,9 @@
   if (!mStarted || mBudget.Available(aNow) == 0) {
     return;
   }
-  if (aBeat.mServiceDigest != mHosts.ServiceDigest(member.mService)) {
+  bool wantsPeers = aBeat.mServiceDigest != kWantsNoPeers;
+  if (wantsPeers &&
+      aBeat.mServiceDigest != mHosts.ServiceDigest(member.mService)) {
     SendService(member.mControl, mHosts, member.mService, aNow);
   }
   if (aBeat.mBalancerDigest != mBalancers.ServiceDigest(BalancerService())) {
@@ -234,8 +235,8 @@
   beat.mVersion = mHosts.Version();
   mBalancers.OnHeartbeat(beat, aNow);
   MemberViewPtr view = mBalancers.View(BalancerService());
-  std::size_t n =
-    mOptions.mMonitors == 0 ? view->mMembers.size() : mOptions.mMonitors + 1;
+  // One more than judge it, in case this balancer's list is behind theirs.
+  std::size_t n = mOptions.mMonitors.CountOf(view->mMembers.size()) + 1;
   std::vector<Address> to;
   for (const Member& it :
        ChooseMonitors(mSelf.mHost, mSelf.mDataCentre, view->mMembers, n)) {
@@ -274,12 +275,15 @@
   }
   MemberViewPtr view = mBalancers.View(BalancerService());
   mTree.SetBalancers(mSelf.mHost, view->mMembers);
-  if (mOptions.mMonitors == 0) {
+  bool judgedAll =
+    std::exchange(mJudgesAll, mOptions.mMonitors.AreAll(view->mMembers.size()));
+  if (mJudgesAll && judgedAll) {
     return;
   }
   auto monitors = [this, view](const Member& aMember) {
-    return IsMonitor(mSelf.mHost, aMember.mHost, aMember.mDataCentre,
-                     view->mMembers, mOptions.mMonitors);
+    return mJudgesAll ||
+           IsMonitor(mSelf.mHost, aMember.mHost, aMember.mDataCentre,
+                     view->mMembers, mOptions.mMonitors.mCount);
   };
   mHosts.SetMonitored(monitors, aNow);
   mBalancers.SetMonitored(monitors, aNow);
@@ -331,7 +335,7 @@
       continue;
     }
     auto news = byService.find(agent.mService);
-    if (news != byService.end()) {
+    if (agent.mWantsPeers && news != byService.end()) {
       Send(agent.mControl, news->second);
     }
     if (!balancers.mRecords.empty()) {
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -12,6 +12,7 @@
 #include "src/membership/ByteBudget.h"
 #include "src/membership/MemberTable.h"
 #include "src/membership/MembershipActions.h"
+#include "src/membership/Monitors.h"
 #include "src/membership/SpreadTree.h"
 
 namespace heatherplank {
@@ -34,8 +35,8 @@
   /** Control addresses of balancers to begin with, from the settings. */
   std::vector<Address> mSeeds;
   Duration mHeartbeatEvery = std::chrono::milliseconds(500);
-  /** Monitors of a host; 0 for all balancers, as at today's size. */
-  std::size_t mMonitors = 0;
+  /** Monitors of a host, and of a balancer. */
+  MonitorRule mMonitors;
   /** Changes wait this long for others to share their message. */
   Duration mFlushEvery = std::chrono::milliseconds(100);
   /** Bytes a second for changes and repair, and for snapshots to a new
@@ -101,6 +102,7 @@
   {
     Address mControl;
     ServiceId mService;
+    bool mWantsPeers = true;
     Time mHeardAt{};
   };
 
@@ -144,6 +146,8 @@
   Time mBeatAt{};
   Time mFlushAt{};
   Time mDigestAt{};
+  /** Every balancer is a monitor of every host. */
+  bool mJudgesAll = true;
 
   // Start: the snapshot's cursor, the peer asked, and when.
   bool mStarted = false;
--- a/src/membership/MemberRecord.h
+++ b/src/membership/MemberRecord.h
@@ -60,6 +60,9 @@
  * which differ between tables at rest. */
 std::uint64_t HashRecord(const MemberRecord& aRecord);
 
+/** Service digest of an agent that holds no peers, and is to be sent none. */
+constexpr std::uint64_t kWantsNoPeers = 0;
+
 struct Heartbeat
 {
   MemberTableId mTable = MemberTableId::Hosts;
@@ -67,7 +70,8 @@
   /** Highest view version that the sender has seen. It carries the version
    * over a restart of all balancers. */
   std::uint64_t mVersion = 0;
-  /** MemberTable::ServiceDigest of the sender's own service, or 0. */
+  /** MemberTable::ServiceDigest of the sender's own service, or
+   * kWantsNoPeers. */
   std::uint64_t mServiceDigest = 0;
   /** MemberTable::ServiceDigest of the balancers it knows, or 0. */
   std::uint64_t mBalancerDigest = 0;
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -295,6 +295,13 @@
   }
 }
 
+std::size_t MemberTable::Judged(Time aNow) const
+{
+  auto heard = std::ranges::count_if(
+    mHeard, [aNow](const MemberEntry& aIt) { return aIt.mHeardAt <= aNow; });
+  return static_cast<std::size_t>(heard) + mSilent.size();
+}
+
 void MemberTable::Recheck(Time aNow)
 {
   for (auto it = mEntries.begin(); it != mEntries.end();) {
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -173,6 +173,9 @@
   std::uint64_t Version() const { return mVersion; }
   /** Members in view. */
   std::size_t Size() const { return mEntries.size() - mGone.size(); }
+  /** Members in view whose silence this table judges, without those whose
+   * silence it forgives now. */
+  std::size_t Judged(Time aNow) const;
   std::size_t Tombstones() const { return mGone.size(); }
   std::uint64_t Count(MemberEvent aEvent) const;
 
--- a/src/membership/Monitors.cpp
+++ b/src/membership/Monitors.cpp
@@ -11,10 +11,29 @@
   return MixHash(aHost.mValue, aBalancer.mHost.mValue);
 }
 
-/** A balancer is a host to the others, and can't judge its own silence. */
-bool IsNear(const Member& aBalancer, HostId aHost, DataCentreId aDataCentre)
+/** How many monitors come from the host's own data centre, and how many from
+ * others. */
+struct Quota
 {
-  return aBalancer.mDataCentre == aDataCentre && aBalancer.mHost != aHost;
+  std::size_t mNear = 0;
+  std::size_t mFar = 0;
+};
+
+Quota QuotaOf(std::size_t aNear, std::size_t aFar, std::size_t aCount)
+{
+  std::size_t kept = aFar > 0 && aCount > 1 ? aCount - 1 : aCount;
+  std::size_t near = std::min(aNear, kept);
+  std::size_t far = std::min(aFar, aCount - near);
+  return { std::min(aNear, aCount - far), far };
+}
+
+/** The best aCount of a list, which is reordered. */
+std::span<const Member> Best(std::vector<Member>& aList, HostId aHost,
+                             std::size_t aCount)
+{
+  std::ranges::sort(aList, std::ranges::greater{},
+                    [aHost](const Member& aIt) { return ScoreOf(aHost, aIt); });
+  return std::span<const Member>(aList).first(std::min(aCount, aList.size()));
 }
 
 } // namespace
@@ -23,21 +42,22 @@
                                    std::span<const Member> aBalancers,
                                    std::size_t aCount)
 {
-  std::vector<Member> out;
+  std::vector<Member> near;
+  std::vector<Member> far;
   for (const Member& it : aBalancers) {
-    if (IsNear(it, aHost, aDataCentre)) {
-      out.push_back(it);
+    // A balancer is a host to the others, and can't judge its own silence.
+    if (it.mHost != aHost) {
+      (it.mDataCentre == aDataCentre ? near : far).push_back(it);
     }
   }
-  if (out.empty()) {
-    out.assign(aBalancers.begin(), aBalancers.end());
-    std::erase_if(out,
-                  [aHost](const Member& aIt) { return aIt.mHost == aHost; });
+  Quota quota = QuotaOf(near.size(), far.size(), aCount);
+  std::vector<Member> out;
+  for (const Member& it : Best(near, aHost, quota.mNear)) {
+    out.push_back(it);
+  }
+  for (const Member& it : Best(far, aHost, quota.mFar)) {
+    out.push_back(it);
   }
-  std::ranges::sort(out, [aHost](const Member& aLeft, const Member& aRight) {
-    return ScoreOf(aHost, aLeft) > ScoreOf(aHost, aRight);
-  });
-  out.resize(std::min(aCount, out.size()));
   return out;
 }
 
@@ -48,19 +68,21 @@
   if (self == aBalancers.end() || aSelf == aHost) {
     return false;
   }
-  bool anyNear = std::ranges::any_of(aBalancers, [&](const Member& aIt) {
-    return IsNear(aIt, aHost, aDataCentre);
-  });
-  if (anyNear && !IsNear(*self, aHost, aDataCentre)) {
-    return false;
-  }
+  bool isNear = self->mDataCentre == aDataCentre;
   std::uint64_t mine = ScoreOf(aHost, *self);
-  auto better = std::ranges::count_if(aBalancers, [&](const Member& aIt) {
-    bool counts =
-      anyNear ? IsNear(aIt, aHost, aDataCentre) : aIt.mHost != aHost;
-    return counts && ScoreOf(aHost, aIt) > mine;
-  });
-  return static_cast<std::size_t>(better) < aCount;
+  std::size_t near = 0;
+  std::size_t far = 0;
+  std::size_t better = 0;
+  for (const Member& it : aBalancers) {
+    if (it.mHost == aHost) {
+      continue;
+    }
+    bool itIsNear = it.mDataCentre == aDataCentre;
+    ++(itIsNear ? near : far);
+    better += itIsNear == isNear && ScoreOf(aHost, it) > mine ? 1 : 0;
+  }
+  Quota quota = QuotaOf(near, far, aCount);
+  return better < (isNear ? quota.mNear : quota.mFar);
 }
 
 } // namespace heatherplank
--- a/src/passthrough/CandidateOrder.cpp
+++ b/src/passthrough/CandidateOrder.cpp
@@ -39,14 +39,9 @@
   auto ranked = aView.Ranked(aFlowHash);
   std::vector<const Member*> first(ranked.begin(), ranked.end());
   auto out = Order(first, aInputs);
-  for (const Member& it : aView.Members()) {
-    if (out.size() >= kMostSearched) {
-      break;
-    }
-    bool isLeft = it.mState != HostState::Leaving &&
-                  std::find(first.begin(), first.end(), &it) == first.end();
-    if (isLeft) {
-      out.push_back(&it);
+  for (const Member* it : aView.RankedDeep(aFlowHash, kMostSearched)) {
+    if (out.size() < kMostSearched && std::ranges::count(first, it) == 0) {
+      out.push_back(it);
     }
   }
   return out;
--- a/src/passthrough/CandidateOrder.h
+++ b/src/passthrough/CandidateOrder.h
@@ -30,10 +30,13 @@
                                              std::uint64_t aFlowHash,
                                              const OrderInputs& aInputs);
 
-/** Most hosts that a search walks. Members come and go between the placement
- * and the search, which pushes a flow's host down its ranks, so the others are
- * walked after the ranked ones; a walk takes about half a millisecond a host,
- * and callers repeat a packet after 200 ms. */
+/** Most hosts that a search walks, in the flow's own order.
+ *
+ * Failure met: members came between the placement and the search and pushed the
+ * flow's host down its ranks; shown by a flow that no walk reaches. A host that
+ * stood among the first eight of a part of the members stands among the first
+ * 64 of all if that part was an eighth or more. A walk takes about half a
+ * millisecond a host, and callers repeat a packet after 200 ms. */
 constexpr std::size_t kMostSearched = 64;
 
 /** Hosts that may hold a flow, those that drain too. Thread safe if aInputs
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -7,6 +7,7 @@
 #include "src/agent/MemberFeed.h"
 #include "src/base/Log.h"
 #include "src/net/HttpServer.h"
+#include "src/passthrough/HeartbeatRule.h"
 #include "src/passthrough/HostFlows.h"
 #include "src/passthrough/PassthroughProcess.h"
 #include "src/process/WallClock.h"
@@ -19,7 +20,6 @@
 
 constexpr auto kTick = std::chrono::milliseconds(50);
 constexpr auto kSecond = std::chrono::seconds(1);
-constexpr auto kHeartbeatEvery = std::chrono::milliseconds(500);
 /** Announcements that a host may miss before it counts as silent. */
 constexpr int kMissedAnnouncements = 3;
 /** Heartbeats are answered within milliseconds, and one of them may be lost; an
@@ -48,6 +48,8 @@
   AgentMembershipOptions options;
   options.mSeeds = std::move(aSeeds);
   options.mHeartbeatEvery = kHeartbeatEvery;
+  options.mMonitors = kMonitorRule;
+  options.mWantsPeers = false;
   return options;
 }
 
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -7,6 +7,7 @@
 #include "src/balancer/MemberPlane.h"
 #include "src/base/Log.h"
 #include "src/passthrough/FlowSteering.h"
+#include "src/passthrough/HeartbeatRule.h"
 #include "src/passthrough/InventoryPeers.h"
 #include "src/passthrough/InventoryWatch.h"
 #include "src/passthrough/IsolationWatch.h"
@@ -54,6 +55,7 @@
 {
   BalancerMembershipOptions options;
   options.mSeeds = std::move(aSeeds);
+  options.mMonitors = kMonitorRule;
   // Three heartbeats of an agent. Flows do not wait for it: a host that says
   // nothing to an opening packet is tried last at once.
   options.mTable.mSuspectAfter = std::chrono::milliseconds(1600);
@@ -223,7 +225,7 @@
     for (const Member& it : mMembers.Balancers()) {
       mBalancerAddresses.push_back(it.mTunnel);
     }
-    std::size_t agents = mMembers.Size();
+    std::size_t agents = mMembers.Judged();
     bool isolated = mIsolation.IsIsolated(agents, aNow);
     if (isolated != mIsolated) {
       mIsolated = isolated;
--- a/src/passthrough/IsolationWatch.h
+++ b/src/passthrough/IsolationWatch.h
@@ -30,8 +30,8 @@
   static constexpr Duration kSilentAfter = std::chrono::milliseconds(750);
   /** Of so many agents in view one must be heard. */
   static constexpr std::size_t kOneOf = 3;
-  /** Agents that are silent for this long are forgotten here; membership has
-   * judged them by then. */
+  /** Agents that are silent for this long are forgotten here, unless the
+   * silence is this balancer's own; membership has judged them by then. */
   static constexpr Duration kForgetAfter = std::chrono::seconds(10);
 
   /** A message of an agent came. */
@@ -45,22 +45,26 @@
     }
   }
 
-  /** aAgents: those in view. False before any was heard: a balancer that starts
-   * before its agents is not cut off. */
+  /** aAgents: those in view that beat to this balancer. False before any was
+   * heard: a balancer that starts before its agents is not cut off. */
   bool IsIsolated(std::size_t aAgents, Time aNow)
   {
-    std::erase_if(mHeard, [&](const auto& aIt) {
-      return aNow - aIt.second > kForgetAfter;
-    });
+    if (!mIsIsolated) {
+      std::erase_if(mHeard, [&](const auto& aIt) {
+        return aNow - aIt.second > kForgetAfter;
+      });
+    }
     auto heard = static_cast<std::size_t>(
       std::count_if(mHeard.begin(), mHeard.end(), [&](const auto& aIt) {
         return aNow - aIt.second <= kSilentAfter;
       }));
-    return !mHeard.empty() && heard * kOneOf < aAgents;
+    mIsIsolated = !mHeard.empty() && heard * kOneOf < aAgents;
+    return mIsIsolated;
   }
 
 private:
   std::unordered_map<Address, Time> mHeard;
+  bool mIsIsolated = false;
 };
 
 } // namespace heatherplank
--- a/src/steer/RankTable.cpp
+++ b/src/steer/RankTable.cpp
@@ -135,6 +135,25 @@
   return ToMembers(out);
 }
 
+std::vector<std::uint16_t> RankTable::BestByScan(std::uint64_t aFlowHash,
+                                                 std::size_t aCount) const
+{
+  std::vector<std::pair<double, std::uint16_t>> drawn;
+  drawn.reserve(mHosts.size());
+  for (const Host& it : mHosts) {
+    drawn.emplace_back(Draw(aFlowHash, it), it.mMember);
+  }
+  std::size_t n = std::min(aCount, drawn.size());
+  std::ranges::partial_sort(drawn,
+                            drawn.begin() + static_cast<std::ptrdiff_t>(n));
+  std::vector<std::uint16_t> out;
+  out.reserve(n);
+  for (std::size_t i = 0; i < n; ++i) {
+    out.push_back(drawn[i].second);
+  }
+  return out;
+}
+
 std::uint16_t RankTable::First(std::uint64_t aFlowHash) const
 {
   if (!mBuckets.empty() || !mSameWeights) {
--- a/src/steer/RankTable.h
+++ b/src/steer/RankTable.h
@@ -47,6 +47,12 @@
   /** The best aCount of those that can adopt. */
   Ranks BestAdoptable(std::uint64_t aFlowHash, std::size_t aCount) const;
 
+  /** The best aCount that are not leaving, by a scan whatever their number: for
+   * searches, which are seldom. Above the scan limit the order differs from
+   * that of Best. */
+  std::vector<std::uint16_t> BestByScan(std::uint64_t aFlowHash,
+                                        std::size_t aCount) const;
+
   /** The first of BestAdoptable, or kNobody: a balancer needs no more. */
   std::uint16_t First(std::uint64_t aFlowHash) const;
 
--- a/src/steer/ServiceView.cpp
+++ b/src/steer/ServiceView.cpp
@@ -41,6 +41,16 @@
   return out;
 }
 
+std::vector<const Member*> ServiceView::RankedDeep(std::uint64_t aFlowHash,
+                                                   std::size_t aCount) const
+{
+  std::vector<const Member*> out;
+  for (std::uint16_t it : mRanks.BestByScan(aFlowHash, aCount)) {
+    out.push_back(&mMembers[it]);
+  }
+  return out;
+}
+
 RankedMembers ServiceView::Candidates(std::uint64_t aFlowHash,
                                       std::size_t aCount) const
 {
--- a/src/steer/ServiceView.h
+++ b/src/steer/ServiceView.h
@@ -54,6 +54,11 @@
    */
   RankedMembers Ranked(std::uint64_t aFlowHash) const;
 
+  /** The best aCount members that may own a flow, however many: who to ask when
+   * the first ranks do not have it. Costs a scan of all members. */
+  std::vector<const Member*> RankedDeep(std::uint64_t aFlowHash,
+                                        std::size_t aCount) const;
+
   /** The best aCount members that may adopt a new flow; empty if none may.
    * Precondition: aCount <= kRankDepth.
    */
--- a/tests/CandidateOrderTest.cpp
+++ b/tests/CandidateOrderTest.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/CandidateOrder.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -72,3 +73,24 @@
   auto view = MakeServiceView({ 1 }, 1, Hosts(200));
   CHECK_EQUAL(kMostSearched, OrderForSearch(*view, 5, From("a")).size());
 }
+
+// A power cut takes most machines; flows are opened on the first forty hosts
+// that are heard again. Then the other 132 come back, the balancers are
+// replaced, and a flow's host stands far below its first eight ranks. A search
+// that walks any 64 of the members misses it in two cases of three, and the
+// flow hangs.
+TEST(CandidateOrder, FindsAFlowWhoseHostFellFarDownItsRanks)
+{
+  constexpr int kAll = 172;
+  constexpr int kFirstBack = 40;
+  auto all = MakeServiceView({ 1 }, 1, Hosts(kAll), kAll);
+  auto few = MakeServiceView({ 1 }, 1, Hosts(kFirstBack), kAll);
+  int missed = 0;
+  for (std::uint64_t flow = 0; flow < 1000; ++flow) {
+    std::uint64_t hash = MixHash(flow, 1);
+    HostId host = OrderForPlacement(*few, hash, From("a"))[0]->mHost;
+    auto order = OrderForSearch(*all, hash, From("a"));
+    missed += std::ranges::count(order, host, &Member::mHost) == 0 ? 1 : 0;
+  }
+  CHECK_EQUAL(0, missed);
+}
--- a/tests/IsolationWatchTest.cpp
+++ b/tests/IsolationWatchTest.cpp
@@ -42,6 +42,20 @@
   CHECK_FALSE(Isolated());
 }
 
+// The cut lasts longer than dead agents are remembered. A balancer that then
+// forgets whom it used to hear would call itself ready again in the midst of
+// it.
+TEST(IsolationWatch, ALongCutStaysACut)
+{
+  Hear(0, kAgents);
+  for (int i = 0; i < 60; ++i) {
+    mClock.Advance(1s);
+    CHECK_TRUE(Isolated());
+  }
+  Hear(0, kAgents);
+  CHECK_FALSE(Isolated());
+}
+
 TEST(IsolationWatch, SomeDeadAgentsAreNoCut)
 {
   Hear(0, kAgents);
--- a/tests/MembershipFleet.h
+++ b/tests/MembershipFleet.h
@@ -36,10 +36,15 @@
   };
 
   MembershipFleet(std::uint64_t aSeed, int aBalancers, int aAgents,
-                  const BalancerMembershipOptions& aOptions = {})
+                  const BalancerMembershipOptions& aOptions = {},
+                  int aDataCentres = 1, bool aAgentsWantPeers = true)
     : mRandom(aSeed)
     , mOptions(aOptions)
-    , mAgentOptions{ {}, aOptions.mHeartbeatEvery, aOptions.mMonitors }
+    , mAgentOptions{ {},
+                     aOptions.mHeartbeatEvery,
+                     aOptions.mMonitors,
+                     aAgentsWantPeers }
+    , mDataCentres(aDataCentres)
   {
     for (int i = 0; i < aBalancers; ++i) {
       mOptions.mSeeds.push_back(AddressOf(i));
@@ -70,6 +75,7 @@
     self.mHost = MakeHostId("balancer-" + std::to_string(aIndex));
     self.mIncarnation = mNextIncarnation++;
     self.mControl = AddressOf(aIndex);
+    self.mDataCentre = DataCentreOf(aIndex);
     mBalancers[aIndex] = std::make_unique<BalancerMembership>(
       self, mAllowAll, mOptions, mRandom(), mNow);
   }
@@ -81,11 +87,18 @@
     self.mService = Service();
     self.mIncarnation = mNextIncarnation++;
     self.mControl = AddressOf(kAgentPorts + aIndex);
+    self.mDataCentre = DataCentreOf(aIndex);
     mAgents[aIndex] = std::make_unique<AgentMembership>(
       self, mAllowAll, mAgentOptions, mRandom(), mNow);
     mAgents[aIndex]->SetState(HostState::Serving, mNow);
   }
 
+  /** Processes are dealt out to the data centres in turn. */
+  DataCentreId DataCentreOf(int aIndex) const
+  {
+    return MakeDataCentreId("dc-" + std::to_string(aIndex % mDataCentres));
+  }
+
   /** Moves the clock by steps of 50 ms. */
   void Run(Duration aFor)
   {
@@ -233,6 +246,7 @@
   AllowAll mAllowAll;
   BalancerMembershipOptions mOptions;
   AgentMembershipOptions mAgentOptions;
+  const int mDataCentres;
   Incarnation mNextIncarnation = 1;
   std::uint64_t mOrder = 0;
   std::priority_queue<Envelope, std::vector<Envelope>, std::greater<>> mPost;
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -17,7 +17,7 @@
 {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     BalancerMembershipOptions options;
-    options.mMonitors = seed % 2 == 0 ? 2 : 0;
+    options.mMonitors.mCount = seed % 2 == 0 ? 2 : 0;
     MembershipFleet fleet(seed, 4, 12, options);
     fleet.mNetwork = { 20, 10, 300 };
     for (int step = 0; step < 12; ++step) {
@@ -132,7 +132,7 @@
 {
   BalancerMembershipOptions options;
   options.mChunkRecords = 8;
-  options.mMonitors = 1;
+  options.mMonitors.mCount = 1;
   MembershipFleet fleet(1, 3, 100, options);
   fleet.Run(5s);
   fleet.AddBalancer(2);
