An emulator that compares placements; places to wait at kept for the important

Ruled out: the network's share and the choice of candidates (the same with one host's candidates). Change: two of the seven places are for the important.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -8,6 +8,7 @@
 
 #include "lab/Garbage.h"
 #include "lab/Run.h"
+#include "lab/flows/FlowExperiment.h"
 #include "lab/soak/FlowSoak.h"
 
 using namespace heatherplank::lab;
@@ -16,10 +17,12 @@
 
 constexpr const char* kUsage =
   "usage: lab run SCENARIO.json --bin PATH/heatherplank [--keep]\n"
+  "       lab flows EXPERIMENT.json [--svg=FILE]\n"
   "       lab garbage --bin PATH/heatherplank\n"
   "       lab soak --bin PATH/heatherplank [--seed N] [--seconds S]\n"
   "           [--balancers B] [--hosts H] [--wide]\n"
-  "Plays a scenario with real processes, or throws garbage at their ports\n"
+  "Plays a scenario with real processes, throws garbage at their ports, or\n"
+  "compares placements of opaque flows on a deployment's load\n"
   "(docs/LAB.md). Exit codes: 0 all\n"
   "expectations met, 1 some not, 2 wrong usage or scenario, 3 not played.\n";
 
@@ -85,6 +88,32 @@
   return static_cast<int>(RunSoak(options) ? RunResult::Met : RunResult::Unmet);
 }
 
+/** Compares placements of opaque flows. */
+int Flows(int aCount, char** aArguments)
+{
+  constexpr std::string_view kSvg = "--svg=";
+  std::string file;
+  std::string svg;
+  for (int i = 2; i < aCount; ++i) {
+    std::string_view argument = aArguments[i];
+    if (argument.starts_with(kSvg)) {
+      svg = argument.substr(kSvg.size());
+    } else {
+      file = argument;
+    }
+  }
+  if (file.empty()) {
+    std::cerr << kUsage;
+    return static_cast<int>(RunResult::Usage);
+  }
+  auto done = RunFlowExperiment(file, svg);
+  if (!done) {
+    std::cerr << "lab: " << done.error().Describe() << "\n";
+    return static_cast<int>(RunResult::Usage);
+  }
+  return static_cast<int>(RunResult::Met);
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -94,6 +123,9 @@
   if (garbage) {
     return static_cast<int>(RunGarbage(aArguments[3]));
   }
+  if (aCount > 1 && std::string_view(aArguments[1]) == "flows") {
+    return Flows(aCount, aArguments);
+  }
   if (aCount > 1 && std::string_view(aArguments[1]) == "soak") {
     return Soak(aCount, aArguments);
   }
--- a/src/passthrough/FlowAdmission.cpp
+++ b/src/passthrough/FlowAdmission.cpp
@@ -23,12 +23,13 @@
 bool FlowAdmission::IsWorthWaiting(const HostCondition& aHost,
                                    const FlowOffer& aOffer) const
 {
-  if (aHost.mInProgress >= aHost.mSlots + mOptions.mMostWaiting) {
+  bool important = aOffer.mImportance >= Importance::High;
+  std::uint32_t places =
+    mOptions.mMostWaiting - (important ? 0 : mOptions.mKeptForImportant);
+  if (aHost.mInProgress >= aHost.mSlots + places) {
     return false;
   }
-  double share = aOffer.mImportance >= Importance::High
-                   ? mOptions.mImportantWaitShare
-                   : mOptions.mWaitShare;
+  double share = important ? mOptions.mImportantWaitShare : mOptions.mWaitShare;
   auto limit = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, Duration::period>(
       static_cast<double>(aOffer.mLatencyTarget.count()) * share));
--- a/src/passthrough/FlowAdmission.h
+++ b/src/passthrough/FlowAdmission.h
@@ -77,6 +77,13 @@
     /** Most requests that wait at one host: hosts keep a short queue and
      * turn away what exceeds it, with the work of opening the flow wasted. */
     std::uint32_t mMostWaiting = 7;
+    /** Of these places, those that only flows of High importance and above
+     * take. Where the places run out before the target's share does, as at a
+     * target of 200 ms, the important would else be refused like the rest:
+     * at 1.3 times the slots 79 % of each were in time, with two kept 100 % and
+     * 71 %. One does it under a steady load; the second is for important ones
+     * that come together. */
+    std::uint32_t mKeptForImportant = 2;
   };
 
   FlowAdmission() = default;
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -199,8 +199,8 @@
   mOutput.ToCaller(aFlow.mCaller, mFormat.MakeReset(aFlow, 0));
 }
 
-/** A later copy is dropped: the first one may have opened the flow elsewhere, and
- * a refusal would reset it. */
+/** A later copy is dropped: the first one may have opened the flow elsewhere,
+ * and a refusal would reset it. */
 void FlowSteering::RefuseOrDrop(const FlowKey& aFlow, bool aIsLater,
                                 SteerEvent aWhy)
 {
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -95,11 +95,11 @@
 
   /** This process has just started.
    *
-   * Failure met: its former life offered a flow that is open by now; a copy of the
-   * opening packet, doubled or late in the fabric, meets the new one, which knows
-   * no host and resets the flow. Shown by a refusal some milliseconds after a
-   * start. The former life's offers can't be known, so for a moment every opening
-   * packet counts as a later copy. */
+   * Failure met: its former life offered a flow that is open by now; a copy of
+   * the opening packet, doubled or late in the fabric, meets the new one, which
+   * knows no host and resets the flow. Shown by a refusal some milliseconds
+   * after a start. The former life's offers can't be known, so for a moment
+   * every opening packet counts as a later copy. */
   void OnStart(Time aNow);
 
   /** Call it at NextAt, or later. */
--- a/tests/FlowAdmissionTest.cpp
+++ b/tests/FlowAdmissionTest.cpp
@@ -1,13 +1,14 @@
 #include "src/passthrough/FlowAdmission.h"
 
-#include <algorithm>
-#include <queue>
 #include <random>
 #include <vector>
 
+#include "lab/flows/FlowFarm.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace heatherplank;
+using namespace heatherplank::lab;
 using namespace std::chrono_literals;
 
 namespace {
@@ -31,115 +32,34 @@
   return out;
 }
 
-/** Some hosts of two slots under a Poisson load, placed by the walk or blindly.
- * Gives what share of the requests was answered within the target. */
-struct Farm
+/** Seven hosts of two slots under a load that is a fifth important. */
+struct Farm : FlowFarm
 {
-  explicit Farm(std::size_t aHosts, unsigned aSeed)
-    : mHosts(aHosts)
-    , mRandom(aSeed)
-  {
-  }
-
-  struct Tally
-  {
-    int mAsked = 0;
-    int mInTime = 0;
-    int mRefused = 0;
-    double Share() const { return static_cast<double>(mInTime) / mAsked; }
-  };
-
-  struct Machine
-  {
-    /** When each slot is free, ms. */
-    std::vector<double> mSlots = { 0, 0 };
-    std::vector<double> mEnds;
-    double mSlowness = 1;
-  };
-
-  std::uint32_t InProgress(Machine& aHost, double aNow)
-  {
-    std::erase_if(aHost.mEnds, [&](double aEnd) { return aEnd <= aNow; });
-    return static_cast<std::uint32_t>(aHost.mEnds.size());
-  }
-
-  double Run(Machine& aHost, double aNow, double aWork)
+  explicit Farm(unsigned aSeed)
+    : FlowFarm(7, aSeed)
   {
-    auto slot = std::min_element(aHost.mSlots.begin(), aHost.mSlots.end());
-    *slot = std::max(*slot, aNow) + aWork * aHost.mSlowness;
-    aHost.mEnds.push_back(*slot);
-    return *slot - aNow;
   }
 
-  /** The walk of the candidates from a host on; none if refused. */
-  Machine* Walk(std::size_t aFirst, Importance aImportance, double aNow)
+  void Play(double aPerSecond, double aSeconds, FlowPlacement aPlacement,
+            double aTargetMs = kTargetMs)
   {
-    FlowAdmission admission;
-    Machine* best = nullptr;
-    Duration bestWait{};
-    for (std::size_t i = 0; i < mHosts.size(); ++i) {
-      Machine& host = mHosts[(aFirst + i) % mHosts.size()];
-      auto condition = Host(InProgress(host, aNow));
-      auto offer = Offer(i + 1 < mHosts.size(), aImportance);
-      offer.mHasBest = best != nullptr;
-      offer.mBestWait = bestWait;
-      switch (admission.Decide(condition, offer)) {
-        case FlowDecision::Take:
-          return &host;
-        case FlowDecision::Refuse:
-          return nullptr;
-        case FlowDecision::ToBest: {
-          auto must = Offer(false, aImportance);
-          must.mMustTake = true;
-          auto decided = admission.Decide(Host(InProgress(*best, aNow)), must);
-          return decided == FlowDecision::Take ? best : nullptr;
-        }
-        case FlowDecision::PassOn:
-          break;
-      }
-      Duration wait = FlowAdmission::WaitAt(condition);
-      if (best == nullptr || wait < bestWait) {
-        best = &host;
-        bestWait = wait;
-      }
-    }
-    return nullptr;
+    const FlowClass classes[] = {
+      { "ordinary", 0.8 * aPerSecond, kWorkMs, aTargetMs, Importance::Normal },
+      { "important", 0.2 * aPerSecond, kWorkMs, aTargetMs, Importance::High },
+    };
+    FlowFarm::Play(classes, aSeconds, aPlacement);
   }
 
-  void Play(double aPerSecond, double aSeconds, double aImportantShare,
-            bool aByWalk)
-  {
-    std::exponential_distribution<double> gap(aPerSecond / 1000);
-    std::lognormal_distribution<double> work(2.6, 0.5);
-    std::uniform_real_distribution<double> share(0, 1);
-    double end = mNow + aSeconds * 1000;
-    for (; mNow < end; mNow += gap(mRandom)) {
-      double now = mNow;
-      bool important = share(mRandom) < aImportantShare;
-      Tally& tally = important ? mImportant : mOrdinary;
-      ++tally.mAsked;
-      std::size_t first = mRandom() % mHosts.size();
-      Machine* host =
-        aByWalk
-          ? Walk(first, important ? Importance::High : Importance::Normal, now)
-          : &mHosts[first];
-      if (host == nullptr) {
-        ++tally.mRefused;
-        continue;
-      }
-      // Handshakes take some 12 ms of the target.
-      tally.mInTime += Run(*host, now, work(mRandom)) <= 88 ? 1 : 0;
-    }
-  }
+  FlowTally& Ordinary() { return mTallies[0]; }
+  FlowTally& Important() { return mTallies[1]; }
 
-  std::vector<Machine> mHosts;
-  std::mt19937 mRandom;
-  /** Goes on from one play to the next, ms. */
-  double mNow = 0;
-  Tally mOrdinary;
-  Tally mImportant;
+  static constexpr double kWorkMs = 15;
+  static constexpr double kTargetMs = 100;
 };
 
+constexpr auto kWalk = FlowPlacement::Walk;
+constexpr auto kBlind = FlowPlacement::Modulo;
+
 } // namespace
 
 TEST_GROUP(FlowAdmission)
@@ -211,27 +131,27 @@
 // lets one request in some wait behind others while slots are free.
 TEST(FlowAdmission, AtHalfLoadNobodyWaits)
 {
-  Farm walk(7, 1);
-  walk.Play(470, 60, 0.2, true);
-  Farm blind(7, 1);
-  blind.Play(470, 60, 0.2, false);
-  CHECK_TRUE(walk.mOrdinary.Share() > 0.997);
-  CHECK_TRUE(walk.mOrdinary.Share() > blind.mOrdinary.Share());
-  CHECK_EQUAL(0, walk.mOrdinary.mRefused);
+  Farm walk(1);
+  walk.Play(470, 60, kWalk);
+  Farm blind(1);
+  blind.Play(470, 60, kBlind);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.997);
+  CHECK_TRUE(walk.Ordinary().Share() > blind.Ordinary().Share());
+  CHECK_EQUAL(0, walk.Ordinary().mRefused);
 }
 
 // Load: one host of seven works four times slower, unknown to anybody. The walk
 // meets its busy slots and goes on; blind placement queues there.
 TEST(FlowAdmission, ASlowHostCostsLittle)
 {
-  Farm walk(7, 2);
+  Farm walk(2);
   walk.mHosts[3].mSlowness = 4;
-  walk.Play(470, 60, 0.2, true);
-  Farm blind(7, 2);
+  walk.Play(470, 60, kWalk);
+  Farm blind(2);
   blind.mHosts[3].mSlowness = 4;
-  blind.Play(470, 60, 0.2, false);
-  CHECK_TRUE(walk.mOrdinary.Share() > 0.96);
-  CHECK_TRUE(blind.mOrdinary.Share() < 0.93);
+  blind.Play(470, 60, kBlind);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.96);
+  CHECK_TRUE(blind.Ordinary().Share() < 0.93);
 }
 
 // Load: 1.4 times what the slots can do, for a minute. Blind queues
@@ -239,27 +159,37 @@
 // the slots stay busy with what still can be.
 TEST(FlowAdmission, InSaturationTheImportantIsServedInTime)
 {
-  Farm walk(7, 3);
-  walk.Play(1300, 60, 0.2, true);
-  Farm blind(7, 3);
-  blind.Play(1300, 60, 0.2, false);
-  CHECK_TRUE(walk.mImportant.Share() > 0.9);
-  CHECK_TRUE(walk.mOrdinary.Share() > 0.55);
-  CHECK_TRUE(blind.mImportant.Share() < 0.1);
+  Farm walk(3);
+  walk.Play(1300, 60, kWalk);
+  Farm blind(3);
+  blind.Play(1300, 60, kBlind);
+  CHECK_TRUE(walk.Important().Share() > 0.9);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.55);
+  CHECK_TRUE(blind.Important().Share() < 0.1);
+}
+
+// Load: 1.4 times what the slots can do, with a target so long that the places
+// to wait at run out first. Places kept for the important decide then.
+TEST(FlowAdmission, InSaturationTheImportantFindsAPlaceToWaitAt)
+{
+  Farm walk(9);
+  walk.Play(1300, 60, kWalk, 200);
+  CHECK_TRUE(walk.Important().Share() > 0.99);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.55);
 }
 
 // Load: three times the slots for a second amid half load. What is refused is
 // told so at once, and the queue is gone when the burst is.
 TEST(FlowAdmission, ABurstLeavesNoQueueBehind)
 {
-  Farm walk(7, 4);
-  walk.Play(470, 5, 0.2, true);
-  walk.mOrdinary = {};
-  walk.Play(2800, 1, 0.2, true);
-  CHECK_TRUE(walk.mOrdinary.mRefused > 0);
-  walk.mOrdinary = {};
-  walk.Play(470, 5, 0.2, true);
-  CHECK_TRUE(walk.mOrdinary.Share() > 0.98);
+  Farm walk(4);
+  walk.Play(470, 5, kWalk);
+  walk.Ordinary() = {};
+  walk.Play(2800, 1, kWalk);
+  CHECK_TRUE(walk.Ordinary().mRefused > 0);
+  walk.Ordinary() = {};
+  walk.Play(470, 5, kWalk);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.98);
 }
 
 // Load: everybody comes back at once after an outage, three seconds' worth of
@@ -267,33 +197,39 @@
 // important is served first, and a second later nobody notices any more.
 TEST(FlowAdmission, AMassReturnIsOverSoon)
 {
-  Farm walk(7, 7);
-  walk.Play(2800, 0.5, 0.2, true);
-  CHECK_TRUE(walk.mImportant.Share() > 0.8);
-  CHECK_TRUE(walk.mOrdinary.mRefused > walk.mOrdinary.mAsked / 3);
-  walk.Play(470, 1, 0.2, true);
-  walk.mOrdinary = {};
-  walk.Play(470, 5, 0.2, true);
-  CHECK_EQUAL(0, walk.mOrdinary.mRefused);
-  CHECK_TRUE(walk.mOrdinary.Share() > 0.99);
+  Farm walk(7);
+  walk.Play(2800, 0.5, kWalk);
+  CHECK_TRUE(walk.Important().Share() > 0.8);
+  CHECK_TRUE(walk.Ordinary().mRefused > walk.Ordinary().mAsked / 3);
+  walk.Play(470, 1, kWalk);
+  walk.Ordinary() = {};
+  walk.Play(470, 5, kWalk);
+  CHECK_EQUAL(0, walk.Ordinary().mRefused);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.99);
 }
 
 // Load: a few callers make most of the flows, so that their ranks begin at the
 // same two hosts. The walk spreads them over all slots all the same.
 TEST(FlowAdmission, AFewBusyCallersDoNotFillTheirFirstHosts)
 {
-  Farm walk(7, 8);
+  Farm walk(8);
+  FlowClass ordinary;
   std::exponential_distribution<double> gap(0.47);
   std::lognormal_distribution<double> work(2.6, 0.5);
   int asked = 0;
   int inTime = 0;
-  for (double now = 0; now < 20000; now += gap(walk.mRandom)) {
+  for (int i = 0; i < 9400; ++i) {
+    walk.Advance(gap(walk.mRandom));
     std::size_t first =
       walk.mRandom() % 10 < 8 ? walk.mRandom() % 2 : walk.mRandom() % 7;
-    auto* host = walk.Walk(first, Importance::Normal, now);
+    std::vector<std::size_t> ring;
+    for (std::size_t host = 0; host < 7; ++host) {
+      ring.push_back((first + host) % 7);
+    }
+    auto* host = walk.Walk(ring, ordinary);
     ++asked;
     inTime +=
-      host != nullptr && walk.Run(*host, now, work(walk.mRandom)) <= 88 ? 1 : 0;
+      host != nullptr && walk.Run(*host, work(walk.mRandom)) <= 88 ? 1 : 0;
   }
   CHECK_TRUE(inTime > asked * 0.995);
 }
@@ -301,11 +237,11 @@
 // Load: few requests that take twenty times as long among many short ones.
 TEST(FlowAdmission, LongWorkAmongShortBlocksNobodyWhileSlotsAreFree)
 {
-  Farm walk(7, 5);
+  Farm walk(5);
   std::mt19937 random(6);
   for (int i = 0; i < 3; ++i) {
-    walk.Run(walk.mHosts[random() % 7], 0, 5000);
+    walk.Run(walk.mHosts[random() % 7], 5000);
   }
-  walk.Play(350, 5, 0.2, true);
-  CHECK_TRUE(walk.mOrdinary.Share() > 0.99);
+  walk.Play(350, 5, kWalk);
+  CHECK_TRUE(walk.Ordinary().Share() > 0.99);
 }
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -280,9 +280,10 @@
   CHECK_EQUAL(1, mSteering.Count(SteerEvent::Malformed));
 }
 
-// A balancer offers a flow, is killed and starts again at once. The flow is open
-// by then; a copy of its opening packet, doubled or late in the fabric, reaches
-// the new process, which knows no host yet. A refusal would reset the open flow.
+// A balancer offers a flow, is killed and starts again at once. The flow is
+// open by then; a copy of its opening packet, doubled or late in the fabric,
+// reaches the new process, which knows no host yet. A refusal would reset the
+// open flow.
 TEST(FlowSteering, RefusesNothingJustAfterItsStart)
 {
   mSteering.OnStart(mClock.Now());
@@ -294,8 +295,9 @@
   CHECK_EQUAL(1, mOut.mToCaller.size());
 }
 
-// A route was added; the flow is open through a balancer that has it. A later copy
-// of its opening packet moves to one that is a moment behind and would reset it.
+// A route was added; the flow is open through a balancer that has it. A later
+// copy of its opening packet moves to one that is a moment behind and would
+// reset it.
 TEST(FlowSteering, AnUnknownRouteResetsNoLaterCopy)
 {
   auto inventory = std::make_shared<FlowInventory>();
