--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -48,8 +48,9 @@
    * costs more than the line. */
   static constexpr auto kCollectFor = std::chrono::milliseconds(100);
 
-  Writer()
-    : mThread([this] { Run(); })
+  explicit Writer(bool aFlows)
+    : mFlows(aFlows)
+    , mThread([this] { Run(); })
   {
   }
 
@@ -79,6 +80,13 @@
     mWake.notify_one();
   }
 
+  /** Whether a line of LogFlow would be taken now. */
+  bool TakesFlow()
+  {
+    std::lock_guard lock(mLock);
+    return mFlows && mQueue.HasFlowBudget(std::chrono::steady_clock::now());
+  }
+
   /** The class of lines that this thread sends next. */
   static thread_local LogClass mClass;
 
@@ -117,6 +125,7 @@
   std::mutex mWriting;
   std::condition_variable mWake;
   LogQueue mQueue;
+  const bool mFlows;
   bool mEnding = false;
   std::thread mThread;
 };
@@ -156,12 +165,12 @@
 
 } // namespace
 
-void StartLog(std::string_view aProcess)
+void StartLog(std::string_view aProcess, bool aFlows)
 {
   ProcessName() = aProcess;
   FLAGS_logtostderr = true;
   google::InitGoogleLogging("heatherplank");
-  TheWriter() = std::make_unique<Writer>();
+  TheWriter() = std::make_unique<Writer>(aFlows);
 }
 
 void FlushLog()
@@ -190,7 +199,9 @@
 
 void LogFlow(std::string_view aEvent, std::initializer_list<LogField> aFields)
 {
-  Write(LogClass::Flow, google::GLOG_INFO, MakeLine(aEvent, aFields));
+  if (TheWriter() && TheWriter()->TakesFlow()) {
+    Write(LogClass::Flow, google::GLOG_INFO, MakeLine(aEvent, aFields));
+  }
 }
 
 } // namespace heatherplank
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -41,10 +41,10 @@
 };
 
 /** Starts the log on standard output, each line under the process's name. A
- * thread of its own writes, so a reader that stalls holds nobody up. Call once,
- * before any other thread runs.
+ * thread of its own writes, so a reader that stalls holds nobody up. aFlows:
+ * also the lines of LogFlow. Call once, before any other thread runs.
  */
-void StartLog(std::string_view aProcess);
+void StartLog(std::string_view aProcess, bool aFlows = true);
 
 /** Writes what still waits; call it before the process ends. Thread safe. */
 void FlushLog();
--- a/src/base/LogQueue.h
+++ b/src/base/LogQueue.h
@@ -36,6 +36,10 @@
    * bounds the log at 60 KB a second and 0.15 % of a core. */
   static constexpr std::uint32_t kMostFlowLinesPerSecond = 300;
 
+  /** Whether an ordinary line is within the budget now; if not it counts as
+   * dropped. Asked first, it saves making a line that would be dropped. */
+  bool HasFlowBudget(Time aNow);
+
   /** Takes a line, or counts it as dropped. */
   void Put(LogClass aClass, std::string_view aLine, Time aNow);
 
@@ -47,6 +51,9 @@
   std::uint64_t Dropped() const { return mDroppedInAll; }
 
 private:
+  bool IsOverBudget(Time aNow);
+  void Drop();
+
   std::string mWaiting;
   Time mSecond{};
   std::uint32_t mFlowLines = 0;
--- /dev/null
+++ b/src/passthrough/BalancersInView.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <set>
+#include <span>
+#include <utility>
+
+#include "include/heatherplank/Member.h"
+#include "src/base/Log.h"
+
+namespace heatherplank {
+
+/** The other balancers that a balancer believes alive, by their tunnel
+ * addresses. Logs each that comes or goes. Not thread safe. */
+class BalancersInView
+{
+public:
+  void Set(std::span<const Member> aBalancers)
+  {
+    std::set<Address> present;
+    for (const Member& it : aBalancers) {
+      present.insert(it.mTunnel);
+      if (!mAddresses.contains(it.mTunnel)) {
+        LogEvent(LogLevel::Info, "balancer",
+                 { { "address", it.mTunnel.ToString() },
+                   { "incarnation", it.mIncarnation } });
+      }
+    }
+    for (const Address& it : mAddresses) {
+      if (!present.contains(it)) {
+        LogEvent(LogLevel::Warning, "balancer_dropped",
+                 { { "address", it.ToString() } });
+      }
+    }
+    mAddresses = std::move(present);
+  }
+
+  bool Contains(const Address& aTunnel) const
+  {
+    return mAddresses.contains(aTunnel);
+  }
+
+private:
+  std::set<Address> mAddresses;
+};
+
+} // namespace heatherplank
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -1,15 +1,14 @@
 #include "src/passthrough/FlowBalancer.h"
 
-#include <set>
 #include <string>
 #include <utility>
 
 #include "src/balancer/MemberPlane.h"
 #include "src/base/Log.h"
+#include "src/passthrough/BalancersInView.h"
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/HeartbeatRule.h"
-#include "src/passthrough/InventoryPeers.h"
-#include "src/passthrough/InventoryWatch.h"
+#include "src/passthrough/InventoryExchange.h"
 #include "src/passthrough/IsolationWatch.h"
 #include "src/passthrough/PassthroughProcess.h"
 #include "src/process/StandstillWatch.h"
@@ -99,13 +98,12 @@
                    mSteering.SetViews(aViews, aServices);
                  } },
                mSelf, MakeMembershipOptions(aSettings.mSeeds))
-    , mWatch(InventoryWatch::Make(
-        mClock, *mProcess.mStore, aAdapter.Inventories(),
-        MakeWatchOptions(aSettings, mSelf),
-        [this](FlowInventoryPtr aInventory, const std::string&) {
-          OnInventory(std::move(aInventory));
-        }))
-    , mPeers(mSelf.mControl, mSelf.mIncarnation)
+    , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
+                aAdapter.Inventories(), MakeWatchOptions(aSettings, mSelf),
+                mSelf.mControl, [this] { return PeerAddresses(); },
+                [this](FlowInventoryPtr aInventory) {
+                  mSteering.SetInventory(std::move(aInventory));
+                } })
     , mRetryTimer(mProcess.mRuntime.Executor())
     , mStartedAt(mClock.Now())
   {
@@ -119,8 +117,7 @@
   Histogram& mPlaceTime;
   FlowSteering mSteering;
   MemberPlane mMembers;
-  std::shared_ptr<InventoryWatch> mWatch;
-  InventoryPeers mPeers;
+  InventoryExchange mRoutes;
   boost::asio::steady_timer mRetryTimer;
   std::optional<Time> mRetryAt;
   StandstillWatch mStandstill;
@@ -129,7 +126,7 @@
   IsolationWatch mIsolation;
   bool mIsolated = false;
   bool mStoreAnswered = false;
-  std::set<Address> mBalancerAddresses;
+  BalancersInView mBalancers;
   bool mStopping = false;
 
   Result<void> Ready()
@@ -190,12 +187,11 @@
   void Tick()
   {
     Time now = CheckStandstill();
-    NoteBalancers();
+    mBalancers.Set(mMembers.Balancers());
     JudgeIsolation(now);
     TendDirectory(now);
-    mWatch->OnTick();
     mMembers.Tick();
-    Send(mPeers.OnTick(PeerAddresses(), mWatch->Version(), now));
+    mRoutes.OnTick();
   }
 
   /** The present, after a look whether this process just stood still: what it
@@ -218,31 +214,10 @@
     mSteering.OnStandstill(aNow);
     mIsolation.OnStandstill(aNow);
     if (aGap >= kStaleRoutesAfter) {
-      mWatch->ReadNow();
+      mRoutes.ReadNow();
     }
   }
 
-  /** Notes which other balancers are in view, and says what changed. */
-  void NoteBalancers()
-  {
-    std::set<Address> present;
-    for (const Member& it : mMembers.Balancers()) {
-      present.insert(it.mTunnel);
-      if (!mBalancerAddresses.contains(it.mTunnel)) {
-        LogEvent(LogLevel::Info, "balancer",
-                 { { "address", it.mTunnel.ToString() },
-                   { "incarnation", it.mIncarnation } });
-      }
-    }
-    for (const Address& it : mBalancerAddresses) {
-      if (!present.contains(it)) {
-        LogEvent(LogLevel::Warning, "balancer_dropped",
-                 { { "address", it.ToString() } });
-      }
-    }
-    mBalancerAddresses = std::move(present);
-  }
-
   void JudgeIsolation(Time aNow)
   {
     std::size_t agents = mMembers.Judged();
@@ -256,7 +231,7 @@
 
   void TendDirectory(Time aNow)
   {
-    bool storeAnswers = mWatch->HeardAt() != Time{} && !mWatch->IsStoreLost();
+    bool storeAnswers = mRoutes.IsStoreAnswering();
     if (storeAnswers && !mStoreAnswered) {
       mProcess.RegisterAgain();
     }
@@ -270,10 +245,10 @@
     mProcess.EverySecond();
     auto& metrics = mProcess.mMetrics;
     metrics.GetGauge("store_heard_s_ago")
-      .Set(InMs(mClock.Now() - mWatch->HeardAt()) / 1000);
+      .Set(InMs(mClock.Now() - mRoutes.HeardAt()) / 1000);
     metrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
     metrics.GetGauge("routes_version")
-      .Set(static_cast<double>(mWatch->Version()));
+      .Set(static_cast<double>(mRoutes.Version()));
     mProcess.Export(
       "steer_events", SteerEvent::Last,
       [this](SteerEvent aEvent) { return mSteering.Count(aEvent); });
@@ -291,28 +266,13 @@
     return out;
   }
 
-  void OnInventory(FlowInventoryPtr aInventory)
-  {
-    std::uint64_t version = aInventory->mVersion;
-    mSteering.SetInventory(std::move(aInventory));
-    Send(mPeers.OnChanged(PeerAddresses(), version, mClock.Now()));
-  }
-
-  void Send(const std::vector<InventoryPeers::Send>& aNotices)
-  {
-    for (const auto& it : aNotices) {
-      mProcess.mMessages.Send(it.mTo, MessageKind::InventoryNotice,
-                              EncodePayload(it.mNotice));
-    }
-  }
-
   void OnDatagram(ByteView aDatagram, const Address& aFrom)
   {
     auto frame = mProcess.Unwrap(aDatagram);
     if (!frame) {
       return;
     }
-    if (!mBalancerAddresses.contains(aFrom)) {
+    if (!mBalancers.Contains(aFrom)) {
       mIsolation.OnHeard(aFrom, mClock.Now());
     }
     OnFrame(*frame);
@@ -365,24 +325,16 @@
 
   bool Take(const Result<InventoryNotice>& aNotice)
   {
-    if (!aNotice) {
-      return false;
+    if (aNotice) {
+      mRoutes.OnNotice(*aNotice);
     }
-    std::uint64_t version = mWatch->Version();
-    if (InventoryPeers::IsOwedDocument(*aNotice, version)) {
-      mProcess.mMessages.Send(
-        aNotice->mControl, MessageKind::InventoryDocument,
-        EncodePayload(InventoryDocument{ version, mWatch->Document() }));
-      return true;
-    }
-    Send(mPeers.OnNotice(*aNotice, version, mClock.Now()));
-    return true;
+    return aNotice.has_value();
   }
 
   bool Take(const Result<InventoryDocument>& aDocument)
   {
     if (aDocument) {
-      mWatch->OnPeerDocument(aDocument->mText);
+      mRoutes.OnDocument(*aDocument);
     }
     return aDocument.has_value();
   }
--- a/src/process/RunProcess.h
+++ b/src/process/RunProcess.h
@@ -34,7 +34,7 @@
   if (!settings) {
     return ReportStartError(settings.error());
   }
-  StartLog(settings->mName);
+  StartLog(settings->mName, settings->mLogFlows);
   auto process = aMake(*settings);
   if (!process) {
     return ReportStartError(process.error());
--- a/src/settings/ProcessSettings.h
+++ b/src/settings/ProcessSettings.h
@@ -28,6 +28,9 @@
   std::uint32_t mThreads = 1;
   /** File with the tokens of the administration API; empty: no API. */
   std::string mTokenFile;
+  /** Log the ordinary course of flows and requests too, not only what explains
+   * a failure. */
+  bool mLogFlows = true;
 };
 
 /** Settings of a balancer. */
--- a/src/settings/SettingsParts.cpp
+++ b/src/settings/SettingsParts.cpp
@@ -88,6 +88,7 @@
   aOut.mThreads = static_cast<std::uint32_t>(
     aReader.Integer("threads", 1, kMostThreads, aOut.mThreads));
   aOut.mTokenFile = aReader.String("token_file", "");
+  aOut.mLogFlows = aReader.Bool("log_flows", aOut.mLogFlows);
   CheckOwnAddresses(aReader, aOut);
 }
 
--- a/tests/LogQueueTest.cpp
+++ b/tests/LogQueueTest.cpp
@@ -40,6 +40,16 @@
   CHECK_TRUE(mQueue.Dropped() > 0);
 }
 
+TEST(LogQueue, SaysBeforehandThatTheBudgetIsSpent)
+{
+  for (std::uint32_t i = 0; i < LogQueue::kMostFlowLinesPerSecond; ++i) {
+    CHECK_TRUE(mQueue.HasFlowBudget(mClock.Now()));
+    mQueue.Put(LogClass::Flow, "x\n", mClock.Now());
+  }
+  CHECK_FALSE(mQueue.HasFlowBudget(mClock.Now()));
+  CHECK_EQUAL(1, mQueue.Dropped());
+}
+
 TEST(LogQueue, OrdinaryLinesHaveABudgetASecond)
 {
   for (std::uint32_t i = 0; i < LogQueue::kMostFlowLinesPerSecond + 7; ++i) {
