A restarted balancer survives answers to its former life; quiet refusals are logged

Cause, found by reading the diff: an agent that stood still gives a packet back, or refuses a flow, to a balancer that was killed and started again meanwhile and has no routes yet; OnNotHere looked into routes that are not there and the process ended. Shown by the new test: segmentation fault (exit code 139) on the code before. Ruled out: OnReport (it touched no routes, and would have with the new log line). Change: routes are asked for only where there are some. A refusal that is not sent, since it may be a later copy, has its line now (refused_quietly).

--- a/bench/RelayBench.cpp
+++ b/bench/RelayBench.cpp
@@ -1,7 +1,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <ctime>
+#include <system_error>
 #include <thread>
 
 #include <benchmark/benchmark.h>
@@ -52,7 +55,11 @@
     : mDescriptor(::socket(AF_INET, SOCK_DGRAM, 0))
   {
     auto at = ToEndpoint<udp>(kAnyPort);
-    ::bind(mDescriptor, at.data(), static_cast<socklen_t>(at.size()));
+    int rc = ::bind(mDescriptor, at.data(), static_cast<socklen_t>(at.size()));
+    if (rc != 0) {
+      throw std::system_error(errno, std::generic_category(),
+                              "no port of loopback is free");
+    }
   }
   ~PlainSocket() { ::close(mDescriptor); }
   PlainSocket(const PlainSocket&) = delete;
--- a/lab/soak/SoakFaults.cpp
+++ b/lab/soak/SoakFaults.cpp
@@ -186,7 +186,7 @@
 
 void Soak::WrongClock()
 {
-  constexpr std::int64_t kHourMs = 3600 * 1000;
+  constexpr std::int64_t kHourMs = 3600000;
   auto offset = static_cast<std::int64_t>(mRandom() % (2 * kHourMs)) - kHourMs;
   if (mRandom() % 2 == 0) {
     Balancer& it = AnyBalancer();
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -46,37 +46,6 @@
 
 } // namespace
 
-std::string_view ToString(SteerEvent aEvent)
-{
-  switch (aEvent) {
-    case SteerEvent::Offered:
-      return "offered";
-    case SteerEvent::OfferedAgain:
-      return "offered_again";
-    case SteerEvent::Hinted:
-      return "hinted";
-    case SteerEvent::Searched:
-      return "searched";
-    case SteerEvent::HintWrong:
-      return "hint_wrong";
-    case SteerEvent::RefusedNoRoute:
-      return "refused_no_route";
-    case SteerEvent::RefusedNoHost:
-      return "refused_no_host";
-    case SteerEvent::RefusedByHosts:
-      return "refused_by_hosts";
-    case SteerEvent::RefusedQuietly:
-      return "refused_quietly";
-    case SteerEvent::DroppedNoRoute:
-      return "dropped_no_route";
-    case SteerEvent::DroppedNotReady:
-      return "dropped_not_ready";
-    case SteerEvent::Malformed:
-      return "malformed";
-  }
-  return "unknown";
-}
-
 FlowSteering::FlowSteering(const Options& aOptions, const PacketFormat& aFormat,
                            FlowSteeringOutput& aOutput)
   : mOptions(aOptions)
@@ -195,7 +164,7 @@
   Add(aWhy);
   LogFlow("refused", { { "flow", aFlow.ToString() },
                        { "why", ToString(aWhy) },
-                       { "routes_version", mInventory->mVersion } });
+                       { "routes_version", RoutesVersion() } });
   mOutput.ToCaller(aFlow.mCaller, mFormat.MakeReset(aFlow, 0));
 }
 
@@ -205,12 +174,20 @@
                                 SteerEvent aWhy)
 {
   if (aIsLater) {
-    Add(SteerEvent::RefusedQuietly);
+    RefuseQuietly(aFlow, aWhy);
   } else {
     RefuseOpen(aFlow, aWhy);
   }
 }
 
+void FlowSteering::RefuseQuietly(const FlowKey& aFlow, SteerEvent aWhy)
+{
+  Add(SteerEvent::RefusedQuietly);
+  LogFlow("refused_quietly", { { "flow", aFlow.ToString() },
+                               { "why", ToString(aWhy) },
+                               { "routes_version", RoutesVersion() } });
+}
+
 std::vector<PlacementCandidate> FlowSteering::CandidatesFor(ServiceId aService,
                                                             std::uint64_t aHash,
                                                             Time aNow)
@@ -283,7 +260,7 @@
   LogFlow("offered", { { "flow", aFlow.ToString() },
                        { "to", aCandidates.front().mTunnel.ToString() },
                        { "others", aSteered.mCandidates.size() },
-                       { "routes_version", mInventory->mVersion } });
+                       { "routes_version", RoutesVersion() } });
   mOutput.Steer(aCandidates.front().mTunnel, aSteered);
   mWatch.Begin(aFlow, std::move(aSteered), std::move(aCandidates), aCopy, aNow,
                aRetries);
@@ -378,7 +355,10 @@
   LogFlow("hint_wrong", { { "flow", flow.ToString() } });
   std::uint64_t hash = HashFlow(flow);
   mHints.Erase(hash);
-  if (const FlowRoute* route = mInventory->Find(flow.mService)) {
+  // A packet of this balancer's former life may come back before it has routes.
+  const FlowRoute* route =
+    mInventory ? mInventory->Find(flow.mService) : nullptr;
+  if (route != nullptr) {
     SearchAll(flow, *route, std::move(aSteered), hash, aNow);
   } else {
     Search(flow, std::move(aSteered), hash, aNow);
@@ -398,7 +378,7 @@
   if (mWatch.EndRefused(aReport.mFlow)) {
     RefuseOpen(aReport.mFlow, SteerEvent::RefusedByHosts);
   } else {
-    Add(SteerEvent::RefusedQuietly);
+    RefuseQuietly(aReport.mFlow, SteerEvent::RefusedByHosts);
   }
 }
 
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -13,6 +13,7 @@
 #include "src/passthrough/FlowInventory.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/PlacementWatch.h"
+#include "src/passthrough/SteerEvent.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/steer/HintCache.h"
 
@@ -31,26 +32,6 @@
   virtual void Placed(Duration aTook) = 0;
 };
 
-/** What happened to packets at a balancer; each is counted. */
-enum class SteerEvent : std::uint8_t
-{
-  Offered,
-  OfferedAgain,
-  Hinted,
-  Searched,
-  HintWrong,
-  RefusedNoRoute,
-  RefusedNoHost,
-  RefusedByHosts,
-  RefusedQuietly,
-  DroppedNoRoute,
-  DroppedNotReady,
-  Malformed,
-  Last = Malformed,
-};
-
-std::string_view ToString(SteerEvent aEvent);
-
 /** The balancer's decisions for packets of opaque flows. Holds nothing that
  * matters: routes and members are given to it, where a flow is may be
  * forgotten and is found again by asking the hosts in the flow's own order.
@@ -128,6 +109,7 @@
              std::vector<PlacementCandidate> aCandidates,
              PlacementWatch::Copy aCopy, Time aNow, int aRetries = 0);
   void RefuseOpen(const FlowKey& aFlow, SteerEvent aWhy);
+  void RefuseQuietly(const FlowKey& aFlow, SteerEvent aWhy);
   void RefuseOrDrop(const FlowKey& aFlow, bool aIsLater, SteerEvent aWhy);
   const Member* HintedMember(std::uint64_t aHash);
   std::vector<PlacementCandidate> CandidatesFor(ServiceId aService,
@@ -135,6 +117,11 @@
   OrderInputs Inputs(Time aNow) const;
   SteeredPacket MakeSteered(const FlowRoute* aRoute, ServiceId aService,
                             SteerPurpose aPurpose, ByteView aDatagram) const;
+  /** 0 before any are known. */
+  std::uint64_t RoutesVersion() const
+  {
+    return mInventory ? mInventory->mVersion : 0;
+  }
   void Add(SteerEvent aEvent) { ++mCounts[static_cast<std::size_t>(aEvent)]; }
 
   const Options mOptions;
--- /dev/null
+++ b/src/passthrough/SteerEvent.cpp
@@ -0,0 +1,36 @@
+#include "src/passthrough/SteerEvent.h"
+
+namespace heatherplank {
+
+std::string_view ToString(SteerEvent aEvent)
+{
+  switch (aEvent) {
+    case SteerEvent::Offered:
+      return "offered";
+    case SteerEvent::OfferedAgain:
+      return "offered_again";
+    case SteerEvent::Hinted:
+      return "hinted";
+    case SteerEvent::Searched:
+      return "searched";
+    case SteerEvent::HintWrong:
+      return "hint_wrong";
+    case SteerEvent::RefusedNoRoute:
+      return "refused_no_route";
+    case SteerEvent::RefusedNoHost:
+      return "refused_no_host";
+    case SteerEvent::RefusedByHosts:
+      return "refused_by_hosts";
+    case SteerEvent::RefusedQuietly:
+      return "refused_quietly";
+    case SteerEvent::DroppedNoRoute:
+      return "dropped_no_route";
+    case SteerEvent::DroppedNotReady:
+      return "dropped_not_ready";
+    case SteerEvent::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+} // namespace heatherplank
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -308,3 +308,19 @@
   Syn();
   CHECK_EQUAL(1, mOut.mToCaller.size());
 }
+
+// A balancer was killed and starts again. An agent that stood still answers
+// what the former life sent: a flow refused, a packet given back. The new
+// process has no routes yet; it must neither crash nor tell the caller
+// anything.
+TEST(FlowSteering, AnswersToItsFormerLifeDoNoHarmBeforeItHasRoutes)
+{
+  Report(1, PlacementOutcome::Refused);
+  SteeredPacket back;
+  back.mService = MakeServiceId("s");
+  back.mPurpose = SteerPurpose::NotHere;
+  back.mPacket = Packet(4, 9);
+  mSteering.OnNotHere(back, mClock.Now());
+  CHECK_TRUE(mOut.mToCaller.empty());
+  CHECK_TRUE(mOut.mSteered.empty());
+}
