Members that are judged anew are not missed before they can know of it

Cause, found by reading the diff: agents probe a balancer picked at random, so nearly every member has beaten to nearly every balancer once. A balancer that becomes its monitor took that for a beat of its own and counted the member as due at once; after many balancers died, those left would have held themselves for cut off. Ruled out: a false death (who is silent is asked first). Change: the mark is reset when judging begins.

--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -308,8 +308,9 @@
     bool watched = entry.mSilenceHook.is_linked();
     if (watched && !mIsMonitor(entry.mRecord.mMember)) {
       Unwatch(entry);
-      entry.mBeatsHere = false;
     } else if (!watched && !entry.IsGone()) {
+      // It may have beaten here by chance, as agents probe balancers.
+      entry.mBeatsHere = false;
       Watch(entry, aNow);
     }
   }
--- a/tests/MemberTableTest.cpp
+++ b/tests/MemberTableTest.cpp
@@ -97,6 +97,26 @@
   CHECK_TRUE(mTable.View(kService)->mVersion > version);
 }
 
+// Many balancers die at once, and each that is left becomes the monitor of
+// hosts that beat to the dead ones, and to it only by chance. Until they learn
+// of it their silence means nothing: counted, it would make every balancer that
+// lives hold itself for cut off, just as callers need it.
+TEST(MemberTable, WhoIsJudgedAnewIsNotMissedYet)
+{
+  mTable.SetMonitored([](const Member&) { return false; }, mClock.Now());
+  Run(mTable, 3, 1s);
+  CHECK_EQUAL(0, mTable.Judged());
+  mTable.SetMonitored([](const Member&) { return true; }, mClock.Now());
+  mClock.Advance(2s);
+  mTable.OnTick(mClock.Now());
+  CHECK_EQUAL(0, mTable.Judged());
+  Run(mTable, 2, 500ms);
+  CHECK_EQUAL(2, mTable.Judged());
+  mClock.Advance(4s);
+  mTable.OnTick(mClock.Now());
+  CHECK_EQUAL(3, mTable.Judged());
+}
+
 TEST(MemberTable, RefusesWhatTheInventoryDoesNotGive)
 {
   Heartbeat beat = Beat(1, 1);
