A request on a flow begins with bytes not seen before

Cause: every data packet of a caller began a count of work. Packets of an upload overtake one another, the host repeats its acknowledgement, the caller sends again what had arrived, and the copies come after the host's answer. Each held a slot until its limit of 8 s.

Ruled out: FIN alone as the end (flows kept open have none, and a copy after an answer would begin a request there too).

Change: NewBytes tells bytes not seen before; only they begin a request, and none after the host's end. A port used again begins a new flow.

--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -9,6 +9,7 @@
 #include "src/passthrough/FlowAdmission.h"
 #include "src/passthrough/HostAnnouncement.h"
 #include "src/passthrough/HostLife.h"
+#include "src/passthrough/NewBytes.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/ServiceTime.h"
 #include "src/passthrough/SteerMessages.h"
@@ -167,7 +168,10 @@
      * host it opened the flow. */
     std::uint32_t mHostSequence = 0;
     bool mHostSequenceKnown = false;
+    /** The host ended its direction, or either end reset the flow: no request
+     * begins any more. */
     bool mFinished = false;
+    NewBytes mFromCaller;
     /** The balancer that was told last where the flow is. */
     Address mTold;
   };
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -60,7 +60,9 @@
   if (aPacket.mAck && flow.mStage == Stage::Answered) {
     flow.mStage = Stage::Open;
   }
-  if (aPacket.mDataLength > 0) {
+  bool isNew =
+    flow.mFromCaller.Take(aPacket.mSequence, aPacket.mDataLength);
+  if (isNew && !flow.mFinished) {
     mWork.Begin(aEntry.mFlow, aNow, aNow + kWorkAtMost);
   }
   if (aPacket.mReset) {
@@ -214,6 +216,12 @@
     if (opening.mLasted > Duration::zero()) {
       mOutput.Measured(HostTiming::Opening, opening.mLasted);
     }
+    if (flow.mHostSequenceKnown && flow.mHostSequence != aPacket.mSequence) {
+      // The caller uses its port again for another flow.
+      Address told = flow.mTold;
+      flow = {};
+      flow.mTold = told;
+    }
     flow.mStage = std::max(flow.mStage, Stage::Answered);
     flow.mHostSequence = aPacket.mSequence;
     flow.mHostSequenceKnown = true;
--- a/tests/HostFlowsTest.cpp
+++ b/tests/HostFlowsTest.cpp
@@ -392,3 +392,59 @@
   mFlows->OnTick(mClock.Now());
   CHECK_EQUAL(0, mFlows->Size());
 }
+
+// An upload's packets overtake one another, so the host repeats an
+// acknowledgement and the caller sends a packet again. The copy comes after the
+// host's answer. Counted as one more request, it held a slot of an idle host for
+// seconds, and uploads were refused beside free slots.
+TEST(HostFlows, ACopyOfDataAfterTheAnswerIsNoRequest)
+{
+  Beat();
+  Open();
+  CHECK_EQUAL(1, mFlows->Condition(mClock.Now()).mInProgress);
+  mFlows->OnHostPacket(Packet(kAck, 501, 12, true, 5), mClock.Now());
+  CHECK_EQUAL(0, mFlows->Condition(mClock.Now()).mInProgress);
+  Steer(SteerPurpose::Deliver, Packet(kAck, 2, 501, false, 10));
+  CHECK_EQUAL(0, mFlows->Condition(mClock.Now()).mInProgress);
+}
+
+// A flow that is kept open carries a second request after the first answer. It
+// is work again; a copy of the first request that comes late is not.
+TEST(HostFlows, EachRequestOfAKeptOpenFlowIsWorkOnce)
+{
+  Beat();
+  Open();
+  mFlows->OnHostPacket(Packet(kAck, 501, 12, true, 5), mClock.Now());
+  Steer(SteerPurpose::Deliver, Packet(kAck, 12, 506, false, 10));
+  CHECK_EQUAL(1, mFlows->Condition(mClock.Now()).mInProgress);
+  mFlows->OnHostPacket(Packet(kAck, 506, 22, true, 5), mClock.Now());
+  Steer(SteerPurpose::Deliver, Packet(kAck, 2, 501, false, 10));
+  Steer(SteerPurpose::Deliver, Packet(kAck, 12, 506, false, 10));
+  CHECK_EQUAL(0, mFlows->Condition(mClock.Now()).mInProgress);
+}
+
+// The host answers before it has the whole upload, and closes. What the caller
+// still sends is no work, new bytes or not.
+TEST(HostFlows, DataAfterTheHostsEndIsNoRequest)
+{
+  Beat();
+  Open();
+  mFlows->OnHostPacket(Packet(kAck | kFin, 501, 12, true, 5), mClock.Now());
+  Steer(SteerPurpose::Deliver, Packet(kAck, 12, 507, false, 10));
+  CHECK_EQUAL(0, mFlows->Condition(mClock.Now()).mInProgress);
+}
+
+// A caller uses its port again for a new flow while the old one is remembered
+// as ended. The request of the new one is work.
+TEST(HostFlows, APortUsedAgainBeginsANewFlow)
+{
+  Beat();
+  Open();
+  mFlows->OnHostPacket(Packet(kAck | kFin, 501, 12, true, 5), mClock.Now());
+  Steer(SteerPurpose::Place, Packet(kSyn, 7001, 0));
+  mFlows->OnHostPacket(Packet(kSyn | kAck, 900, 7002, true), mClock.Now());
+  Steer(SteerPurpose::Deliver, Packet(kAck, 7002, 901, false, 10));
+  mClock.Advance(60ms);
+  mFlows->OnTick(mClock.Now());
+  CHECK_EQUAL(1, mFlows->Condition(mClock.Now()).mInProgress);
+}
