Return after a mass loss: seek at once, greet at once, wait for hosts

Cause: after a power loss the balancers of the settings are the last to start.

Change: a process that nobody answered yet beats every 50 ms for 5 s and looks into the directory after 40 ms (agents) and 120 ms (balancers); a heartbeat goes at once to a balancer that is new; a service without hosts is not refused aloud in the first 2 s. Places to wait at follow the slots. A first repeat of an opening packet takes only free slots.

--- a/src/agent/MemberFeed.cpp
+++ b/src/agent/MemberFeed.cpp
@@ -102,8 +102,11 @@
 
 void MemberFeed::SetSeeds(std::vector<Address> aSeeds)
 {
-  std::lock_guard lock(mLock);
-  mMembership.SetSeeds(std::move(aSeeds));
+  {
+    std::lock_guard lock(mLock);
+    mMembership.SetSeeds(std::move(aSeeds), mParts.mClock.Now());
+  }
+  Flush();
 }
 
 void MemberFeed::OnFrame(const Frame& aFrame)
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -73,16 +73,55 @@
 {
   mPeers.OnTick(aNow);
   mBalancers.OnTick(aNow);
-  if (aNow - mBeatAt >= mOptions.mHeartbeatEvery) {
+  Duration every =
+    IsSeeking(aNow) ? mOptions.mSeekEvery : mOptions.mHeartbeatEvery;
+  if (aNow - mBeatAt >= every) {
     Beat(aNow);
   }
 }
 
+bool AgentMembership::IsSeeking(Time aNow) const
+{
+  return mConfirmedAt == Time{} && aNow - mServingSince < mOptions.mSeekFor;
+}
+
+void AgentMembership::SetSeeds(std::vector<Address> aSeeds, Time aNow)
+{
+  mSeeds = std::move(aSeeds);
+  // Before the first heartbeat the host is not announced yet.
+  if (mBeat > 0) {
+    Greet(aNow);
+  }
+}
+
+/** Failure met: a balancer starts, learns of the hosts only by their next
+ * heartbeats, up to 0.5 s later, and refuses callers meanwhile. An agent beats
+ * to a monitor as soon as it hears of it. */
+void AgentMembership::Greet(Time aNow)
+{
+  std::vector<Address> monitors = Monitors();
+  std::vector<Address> fresh;
+  for (const Address& it : monitors) {
+    if (std::ranges::count(mBeatenTo, it) == 0) {
+      fresh.push_back(it);
+    }
+  }
+  mBeatenTo = std::move(monitors);
+  if (fresh.empty()) {
+    return;
+  }
+  Heartbeat beat = MakeBeat(aNow);
+  for (const Address& it : fresh) {
+    mActions.push_back({ it, beat });
+  }
+}
+
 void AgentMembership::Beat(Time aNow)
 {
   mBeatAt = aNow;
   Heartbeat beat = MakeBeat(aNow);
   std::vector<Address> to = Monitors();
+  mBeatenTo = to;
   bool probes = mBeat % kBeatsPerProbe == 0 &&
                 !mOptions.mMonitors.AreAll(Balancers()->mMembers.size());
   if (probes && !to.empty()) {
@@ -165,6 +204,8 @@
   }
   if (hosts) {
     YieldToNewer(*delta, aNow);
+  } else {
+    Greet(aNow);
   }
   // See BalancerMembership::AskSuspected.
   if (delta->mAsks && !delta->mRecords.empty()) {
--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -18,6 +18,16 @@
   /** Control addresses of balancers to begin with, from the settings. */
   std::vector<Address> mSeeds;
   Duration mHeartbeatEvery = std::chrono::milliseconds(500);
+  /** How often it beats until a balancer answers, mSeekFor at most.
+   *
+   * Protects the first second after many machines come back at once: an agent
+   * that starts before the balancers of its settings beat into the void, and
+   * its host got no flow until the next ordinary heartbeat, 0.5 s later. In
+   * that half second one in four callers gave up. A heartbeat is 200 bytes, so
+   * seeking costs an agent 4 KB/s for each seed. */
+  Duration mSeekEvery = std::chrono::milliseconds(50);
+  /** Seeds that stay silent for longer are not about to start. */
+  Duration mSeekFor = std::chrono::seconds(5);
   /** Balancers that are sent heartbeats. */
   MonitorRule mMonitors;
   /** Off where nobody reads Peers: balancers then send no members of the
@@ -47,8 +57,9 @@
    * the present one. */
   void Restart(Incarnation aIncarnation, Time aNow);
 
-  /** Other balancers to begin with: the settings changed. */
-  void SetSeeds(std::vector<Address> aSeeds) { mSeeds = std::move(aSeeds); }
+  /** Other balancers to begin with: the settings changed, or the directory was
+   * read. Those that are new are sent a heartbeat at once. */
+  void SetSeeds(std::vector<Address> aSeeds, Time aNow);
 
   void OnMessage(const MembershipMessage& aMessage, Time aNow);
   void OnTick(Time aNow);
@@ -77,6 +88,8 @@
 
   static MemberTableOptions TableOptions();
   void Beat(Time aNow);
+  void Greet(Time aNow);
+  bool IsSeeking(Time aNow) const;
   Heartbeat MakeBeat(Time aNow);
   std::vector<Address> Monitors() const;
   Address AnyBalancer();
@@ -92,6 +105,8 @@
   MemberTable mPeers;
   MemberTable mBalancers;
   std::vector<SendMembership> mActions;
+  /** Where the last heartbeats went. */
+  std::vector<Address> mBeatenTo;
   std::mt19937_64 mRandom;
   std::uint32_t mRevision = 0;
   std::uint32_t mBeat = 0;
--- a/src/membership/BalancerMembership.cpp
+++ b/src/membership/BalancerMembership.cpp
@@ -39,6 +39,7 @@
   , mBudget(aOptions.mBytesPerSecond, aOptions.mBytesPerSecond)
   , mSnapshotBudget(aOptions.mSnapshotBytesPerSecond,
                     aOptions.mSnapshotBytesPerSecond)
+  , mStartedAt(aNow)
   , mDigestAt(aNow + aOptions.mDigestEvery)
   , mGrownAt(aNow)
 {
@@ -86,7 +87,14 @@
 
 void BalancerMembership::On(const Heartbeat& aBeat, Time aNow)
 {
+  bool isNewPeer = aBeat.mTable == MemberTableId::Balancers &&
+                   FindBalancer(aBeat.mRecord.mMember.mHost) == nullptr;
   bool taken = TableOf(aBeat.mTable).OnHeartbeat(aBeat, aNow);
+  if (taken && isNewPeer) {
+    // It learns of this balancer, and through it of the hosts, half a second
+    // before the next heartbeat would tell it.
+    Send(aBeat.mRecord.mMember.mControl, MakeBeat());
+  }
   if (taken) {
     TellOfNewer(aBeat, aNow);
   }
@@ -140,6 +148,9 @@
 {
   mHosts.OnTick(aNow);
   mBalancers.OnTick(aNow);
+  if (IsSeeking(aNow) && aNow - mBeatAt >= mOptions.mSeekEvery) {
+    Beat(aNow);
+  }
   if (aNow - mBeatAt >= mOptions.mHeartbeatEvery) {
     Beat(aNow);
     AskSuspected(mHosts, aNow);
@@ -168,6 +179,12 @@
   }
 }
 
+bool BalancerMembership::IsSeeking(Time aNow) const
+{
+  return mBalancers.View(BalancerService())->mMembers.size() <= 1 &&
+         aNow - mStartedAt < mOptions.mSeekFor;
+}
+
 Heartbeat BalancerMembership::MakeBeat()
 {
   Heartbeat beat;
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -35,6 +35,10 @@
   /** Control addresses of balancers to begin with, from the settings. */
   std::vector<Address> mSeeds;
   Duration mHeartbeatEvery = std::chrono::milliseconds(500);
+  /** How often it beats to its seeds while it knows no other balancer, mSeekFor
+   * at most: see AgentMembershipOptions::mSeekEvery. */
+  Duration mSeekEvery = std::chrono::milliseconds(50);
+  Duration mSeekFor = std::chrono::seconds(5);
   /** Monitors of a host, and of a balancer. */
   MonitorRule mMonitors;
   /** Changes wait this long for others to share their message. */
@@ -116,6 +120,7 @@
   void Send(const Address& aTo, const MembershipMessage& aMessage);
   void UpdateBalancers(Time aNow);
   void Beat(Time aNow);
+  bool IsSeeking(Time aNow) const;
   Heartbeat MakeBeat();
   void AskSuspected(const MemberTable& aTable, Time aNow);
   void Flush(MemberTable& aTable, Time aNow);
@@ -148,6 +153,7 @@
   std::vector<SendMembership> mActions;
   std::uint32_t mBeat = 0;
   Time mBeatAt{};
+  const Time mStartedAt;
   Time mFlushAt{};
   Time mDigestAt{};
   /** Every balancer is a monitor of every host. */
--- a/src/passthrough/FlowAdmission.cpp
+++ b/src/passthrough/FlowAdmission.cpp
@@ -23,9 +23,13 @@
 bool FlowAdmission::IsWorthWaiting(const HostCondition& aHost,
                                    const FlowOffer& aOffer) const
 {
+  if (aOffer.mRepeats == 1) {
+    return false;
+  }
   bool important = aOffer.mImportance >= Importance::High;
-  std::uint32_t places =
-    mOptions.mMostWaiting - (important ? 0 : mOptions.mKeptForImportant);
+  double perSlot =
+    mOptions.mWaitingPerSlot - (important ? 0 : mOptions.mKeptPerSlot);
+  auto places = static_cast<std::uint32_t>(perSlot * aHost.mSlots);
   if (aHost.mInProgress >= aHost.mSlots + places) {
     return false;
   }
--- a/src/passthrough/FlowAdmission.h
+++ b/src/passthrough/FlowAdmission.h
@@ -34,6 +34,8 @@
   Duration mBestWait{};
   /** Every other host was asked. */
   bool mMustTake = false;
+  /** How often the caller sent this opening packet before. */
+  std::uint32_t mRepeats = 0;
 };
 
 enum class FlowDecision : std::uint8_t
@@ -76,14 +78,14 @@
     double mImportantWaitShare = 1.2;
     /** Most requests that wait at one host: hosts keep a short queue and
      * turn away what exceeds it, with the work of opening the flow wasted. */
-    std::uint32_t mMostWaiting = 7;
+    double mWaitingPerSlot = 3.5;
     /** Of these places, those that only flows of High importance and above
      * take. Where the places run out before the target's share does, as at a
      * target of 200 ms, the important would else be refused like the rest:
      * at 1.3 times the slots 79 % of each were in time, with two kept 100 % and
      * 71 %. One does it under a steady load; the second is for important ones
      * that come together. */
-    std::uint32_t mKeptForImportant = 2;
+    double mKeptPerSlot = 1;
   };
 
   FlowAdmission() = default;
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -25,6 +25,9 @@
 /** Heartbeats are answered within milliseconds, and one of them may be lost; an
  * agent that no balancer answered for this long looks into the directory. */
 constexpr auto kLostAfter = std::chrono::milliseconds(2000);
+/** The same for an agent that no balancer answered yet: after a power loss the
+ * seeds may be the last to start, and others wait for hosts meanwhile. */
+constexpr auto kLostAtStartAfter = std::chrono::milliseconds(40);
 /** How long an agent goes on forwarding after it said that it stops, for the
  * flows that its host works on. */
 constexpr auto kStopAfter = std::chrono::milliseconds(4000);
@@ -186,7 +189,9 @@
   void TendDirectory(Time aNow)
   {
     Time since = std::max(mAnnouncedAt, mMembers.ConfirmedAt());
-    mProcess.TendDirectory(mAnnounced && aNow - since > kLostAfter, aNow);
+    Duration after =
+      mMembers.ConfirmedAt() == Time{} ? kLostAtStartAfter : kLostAfter;
+    mProcess.TendDirectory(mAnnounced && aNow - since > after, aNow);
   }
 
   void EverySecond()
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -31,9 +31,10 @@
  * would go nowhere, where a ready one can refuse them at once. */
 constexpr auto kReadyWithoutHosts = std::chrono::milliseconds(3000);
 
-/** Heartbeats to seeds are answered within milliseconds; who has heard nobody
- * after this looks into the directory. */
-constexpr auto kLostAfter = std::chrono::milliseconds(1500);
+/** Heartbeats to seeds are answered within milliseconds, and a balancer that
+ * starts repeats them every 50 ms; who has heard nobody after this looks into
+ * the directory. */
+constexpr auto kLostAfter = std::chrono::milliseconds(120);
 /** After a standstill of this length routes are read anew: a shorter one leaves
  * the watch's connection alive, and a machine that is slow would call the store
  * again and again. */
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -24,6 +24,15 @@
  * their start, so hardly any caller waits for its answer because of it. */
 constexpr auto kCopiesAfterStart = std::chrono::milliseconds(500);
 
+/** How long after its start a balancer may not have heard the hosts yet: two
+ * heartbeats and a reading of the directory.
+ *
+ * Failure met: everything lost power and comes back; a balancer that is up
+ * before the hosts refuses each caller, who tries three times within 30 ms and
+ * gives up. Dropped, the opening packet is repeated after 200 ms, when the
+ * hosts are there. */
+constexpr auto kHearHostsWithin = std::chrono::milliseconds(2000);
+
 /** Walks of one search, side by side.
  *
  * Failure met: an agent in the middle of a walk was just killed; the packet
@@ -106,6 +115,7 @@
 void FlowSteering::OnStart(Time aNow)
 {
   mStaleUntil = aNow + kCopiesAfterStart;
+  mHearsUntil = aNow + kHearHostsWithin;
 }
 
 std::size_t FlowSteering::UsableHosts() const
@@ -240,7 +250,8 @@
     candidates.insert(candidates.begin(), { hinted->mHost, hinted->mTunnel });
   }
   if (candidates.empty()) {
-    RefuseOrDrop(flow, isLater, SteerEvent::RefusedNoHost);
+    RefuseOrDrop(flow, isLater || aNow < mHearsUntil,
+                 SteerEvent::RefusedNoHost);
     return;
   }
   Add(SteerEvent::Offered);
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -137,6 +137,9 @@
   std::uint64_t mSearches = 0;
   /** Until then packets may have waited for this process to run. */
   Time mStaleUntil{};
+  /** Until then a service without hosts may have hosts that were not heard
+   * yet. */
+  Time mHearsUntil{};
   std::array<std::uint64_t, static_cast<std::size_t>(SteerEvent::Last) + 1>
     mCounts{};
 };
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -127,6 +127,7 @@
   offer.mHasBest = !aSteered.mBest.IsNone();
   offer.mBestWait = aSteered.mBestWait;
   offer.mMustTake = aSteered.mMustTake;
+  offer.mRepeats = aPacket.mRepeats;
   switch (mAdmission.Decide(Condition(aNow), offer)) {
     case FlowDecision::Take:
       Take(aSteered, aPacket, aNow);
--- a/src/passthrough/ServiceTime.h
+++ b/src/passthrough/ServiceTime.h
@@ -34,14 +34,21 @@
   {
     std::uint32_t rounds = 1 + aAhead / std::max(aSlots, 1U);
     Duration work = std::min<Duration>(aTook / rounds, kLargestStep * mMean);
-    mMean += (work - mMean) / kWeight;
+    mLearnt = std::min(mLearnt + 1, kWeight);
+    mMean += (work - mMean) / mLearnt;
   }
 
   /** The host started anew. */
-  void Reset() { mMean = kFirst; }
+  void Reset()
+  {
+    mMean = kFirst;
+    mLearnt = 0;
+  }
 
 private:
   Duration mMean = kFirst;
+  /** Answers that the mean is made of, kWeight at most. */
+  int mLearnt = 0;
 };
 
 } // namespace heatherplank
