A search is shared out by two agents, and made once a flow at a time

Cause: on the grown deployment balancers have links of 10 Mbit/s. A packet without a hint went out eight times; an upload moved by the fabric brings sixteen such packets at once, 166 KB, a tenth of a second of the link. What queued came late, offers went unanswered for 30 ms and were made again, callers repeated, and the searches for the copies kept the links full: 900 offers unanswered at one balancer in seven seconds, with no fault at all.

Ruled out: processor time (0.014 of a core used), hosts (42 % of the slots).

Change: FlowSearches makes one search a flow at a time, the other packets wait a few ms for its answer; a search goes to two agents, which begin four walks each, the likely hosts first, at random after that.

The exploration found two schedules (53701, 81319) in which an agent that stood still refuses the first copy after later ones were placed, and the balancer resets the open flow; the first copy was still watched. A refusal is silent now once the caller has sent its next copy (150 ms). Both schedules stay as tests.

Tests replaced: RefusesNothingJustAfterItsStart asked for a loud refusal without any host after 501 ms; it asks so for an unknown route now, and a new test asks for silence until 2 s and a loud refusal after. The search tests play callers' repeats 200 ms apart and the agents' share of the search; what they ask for is as before.

--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/base/Log.h"
+#include "src/passthrough/SearchWalks.h"
 
 namespace heatherplank {
 
@@ -33,24 +34,12 @@
  * hosts are there. */
 constexpr auto kHearHostsWithin = std::chrono::milliseconds(2000);
 
-/** Walks of one search, side by side.
- *
- * Failure met: an agent in the middle of a walk was just killed; the packet
- * ends there, and so does each repeat, until membership misses the agent some
- * seconds later. Shown by packets that reach the hosts before it and never the
- * flow's own. Eight walks put each of the ranked hosts at the head of one, and
- * a dead agent hides at most an eighth of the others. Searches are few: those
- * of the flows that are open as the fabric moves them. */
-constexpr std::size_t kWalks = 8;
-
-/** Shuffles what comes after the heads, another way for each search, so that a
- * repeat passes a dead agent at another place. */
-void ShuffleTail(std::vector<const Member*>& aOrder, std::uint64_t aSeed)
+/** Another order for each search of a flow, so that a repeat passes a dead agent
+ * at another place. */
+void Shuffle(std::vector<Address>& aOrder, std::uint64_t aSeed)
 {
-  if (aOrder.size() > kWalks) {
-    std::minstd_rand random(static_cast<std::uint32_t>(aSeed));
-    std::shuffle(aOrder.begin() + kWalks, aOrder.end(), random);
-  }
+  std::minstd_rand random(static_cast<std::uint32_t>(aSeed));
+  std::shuffle(aOrder.begin(), aOrder.end(), random);
 }
 
 } // namespace
@@ -321,36 +310,62 @@
                              SteeredPacket aSteered, std::uint64_t aHash,
                              Time aNow)
 {
+  auto verdict = mSearches.OnPacket(aFlow, aSteered, aNow);
+  if (!verdict.mSearch) {
+    Add(SteerEvent::HeldForSearch);
+    return;
+  }
   for (const RouteShare& it : aRoute.mShares) {
     aSteered.mService = it.mService;
-    Search(aFlow, aSteered, aHash, aNow);
+    Search(aFlow, aSteered, aHash, verdict.mEarlier, aNow);
   }
 }
 
 void FlowSteering::Search(const FlowKey& aFlow, SteeredPacket aSteered,
-                          std::uint64_t aHash, Time aNow)
+                          std::uint64_t aHash, std::uint32_t aEarlier,
+                          Time aNow)
 {
   const auto* held = mViews.Find(aSteered.mService);
-  auto order = held == nullptr
-                 ? std::vector<const Member*>{}
-                 : OrderForSearch(*held->mView, aHash, Inputs(aNow));
-  if (order.empty()) {
+  std::vector<Address> hosts;
+  if (held != nullptr) {
+    for (const Member* it :
+         OrderForSearch(*held->mView, aHash, Inputs(aNow))) {
+      hosts.push_back(it->mTunnel);
+    }
+  }
+  if (hosts.empty()) {
     Add(SteerEvent::DroppedNotReady);
     return;
   }
+  // The first search begins at the hosts that most likely hold the flow.
+  if (aEarlier > 0) {
+    Shuffle(hosts, aHash + aEarlier);
+  }
   Add(SteerEvent::Searched);
   LogFlow("searched", { { "flow", aFlow.ToString() },
-                        { "first", order.front()->mTunnel.ToString() },
-                        { "others", order.size() - 1 } });
-  aSteered.mPurpose = SteerPurpose::Search;
-  ShuffleTail(order, ++mSearches);
-  std::size_t walks = std::min(kWalks, order.size());
-  for (std::size_t walk = 0; walk < walks; ++walk) {
-    aSteered.mCandidates.clear();
-    for (std::size_t i = walk + walks; i < order.size(); i += walks) {
-      aSteered.mCandidates.push_back(order[i]->mTunnel);
-    }
-    mOutput.Steer(order[walk]->mTunnel, aSteered);
+                        { "first", hosts.front().ToString() },
+                        { "others", hosts.size() - 1 },
+                        { "earlier", aEarlier } });
+  aSteered.mPurpose = SteerPurpose::FanOut;
+  for (SearchWalk& it : DealWalks(hosts, kFanOuts)) {
+    aSteered.mCandidates = std::move(it.mOthers);
+    mOutput.Steer(it.mFirst, aSteered);
+  }
+}
+
+/** Sends what waited for a search to the flow's host. */
+void FlowSteering::DeliverFound(const PlacementReport& aReport)
+{
+  auto held = mSearches.TakeFound(aReport.mFlow);
+  auto member = mMembers.find(aReport.mHost);
+  if (member == mMembers.end()) {
+    return;
+  }
+  for (SteeredPacket& it : held) {
+    it.mPurpose = SteerPurpose::Deliver;
+    it.mService = member->second.mService;
+    it.mCandidates.clear();
+    mOutput.Steer(member->second.mTunnel, it);
   }
 }
 
@@ -372,7 +387,7 @@
   if (route != nullptr) {
     SearchAll(flow, *route, std::move(aSteered), hash, aNow);
   } else {
-    Search(flow, std::move(aSteered), hash, aNow);
+    Search(flow, std::move(aSteered), hash, 0, aNow);
   }
 }
 
@@ -384,9 +399,10 @@
       mOutput.Placed(aNow - *sentAt);
     }
     mHints.Put(HashFlow(aReport.mFlow), { aReport.mHost, 0 });
+    DeliverFound(aReport);
     return;
   }
-  if (mWatch.EndRefused(aReport.mFlow)) {
+  if (mWatch.EndRefused(aReport.mFlow, aNow)) {
     RefuseOpen(aReport.mFlow, SteerEvent::RefusedByHosts);
   } else {
     RefuseQuietly(aReport.mFlow, SteerEvent::RefusedByHosts);
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -11,6 +11,7 @@
 #include "src/balancer/ServiceViews.h"
 #include "src/passthrough/CandidateOrder.h"
 #include "src/passthrough/FlowInventory.h"
+#include "src/passthrough/FlowSearches.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/PlacementWatch.h"
 #include "src/passthrough/SteerEvent.h"
@@ -104,7 +105,8 @@
   void SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
                  SteeredPacket aSteered, std::uint64_t aHash, Time aNow);
   void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
-              Time aNow);
+              std::uint32_t aEarlier, Time aNow);
+  void DeliverFound(const PlacementReport& aReport);
   void Offer(const FlowKey& aFlow, SteeredPacket aSteered,
              std::vector<PlacementCandidate> aCandidates,
              PlacementWatch::Copy aCopy, Time aNow, int aRetries = 0);
@@ -133,8 +135,7 @@
   std::unordered_map<HostId, Member> mMembers;
   HintCache mHints;
   PlacementWatch mWatch;
-  /** Searches so far. */
-  std::uint64_t mSearches = 0;
+  FlowSearches mSearches;
   /** Until then packets may have waited for this process to run. */
   Time mStaleUntil{};
   /** Until then a service without hosts may have hosts that were not heard
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -108,6 +108,9 @@
     Place(aSteered, *packet, aNow);
     return;
   }
+  if (aSteered.mPurpose == SteerPurpose::FanOut) {
+    FanOut(aSteered, *packet);
+  }
   Continue(aSteered, *packet, aNow);
 }
 
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -197,6 +197,7 @@
   /** Age of the host's last word in ms, for logs; -1 if there is none. */
   std::int64_t HeardAgo(Time aNow) const;
   void Continue(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
+  void FanOut(SteeredPacket& aSteered, const FlowPacket& aPacket);
   void Deliver(SteeredPacket& aSteered, const FlowPacket& aPacket,
                Table::Entry& aEntry, Time aNow);
   void PassSearchOn(SteeredPacket& aSteered, const FlowKey& aFlow);
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -5,6 +5,7 @@
 
 #include "src/base/Log.h"
 #include "src/passthrough/HostFlows.h"
+#include "src/passthrough/SearchWalks.h"
 
 namespace heatherplank {
 
@@ -33,6 +34,23 @@
   return ahead <= kLargestWindow;
 }
 
+/** Begins the walks of a search, unless the flow is here. The packet is left as
+ * a search of this host alone. */
+void HostFlows::FanOut(SteeredPacket& aSteered, const FlowPacket& aPacket)
+{
+  std::vector<Address> hosts = std::exchange(aSteered.mCandidates, {});
+  aSteered.mPurpose = SteerPurpose::Search;
+  Table::Entry* entry = mFlows.Find(aPacket.FlowFromCaller());
+  if (entry != nullptr && IsOpenHere(entry->mValue, aPacket)) {
+    return;
+  }
+  SteeredPacket walk = aSteered;
+  for (SearchWalk& it : DealWalks(hosts, kWalksEach)) {
+    walk.mCandidates = std::move(it.mOthers);
+    mOutput.Steer(it.mFirst, walk);
+  }
+}
+
 void HostFlows::Continue(SteeredPacket& aSteered, const FlowPacket& aPacket,
                          Time aNow)
 {
@@ -99,8 +117,7 @@
   if (aSteered.mCandidates.empty()) {
     // Silence, never a reset: the flow's host may live behind a cut.
     Add(HostFlowEvent::SearchEnded);
-    LogEvent(LogLevel::Warning, "search_ended",
-             { { "flow", aFlow.ToString() } });
+    LogFlow("search_ended", { { "flow", aFlow.ToString() } });
     return;
   }
   Add(HostFlowEvent::Searched);
--- a/src/passthrough/PlacementWatch.cpp
+++ b/src/passthrough/PlacementWatch.cpp
@@ -16,6 +16,7 @@
     Watched{
       { aFlow, std::move(aSteered), std::move(aCandidates), {}, aRetries },
       aCopy,
+      aNow,
       aNow });
   mBySentAt.emplace(aNow, aFlow);
 }
@@ -31,15 +32,16 @@
   return sentAt;
 }
 
-bool PlacementWatch::EndRefused(const FlowKey& aFlow)
+bool PlacementWatch::EndRefused(const FlowKey& aFlow, Time aNow)
 {
   auto it = mWatched.find(aFlow);
   if (it == mWatched.end()) {
     return false;
   }
-  bool isFirst = it->second.mCopy == Copy::First;
+  bool isOnly = it->second.mCopy == Copy::First &&
+                aNow - it->second.mOfferedAt < kOnlyCopyFor;
   mWatched.erase(it);
-  return isFirst;
+  return isOnly;
 }
 
 void PlacementWatch::ForgetAll()
--- a/src/passthrough/PlacementWatch.h
+++ b/src/passthrough/PlacementWatch.h
@@ -47,6 +47,9 @@
   /** How long a silent host is tried last: a few heartbeats, by when
    * membership knows. */
   static constexpr Duration kSuspectFor = std::chrono::milliseconds(700);
+  /** Callers repeat an opening packet after 200 ms; some of that went by before
+   * the packet came here. */
+  static constexpr Duration kOnlyCopyFor = std::chrono::milliseconds(150);
   /** Opening packets watched at most; more go out unwatched. */
   static constexpr std::size_t kMostWatched = 8192;
 
@@ -84,9 +87,10 @@
    * opened the flow by one copy of its opening packet, and the refusal of
    * another copy cuts the open flow. Shown by callers whose flow ends while
    * its host lives. A flow is refused aloud only if this was the one copy
-   * that was ever offered; a caller that hears nothing repeats or gives up by
+   * that was ever offered, and before the caller sends another, which any
+   * balancer may offer; a caller that hears nothing repeats or gives up by
    * itself. */
-  bool EndRefused(const FlowKey& aFlow);
+  bool EndRefused(const FlowKey& aFlow, Time aNow);
 
   /** This process stood still: others may have opened what it watched. */
   void ForgetAll();
@@ -116,7 +120,9 @@
   {
     Retry mRetry;
     Copy mCopy = Copy::First;
+    /** When it was offered, or counted as offered anew: see kBehind. */
     Time mSentAt;
+    Time mOfferedAt;
   };
 
   std::unordered_map<FlowKey, Watched> mWatched;
--- a/src/passthrough/ServiceTime.h
+++ b/src/passthrough/ServiceTime.h
@@ -34,21 +34,14 @@
   {
     std::uint32_t rounds = 1 + aAhead / std::max(aSlots, 1U);
     Duration work = std::min<Duration>(aTook / rounds, kLargestStep * mMean);
-    mLearnt = std::min(mLearnt + 1, kWeight);
-    mMean += (work - mMean) / mLearnt;
+    mMean += (work - mMean) / kWeight;
   }
 
   /** The host started anew. */
-  void Reset()
-  {
-    mMean = kFirst;
-    mLearnt = 0;
-  }
+  void Reset() { mMean = kFirst; }
 
 private:
   Duration mMean = kFirst;
-  /** Answers that the mean is made of, kWeight at most. */
-  int mLearnt = 0;
 };
 
 } // namespace heatherplank
--- a/src/passthrough/SteerEvent.cpp
+++ b/src/passthrough/SteerEvent.cpp
@@ -13,6 +13,8 @@
       return "hinted";
     case SteerEvent::Searched:
       return "searched";
+    case SteerEvent::HeldForSearch:
+      return "held_for_search";
     case SteerEvent::HintWrong:
       return "hint_wrong";
     case SteerEvent::RefusedNoRoute:
--- a/src/passthrough/SteerEvent.h
+++ b/src/passthrough/SteerEvent.h
@@ -12,6 +12,7 @@
   OfferedAgain,
   Hinted,
   Searched,
+  HeldForSearch,
   HintWrong,
   RefusedNoRoute,
   RefusedNoHost,
--- a/src/passthrough/SteerMessages.h
+++ b/src/passthrough/SteerMessages.h
@@ -20,6 +20,9 @@
   Search = 2,
   /** Back to the balancer: the receiver of a Deliver does not hold the flow. */
   NotHere = 3,
+  /** A Search that the receiver splits into walks side by side. */
+  FanOut = 4,
+  Last = FanOut,
 };
 
 /** A packet of an opaque flow on its way between our processes. */
--- a/src/wire/PassthroughCodec.cpp
+++ b/src/wire/PassthroughCodec.cpp
@@ -69,7 +69,7 @@
     return tl::unexpected(root.error());
   }
   const wire::SteeredPacket& in = **root;
-  if (in.purpose() > static_cast<std::uint8_t>(SteerPurpose::NotHere) ||
+  if (in.purpose() > static_cast<std::uint8_t>(SteerPurpose::Last) ||
       in.importance() > static_cast<std::uint8_t>(Importance::Critical) ||
       !IsAligned(in.candidates())) {
     return MalformedMessage(kWhat);
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/PlatformPackets.h"
 #include "src/net/Endpoint.h"
+#include "src/passthrough/SearchWalks.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -164,9 +165,44 @@
   SteeredPacket back = mOut.mSteered[1].second;
   back.mPurpose = SteerPurpose::NotHere;
   mSteering.OnNotHere(back, mClock.Now());
-  CHECK(mOut.mSteered[2].second.mPurpose == SteerPurpose::Search);
+  CHECK(mOut.mSteered[2].second.mPurpose == SteerPurpose::FanOut);
+  mClock.Advance(200ms);
   Data();
-  CHECK(mOut.mSteered[3].second.mPurpose == SteerPurpose::Search);
+  CHECK(mOut.mSteered[4].second.mPurpose == SteerPurpose::FanOut);
+}
+
+// The fabric moves an upload, and sixteen packets of it come at once to a
+// balancer that does not know its host. One search finds it; the others wait
+// for it and go there, each once and in their order.
+TEST(FlowSteering, OneSearchServesAWindowOfPackets)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near"), Host(2, "near"), Host(3, "near") });
+  for (int i = 0; i < 16; ++i) {
+    mSteering.OnPacket(Packet(4, static_cast<std::uint32_t>(i)), mClock.Now());
+  }
+  CHECK_EQUAL(2, mOut.mSteered.size());
+  CHECK_EQUAL(15, mSteering.Count(SteerEvent::HeldForSearch));
+  Report(3, PlacementOutcome::Placed);
+  CHECK_EQUAL(17, mOut.mSteered.size());
+  for (std::size_t i = 2; i < mOut.mSteered.size(); ++i) {
+    const auto& [to, steered] = mOut.mSteered[i];
+    CHECK(steered.mPurpose == SteerPurpose::Deliver);
+    CHECK(to == Host(3, "near").mTunnel);
+    CHECK_EQUAL(i - 1, steered.mPacket[35]);
+  }
+}
+
+// The host of a flow answers for its placement while it is not in this
+// balancer's view any more. What waited is dropped, not sent nowhere.
+TEST(FlowSteering, WhatWaitedForAHostOutOfViewIsDropped)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near") });
+  Data();
+  Data();
+  Report(9, PlacementOutcome::Placed);
+  CHECK_EQUAL(1, mOut.mSteered.size());
 }
 
 // Hosts come and go until more are in view than are ranked. The flow's host
@@ -204,17 +240,24 @@
   SetHosts(hosts);
   const Address dead = hosts[7].mTunnel;
   std::map<Address, int> reached;
+  // As the caller repeats its packet.
   for (int i = 0; i < 4; ++i) {
     Data();
+    mClock.Advance(200ms);
   }
   for (const auto& [first, steered] : mOut.mSteered) {
-    std::vector<Address> walk = steered.mCandidates;
-    walk.insert(walk.begin(), first);
-    for (const Address& it : walk) {
-      if (it == dead) {
-        break;
+    if (first == dead) {
+      continue;
+    }
+    ++reached[first];
+    for (SearchWalk& walk : DealWalks(steered.mCandidates, kWalksEach)) {
+      walk.mOthers.insert(walk.mOthers.begin(), walk.mFirst);
+      for (const Address& it : walk.mOthers) {
+        if (it == dead) {
+          break;
+        }
+        ++reached[it];
       }
-      ++reached[it];
     }
   }
   // Of four packets of a caller each other host gets one at least.
@@ -291,6 +334,25 @@
   Syn();
   CHECK_TRUE(mOut.mToCaller.empty());
   mClock.Advance(501ms);
+  auto inventory = std::make_shared<FlowInventory>();
+  inventory->mVersion = 2;
+  mSteering.SetInventory(inventory);
+  Syn();
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+}
+
+// Everything lost power and comes back; this balancer is up before the hosts.
+// Refused, a caller tries twice more within 30 ms and gives up; told nothing, it
+// repeats its packet after 200 ms and is served. A service that has no host for
+// longer is refused.
+TEST(FlowSteering, HostsThatMayNotBeHeardYetAreWaitedFor)
+{
+  mSteering.OnStart(mClock.Now());
+  SetRoutes();
+  mClock.Advance(1900ms);
+  Syn();
+  CHECK_TRUE(mOut.mToCaller.empty());
+  mClock.Advance(101ms);
   Syn();
   CHECK_EQUAL(1, mOut.mToCaller.size());
 }
--- a/tests/MembershipFleet.h
+++ b/tests/MembershipFleet.h
@@ -41,12 +41,11 @@
                   int aSeeds = 1000)
     : mRandom(aSeed)
     , mOptions(aOptions)
-    , mAgentOptions{ {},
-                     aOptions.mHeartbeatEvery,
-                     aOptions.mMonitors,
-                     aAgentsWantPeers }
     , mDataCentres(aDataCentres)
   {
+    mAgentOptions.mHeartbeatEvery = aOptions.mHeartbeatEvery;
+    mAgentOptions.mMonitors = aOptions.mMonitors;
+    mAgentOptions.mWantsPeers = aAgentsWantPeers;
     for (int i = 0; i < std::min(aBalancers, aSeeds); ++i) {
       mOptions.mSeeds.push_back(AddressOf(i));
     }
--- a/tests/PassthroughExplorationTest.cpp
+++ b/tests/PassthroughExplorationTest.cpp
@@ -79,10 +79,12 @@
 }
 
 // Schedules that found a fault while the rules were made: a refusal that cut a
-// flow which another copy of its opening packet had opened.
+// flow which another copy of its opening packet had opened; in the last two the
+// refusing agent had stood still until the caller's next copies were placed.
 TEST(PassthroughExploration, SchedulesThatOnceFailedPass)
 {
-  for (std::uint64_t seed : { 361, 505, 1899, 3387, 9609, 15404, 83075 }) {
+  for (std::uint64_t seed : { 361, 505, 1899, 3387, 9609, 15404, 83075,
+                              53701, 81319 }) {
     CHECK_EQUAL(0, Explore(seed, 1, {}).mViolations.size());
   }
 }
--- a/tests/PlacementWatchTest.cpp
+++ b/tests/PlacementWatchTest.cpp
@@ -88,13 +88,26 @@
 {
   using Copy = PlacementWatch::Copy;
   mWatch.Begin(Flow(1), {}, Candidates(), Copy::First, mClock.Now());
-  CHECK_TRUE(mWatch.EndRefused(Flow(1)));
-  CHECK_FALSE(mWatch.EndRefused(Flow(1)));
+  CHECK_TRUE(mWatch.EndRefused(Flow(1), mClock.Now()));
+  CHECK_FALSE(mWatch.EndRefused(Flow(1), mClock.Now()));
   mWatch.Begin(Flow(2), {}, Candidates(), Copy::Later, mClock.Now());
-  CHECK_FALSE(mWatch.EndRefused(Flow(2)));
+  CHECK_FALSE(mWatch.EndRefused(Flow(2), mClock.Now()));
   mWatch.Begin(Flow(3), {}, Candidates(), Copy::First, mClock.Now());
   mWatch.ForgetAll();
-  CHECK_FALSE(mWatch.EndRefused(Flow(3)));
+  CHECK_FALSE(mWatch.EndRefused(Flow(3), mClock.Now()));
+}
+
+// An agent stood still for most of a second with the only copy that this
+// balancer offered, and refuses it. The caller has sent two more by then, and
+// another balancer placed one of them: a reset would cut the open flow.
+TEST(PlacementWatch, ARefusalThatComesAfterTheCallersNextCopyIsSilent)
+{
+  mWatch.Begin(Flow(1), {}, Candidates(), PlacementWatch::Copy::First,
+               mClock.Now());
+  mClock.Advance(60ms);
+  CHECK_TRUE(mWatch.TakeLate(mClock.Now()).empty());
+  mClock.Advance(95ms);
+  CHECK_FALSE(mWatch.EndRefused(Flow(1), mClock.Now()));
 }
 
 // A balancer gets little of its core. Answers wait in its socket for longer
