Who searches for a flow is told again where it is

Cause: an agent tells a balancer once where a flow is. One that restarted at its old address, or lost the report, was never told, searched for every packet of the flow, and now also dropped those that waited for the answer.

Change: a search that finds its flow is always answered by a report.

--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -87,6 +87,12 @@
     mWork.End(aEntry.mFlow, aNow);
     flow.mFinished = true;
   }
+  if (aSteered.mPurpose == SteerPurpose::Search) {
+    // Who searches does not know, whatever it was told: the report was lost, or
+    // the balancer has restarted since. Untold, it would search for each packet
+    // of the flow, and what waits there for the answer would be dropped.
+    flow.mTold = Address{};
+  }
   Tell(aEntry, aSteered.mIngress);
   Add(HostFlowEvent::Delivered);
   mFormat.Tag(aSteered.mPacket, 0);
--- a/tests/HostFlowsTest.cpp
+++ b/tests/HostFlowsTest.cpp
@@ -448,3 +448,45 @@
   mFlows->OnTick(mClock.Now());
   CHECK_EQUAL(1, mFlows->Condition(mClock.Now()).mInProgress);
 }
+
+// A balancer restarts at its old address while a flow is open, and searches for
+// it. The agent had told its former life where the flow is; untold, the new one
+// searches for every packet, and drops those that wait for the answer.
+TEST(HostFlows, WhoSearchesIsToldAgain)
+{
+  Beat();
+  Open();
+  std::size_t told = mOut.mReports.size();
+  Steer(SteerPurpose::Search, Packet(kAck, 12, 501, false, 10));
+  CHECK_EQUAL(told + 1, mOut.mReports.size());
+  Steer(SteerPurpose::Deliver, Packet(kAck, 22, 501, false, 10));
+  CHECK_EQUAL(told + 1, mOut.mReports.size());
+}
+
+// A search is begun here by a balancer. The flow is elsewhere, so the other hosts
+// are asked side by side; where the flow is here, nobody else is asked.
+TEST(HostFlows, SharesASearchOutUnlessItHoldsTheFlow)
+{
+  Beat();
+  SteeredPacket steered;
+  steered.mService = MakeServiceId("s");
+  steered.mPurpose = SteerPurpose::FanOut;
+  steered.mIngress = kBalancer;
+  for (int i = 2; i < 12; ++i) {
+    steered.mCandidates.push_back(
+      *ParseAddress("10.0.1." + std::to_string(i) + ":7000"));
+  }
+  steered.mPacket = Packet(kAck, 2, 501, false, 10);
+  mFlows->OnSteered(steered, mClock.Now());
+  CHECK_EQUAL(4, mOut.mSteered.size());
+  std::size_t asked = 0;
+  for (const auto& [to, walk] : mOut.mSteered) {
+    CHECK(walk.mPurpose == SteerPurpose::Search);
+    asked += 1 + walk.mCandidates.size();
+  }
+  CHECK_EQUAL(10, asked);
+  mOut.mSteered.clear();
+  Open();
+  mFlows->OnSteered(steered, mClock.Now());
+  CHECK_TRUE(mOut.mSteered.empty());
+}
