--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -244,26 +244,27 @@
     return;
   }
   Add(SteerEvent::Offered);
-  Offer(flow, std::move(steered), std::move(candidates),
-        isLater ? PlacementWatch::Copy::Later : PlacementWatch::Copy::First,
-        aNow);
+  SendOffer(flow, steered, candidates);
+  mWatch.Begin(flow, std::move(steered), std::move(candidates),
+               isLater ? PlacementWatch::Copy::Later
+                       : PlacementWatch::Copy::First,
+               aNow);
 }
 
-void FlowSteering::Offer(const FlowKey& aFlow, SteeredPacket aSteered,
-                         std::vector<PlacementCandidate> aCandidates,
-                         PlacementWatch::Copy aCopy, Time aNow, int aRetries)
+/** Sends an opening packet to the first candidate, with the others to pass it on
+ * to. */
+void FlowSteering::SendOffer(const FlowKey& aFlow, SteeredPacket& aSteered,
+                             std::span<const PlacementCandidate> aCandidates)
 {
   aSteered.mCandidates.clear();
-  for (std::size_t i = 1; i < aCandidates.size(); ++i) {
-    aSteered.mCandidates.push_back(aCandidates[i].mTunnel);
+  for (const PlacementCandidate& it : aCandidates.subspan(1)) {
+    aSteered.mCandidates.push_back(it.mTunnel);
   }
   LogFlow("offered", { { "flow", aFlow.ToString() },
                        { "to", aCandidates.front().mTunnel.ToString() },
                        { "others", aSteered.mCandidates.size() },
                        { "routes_version", RoutesVersion() } });
   mOutput.Steer(aCandidates.front().mTunnel, aSteered);
-  mWatch.Begin(aFlow, std::move(aSteered), std::move(aCandidates), aCopy, aNow,
-               aRetries);
 }
 
 void FlowSteering::OnTick(Time aNow)
@@ -277,8 +278,8 @@
       continue;
     }
     Add(SteerEvent::OfferedAgain);
-    Offer(it.mFlow, std::move(it.mSteered), std::move(it.mCandidates),
-          PlacementWatch::Copy::Later, aNow, it.mRetries);
+    SendOffer(it.mFlow, it.mSteered, it.mCandidates);
+    mWatch.BeginAgain(std::move(it), aNow);
   }
 }
 
@@ -395,8 +396,8 @@
 {
   mWatch.Clear(aReport.mHost);
   if (aReport.mOutcome == PlacementOutcome::Placed) {
-    if (auto sentAt = mWatch.End(aReport.mFlow)) {
-      mOutput.Placed(aNow - *sentAt);
+    if (auto took = mWatch.End(aReport.mFlow, aReport.mHost, aNow)) {
+      mOutput.Placed(*took);
     }
     mHints.Put(HashFlow(aReport.mFlow), { aReport.mHost, 0 });
     DeliverFound(aReport);
--- a/src/passthrough/PlacementWatch.h
+++ b/src/passthrough/PlacementWatch.h
@@ -8,6 +8,7 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
+#include "src/passthrough/AnswerTimeout.h"
 #include "src/passthrough/SteerMessages.h"
 
 namespace heatherplank {
@@ -25,7 +26,7 @@
  * Failure met: the first candidate lost power or is cut off. Its heartbeats
  * are missed only after a second or more, and the caller repeats its opening
  * packet after 200 ms, above the latency target of most requests. Here the
- * packet goes to the other candidates after kAnswerWithin, and flows that
+ * packet goes to the other candidates after AnswerTimeout, and flows that
  * come after it try the silent host last. Two hosts may then answer; the
  * caller acknowledges one, so the flow still opens once.
  *
@@ -34,9 +35,6 @@
 class PlacementWatch
 {
 public:
-  /** A walk of the candidates takes some 5 ms. Above that lie the pauses of
-   * hosts whose share of a core is small. */
-  static constexpr Duration kAnswerWithin = std::chrono::milliseconds(30);
   /** A packet that is found late by more than this is not the host's fault:
    * this process did not get to run, and the answer may wait to be read. */
   static constexpr Duration kBehind = std::chrono::milliseconds(20);
@@ -62,6 +60,9 @@
     Address mSilent;
     /** How often it was offered again before. */
     int mRetries = 0;
+    /** When the first offer went out, and to which host. */
+    Time mFirstAt{};
+    HostId mFirstHost;
   };
 
   /** Whether an earlier copy of an opening packet may have opened its flow. */
@@ -71,14 +72,16 @@
     Later,
   };
 
-  /** Watches a packet that went to the first of aCandidates. */
+  /** Watches a packet that went to the first of aCandidates, which is not
+   * empty. */
   void Begin(const FlowKey& aFlow, SteeredPacket aSteered,
-             std::vector<PlacementCandidate> aCandidates, Copy aCopy, Time aNow,
-             int aRetries = 0);
+             std::vector<PlacementCandidate> aCandidates, Copy aCopy, Time aNow);
+  /** Watches a packet that is offered again. Precondition: aRetry has
+   * candidates. */
+  void BeginAgain(Retry aRetry, Time aNow);
 
-  /** A host answered for the flow. Gives when the packet was sent, if it is
-   * watched. */
-  std::optional<Time> End(const FlowKey& aFlow);
+  /** aHost answered for the flow. Gives how long it took, if it is watched. */
+  std::optional<Duration> End(const FlowKey& aFlow, HostId aHost, Time aNow);
 
   /** The candidates refused the flow. True if the caller may be told so by a
    * reset.
@@ -115,6 +118,9 @@
 
   std::size_t Size() const { return mWatched.size(); }
 
+  /** How long a host may say nothing at present. */
+  Duration AnswerWithin() const { return mTimeout.Get(); }
+
 private:
   struct Watched
   {
@@ -122,9 +128,11 @@
     Copy mCopy = Copy::First;
     /** When it was offered, or counted as offered anew: see kBehind. */
     Time mSentAt;
-    Time mOfferedAt;
   };
 
+  void Watch(Watched aWatched);
+
+  AnswerTimeout mTimeout;
   std::unordered_map<FlowKey, Watched> mWatched;
   /** In the order of sending; entries of flows that ended are skipped. */
   std::multimap<Time, FlowKey> mBySentAt;
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -144,7 +144,7 @@
   SetRoutes();
   SetHosts({ Host(1, "near"), Host(2, "far") });
   Syn();
-  mClock.Advance(PlacementWatch::kAnswerWithin);
+  mClock.Advance(AnswerTimeout::kLeast);
   mSteering.OnTick(mClock.Now());
   CHECK_EQUAL(2, mOut.mSteered.size());
   STRCMP_EQUAL("10.0.1.2:7000", mOut.mSteered[1].first.ToString().c_str());
