--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -22,9 +22,9 @@
    *
    * Protects the first second after many machines come back at once: an agent
    * that starts before the balancers of its settings beat into the void, and
-   * its host got no flow until the next ordinary heartbeat, 0.5 s later. In
-   * that half second one in four callers gave up. A heartbeat is 200 bytes, so
-   * seeking costs an agent 4 KB/s for each seed. */
+   * its host got no flow until the next ordinary heartbeat, 0.5 s later, and
+   * 170 of the 897 callers of the next two seconds got no answer. A heartbeat
+   * is 200 bytes, so seeking costs an agent 4 KB/s for each seed. */
   Duration mSeekEvery = std::chrono::milliseconds(50);
   /** Seeds that stay silent for longer are not about to start. */
   Duration mSeekFor = std::chrono::seconds(5);
--- a/src/passthrough/FlowSearches.h
+++ b/src/passthrough/FlowSearches.h
@@ -18,9 +18,10 @@
  * each of them goes out many times, fills a link of 10 Mbit/s for a tenth of a
  * second, callers send again what is late, and the searches for the copies keep
  * the link full. Shown by a third of the opening packets unanswered within
- * 30 ms at balancers with thin links, and four in ten uploads late, long before
- * any fault. A flow is searched for once; what comes meanwhile waits for the
- * answer, which takes a few milliseconds, and goes straight to its host.
+ * 30 ms at balancers with thin links, and nearly half of the uploads not in
+ * time, long before any fault. A flow is searched for once; what comes
+ * meanwhile waits for the answer, which takes a few milliseconds, and goes
+ * straight to its host.
  *
  * Pure; not thread safe.
  */
--- a/tests/FlowAdmissionTest.cpp
+++ b/tests/FlowAdmissionTest.cpp
@@ -318,10 +318,11 @@
   CHECK_TRUE(walk.Ordinary().Share() > 0.99);
 }
 
-// Deployments of many shapes: hosts, slots, work and targets drawn by seed, some
-// important work beside the rest. Limits that were tried on one of them must not
-// fail on another: at half load hardly anybody is late or refused, and at 1.3
-// times the slots the important is served first and the slots are not idle.
+// Deployments of many shapes: hosts, slots, work and targets drawn by seed,
+// some important work beside the rest. Limits that were tried on one of them
+// must not fail on another: at half load hardly anybody is late or refused, and
+// at 1.3 times the slots the important is served first and the slots are not
+// idle.
 TEST(FlowAdmission, DeploymentsOfOtherShapesAreServedAlike)
 {
   for (unsigned seed = 1; seed <= 20; ++seed) {
