--- a/tests/FlowAdmissionTest.cpp
+++ b/tests/FlowAdmissionTest.cpp
@@ -329,8 +329,9 @@
     std::mt19937 random(seed);
     std::size_t hosts = 4 + random() % 40;
     auto slots = static_cast<std::uint32_t>(2 + random() % 5);
-    double workMs = 5 + random() % 40;
-    double targetMs = FlowFarm::kNetworkMs + workMs * (5 + random() % 8);
+    double workMs = 5 + static_cast<double>(random() % 40);
+    double timesWork = 5 + static_cast<double>(random() % 8);
+    double targetMs = FlowFarm::kNetworkMs + workMs * timesWork;
     double perSecond = 1000.0 * static_cast<double>(hosts * slots) / workMs;
     auto play = [&](double aLoad) {
       FlowFarm farm(hosts, seed, slots);
