One document of routes at a time, packed; a few balancers watch the store

Packets of callers waited up to 3 s behind the copies, opening packets were offered again, and the load kept itself up for 14 s after the return (metastable overload). Ruled out: the wait for an answer to an offer (30 ms) and the second offers themselves; trials with other values fell over as well. Change: who is behind is told, and asks one peer at a time with a wait that doubles; documents are packed (Zstandard, 159 KB -> 10 KB) and take a quarter of a balancer's link; in fleets above eight balancers three watch the store, and who hears of no confirmation in 0.7 to 0.8 of the time that a change may take watches by itself. Tests: RoutesFleet (ten balancers on modelled links): without the one question at a time and the share of the link ARestartBringsOneDocumentOverAThinLink fails; without the loss of trust AChangeReachesAllAlthoughTheWatchersAreCutOff fails. Not run on the code before, whose parts have another interface. Tests replaced: InventoryPeers AsksForANewerVersionAndNotInAStream asks for a second question after kDocumentWithin, 800 ms, where it was 250 ms: the shorter wait was the fault. WithoutRoutesItAsks asked every peer told for the document; WhoIsBehindIsTold and the fleet's tests ask for one. Left on thin links: the whole document from the store at a mass return.

--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -66,15 +66,36 @@
   return options;
 }
 
+std::uint64_t SeedOf(const Member& aSelf)
+{
+  return MixHash(aSelf.mHost.mValue, aSelf.mIncarnation);
+}
+
 InventoryWatch::Options MakeWatchOptions(const FlowBalancerSettings& aSettings,
                                          const Member& aSelf)
 {
   InventoryWatch::Options options;
   options.mKey = aSettings.mRoutesKey;
-  options.mSeed = MixHash(aSelf.mHost.mValue, aSelf.mIncarnation);
+  options.mSeed = SeedOf(aSelf);
   return options;
 }
 
+InventoryPeers::Options MakePeerOptions(const FlowBalancerSettings& aSettings,
+                                        const Member& aSelf)
+{
+  constexpr double kBytesPerMegabit = 125000;
+  return { aSelf.mControl, aSettings.mLinkMbps * kBytesPerMegabit,
+           SeedOf(aSelf) };
+}
+
+StoreWatchDuty::Options MakeDutyOptions(const FlowBalancerSettings& aSettings,
+                                        const Member& aSelf, Time aNow)
+{
+  return { aSelf.mHost, aSelf.mDataCentre,
+           std::chrono::milliseconds(aSettings.mRoutesInForceWithinMs), aNow,
+           SeedOf(aSelf) };
+}
+
 } // namespace
 
 struct FlowBalancer::Impl final : FlowSteeringOutput
@@ -101,7 +122,10 @@
                mSelf, MakeMembershipOptions(aSettings.mSeeds))
     , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
                 aAdapter.Inventories(), MakeWatchOptions(aSettings, mSelf),
-                mSelf.mControl, [this] { return PeerAddresses(); },
+                MakePeerOptions(aSettings, mSelf),
+                MakeDutyOptions(aSettings, mSelf, mClock.Now()),
+                [this] { return mMembers.Balancers(); },
+                [this] { return mProcess.Seeds(); },
                 [this](FlowInventoryPtr aInventory) {
                   mSteering.SetInventory(std::move(aInventory));
                 } })
@@ -214,6 +238,7 @@
     LogEvent(LogLevel::Warning, "stood_still", { { "ms", ms.count() } });
     mSteering.OnStandstill(aNow);
     mIsolation.OnStandstill(aNow);
+    mRoutes.OnStandstill();
     if (aGap >= kStaleRoutesAfter) {
       mRoutes.ReadNow();
     }
@@ -255,18 +280,6 @@
       [this](SteerEvent aEvent) { return mSteering.Count(aEvent); });
   }
 
-  std::vector<Address> PeerAddresses() const
-  {
-    std::vector<Address> out;
-    for (const Member& it : mMembers.Balancers()) {
-      out.push_back(it.mControl);
-    }
-    if (out.empty()) {
-      out = mProcess.Seeds();
-    }
-    return out;
-  }
-
   void OnDatagram(ByteView aDatagram, const Address& aFrom)
   {
     auto frame = mProcess.Unwrap(aDatagram);
--- a/src/passthrough/InventoryExchange.cpp
+++ b/src/passthrough/InventoryExchange.cpp
@@ -1,17 +1,29 @@
 #include "src/passthrough/InventoryExchange.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "src/base/Compression.h"
+#include "src/base/Log.h"
 #include "src/process/MessageSender.h"
 #include "src/wire/PassthroughCodec.h"
 
 namespace heatherplank {
 
+namespace {
+
+/** The largest text of routes that is taken from a peer; the store's values
+ * are smaller. */
+constexpr std::size_t kLargestText = std::size_t{ 4 } * 1024 * 1024;
+
+} // namespace
+
 InventoryExchange::InventoryExchange(Parts aParts)
   : mParts(std::move(aParts))
-  , mPeers(mParts.mSelf, mParts.mOptions.mSeed)
+  , mDuty(mParts.mDuty)
+  , mPeers(mParts.mPeers)
   , mWatch(InventoryWatch::Make(
-      mParts.mClock, mParts.mStore, mParts.mReader, mParts.mOptions,
+      mParts.mClock, mParts.mStore, mParts.mReader, mParts.mWatch,
       [this](FlowInventoryPtr aInventory, const std::string&) {
         OnInventory(std::move(aInventory));
       }))
@@ -20,31 +32,106 @@
 
 void InventoryExchange::OnTick()
 {
+  Time now = mParts.mClock.Now();
+  auto balancers = mParts.mBalancers();
+  JudgeDuty(balancers, now);
   mWatch->OnTick();
-  Send(mPeers.OnTick(mParts.mPeers(), Version(), mParts.mClock.Now()));
+  Send(mPeers.OnTick(PeerAddresses(balancers), Known(now), now));
+}
+
+void InventoryExchange::JudgeDuty(std::span<const Member> aBalancers, Time aNow)
+{
+  auto wait =
+    mDuty.WatchFor(aBalancers, Version() != 0, mPeers.IsAsking(aNow), aNow);
+  mWatch->SetWatchFor(wait);
+  if (wait.has_value() != mWatches) {
+    mWatches = wait.has_value();
+    LogEvent(
+      LogLevel::Info, mWatches ? "store_watched" : "store_left_to_others",
+      { { "balancers", aBalancers.size() }, { "routes_version", Version() } });
+  }
+}
+
+InventoryPeers::Known InventoryExchange::Known(Time aNow) const
+{
+  InventoryPeers::Known out;
+  out.mVersion = Version();
+  auto confirmed = mDuty.ConfirmedAt();
+  if (HeardAt() != Time{}) {
+    confirmed = std::max(confirmed.value_or(HeardAt()), HeardAt());
+  }
+  if (confirmed) {
+    out.mConfirmedAgo = aNow - *confirmed;
+  }
+  return out;
+}
+
+std::vector<Address> InventoryExchange::PeerAddresses(
+  std::span<const Member> aBalancers) const
+{
+  std::vector<Address> out;
+  for (const Member& it : aBalancers) {
+    out.push_back(it.mControl);
+  }
+  return out.empty() ? mParts.mSeeds() : out;
 }
 
 void InventoryExchange::OnInventory(FlowInventoryPtr aInventory)
 {
-  std::uint64_t version = aInventory->mVersion;
   mParts.mOnInventory(std::move(aInventory));
-  Send(mPeers.OnChanged(mParts.mPeers(), version, mParts.mClock.Now()));
+  Time now = mParts.mClock.Now();
+  Send(mPeers.OnChanged(PeerAddresses(mParts.mBalancers()), Known(now), now));
 }
 
 void InventoryExchange::OnNotice(const InventoryNotice& aNotice)
 {
+  Time now = mParts.mClock.Now();
   if (InventoryPeers::IsOwedDocument(aNotice, Version())) {
-    mParts.mMessages.Send(
-      aNotice.mControl, MessageKind::InventoryDocument,
-      EncodePayload(InventoryDocument{ Version(), mWatch->Document() }));
+    GiveDocument(aNotice, now);
     return;
   }
-  Send(mPeers.OnNotice(aNotice, Version(), mParts.mClock.Now()));
+  if (aNotice.mConfirmedAgo && Version() != 0 &&
+      aNotice.mVersion <= Version()) {
+    mDuty.OnConfirmed(now - *aNotice.mConfirmedAgo);
+  }
+  Send(mPeers.OnNotice(aNotice, Known(now), now));
+}
+
+void InventoryExchange::GiveDocument(const InventoryNotice& aNotice, Time aNow)
+{
+  std::size_t size = Packed().size();
+  bool given = mPeers.TakeLink(size, aNow);
+  LogEvent(LogLevel::Info, given ? "routes_given" : "routes_not_given_now",
+           { { "to", aNotice.mControl.ToString() },
+             { "their_version", aNotice.mVersion },
+             { "version", Version() },
+             { "bytes", size } });
+  if (given) {
+    mParts.mMessages.Send(aNotice.mControl, MessageKind::InventoryDocument,
+                          EncodePayload(mPacked));
+  } else {
+    Send({ mPeers.Busy(aNotice, Known(aNow)) });
+  }
+}
+
+/** Packing takes a machine with a small share of a core some 10 ms, so it is
+ * done once a version. */
+const Bytes& InventoryExchange::Packed()
+{
+  if (mPacked.mVersion != Version()) {
+    mPacked = { Version(), Compress(mWatch->Document()) };
+  }
+  return mPacked.mPacked;
 }
 
 void InventoryExchange::OnDocument(const InventoryDocument& aDocument)
 {
-  mWatch->OnPeerDocument(aDocument.mText);
+  auto text = Decompress(aDocument.mPacked, kLargestText);
+  if (!text) {
+    LogEvent(LogLevel::Error, "routes_unreadable",
+             { { "source", "peer" }, { "why", text.error().Describe() } });
+  }
+  mPeers.OnDocument(text && mWatch->OnPeerDocument(*text));
 }
 
 void InventoryExchange::Send(const std::vector<InventoryPeers::Send>& aNotices)
--- a/src/passthrough/InventoryExchange.h
+++ b/src/passthrough/InventoryExchange.h
@@ -7,14 +7,15 @@
 #include "src/passthrough/InventoryMessages.h"
 #include "src/passthrough/InventoryPeers.h"
 #include "src/passthrough/InventoryWatch.h"
+#include "src/passthrough/StoreWatchDuty.h"
 
 namespace heatherplank {
 
 class MessageSender;
 
 /** How a balancer keeps its routes: from the store and from other balancers,
- * and tells these. Joins InventoryWatch and InventoryPeers to the wire. Runs on
- * one thread.
+ * and tells these. Joins StoreWatchDuty, InventoryWatch and InventoryPeers to
+ * the wire. Runs on one thread.
  */
 class InventoryExchange
 {
@@ -25,11 +26,13 @@
     MessageSender& mMessages;
     ObjectStore& mStore;
     const FlowInventoryReader& mReader;
-    InventoryWatch::Options mOptions;
-    /** This balancer's control address. */
-    Address mSelf;
-    /** Control addresses of other balancers, seeds too. */
-    std::function<std::vector<Address>()> mPeers;
+    InventoryWatch::Options mWatch;
+    InventoryPeers::Options mPeers;
+    StoreWatchDuty::Options mDuty;
+    /** The other balancers in view. */
+    std::function<std::vector<Member>()> mBalancers;
+    /** Control addresses to begin with, before any balancer is in view. */
+    std::function<std::vector<Address>()> mSeeds;
     /** Routes came into force. */
     std::function<void(FlowInventoryPtr)> mOnInventory;
   };
@@ -42,6 +45,9 @@
   void OnNotice(const InventoryNotice& aNotice);
   void OnDocument(const InventoryDocument& aDocument);
 
+  /** This process did not run for a while. */
+  void OnStandstill() { mDuty.OnStandstill(); }
+
   /** Reads the whole from the store at once: what is held may be old. */
   void ReadNow() { mWatch->ReadNow(); }
 
@@ -56,11 +62,20 @@
 
 private:
   void OnInventory(FlowInventoryPtr aInventory);
+  void JudgeDuty(std::span<const Member> aBalancers, Time aNow);
+  void GiveDocument(const InventoryNotice& aNotice, Time aNow);
+  const Bytes& Packed();
+  InventoryPeers::Known Known(Time aNow) const;
+  std::vector<Address> PeerAddresses(std::span<const Member> aBalancers) const;
   void Send(const std::vector<InventoryPeers::Send>& aNotices);
 
   Parts mParts;
+  StoreWatchDuty mDuty;
   InventoryPeers mPeers;
   std::shared_ptr<InventoryWatch> mWatch;
+  bool mWatches = false;
+  /** The document in force as it is sent to peers, once one asked. */
+  InventoryDocument mPacked;
 };
 
 } // namespace heatherplank
--- a/src/passthrough/InventoryMessages.h
+++ b/src/passthrough/InventoryMessages.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
+#include <optional>
 
+#include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
+#include "src/wire/Frame.h"
 
 namespace heatherplank {
 
@@ -16,13 +18,19 @@
   Address mControl;
   /** The sender asks for the receiver's document, if it is newer. */
   bool mWantsDocument = false;
+  /** The answer to such a question: not now, ask another balancer. */
+  bool mIsBusy = false;
+  /** How long ago the store said, to any balancer, that no version above
+   * mVersion is in force; none if the sender does not know. */
+  std::optional<Duration> mConfirmedAgo;
 };
 
 /** The routes, as the operator's tools wrote them. */
 struct InventoryDocument
 {
   std::uint64_t mVersion = 0;
-  std::string mText;
+  /** The text, packed (src/base/Compression.h). */
+  Bytes mPacked;
 };
 
 } // namespace heatherplank
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -26,15 +26,25 @@
 {
 }
 
+void InventoryWatch::SetWatchFor(std::optional<Duration> aWait)
+{
+  std::lock_guard lock(mLock);
+  mWatchFor = aWait;
+}
+
 void InventoryWatch::OnTick()
 {
   std::uint64_t call = 0;
   std::uint64_t after = 0;
+  Duration wait{};
   {
     std::lock_guard lock(mLock);
-    if (mCalling || mClock.Now() < mNextAt) {
+    bool wanted = mWatchFor.has_value() || mReadOnce;
+    if (!wanted || mCalling || mClock.Now() < mNextAt) {
       return;
     }
+    mReadOnce = false;
+    wait = mWatchFor.value_or(Duration::zero());
     mCalling = true;
     mCalledAt = mClock.Now();
     call = ++mCall;
@@ -43,7 +53,7 @@
   if (after == 0) {
     Read(call);
   } else {
-    Watch(call, after);
+    Watch(call, after, wait);
   }
 }
 
@@ -53,6 +63,7 @@
     std::lock_guard lock(mLock);
     ++mCall;
     mCalling = false;
+    mReadOnce = true;
     mObjectVersion = 0;
     mNextAt = mClock.Now();
   }
@@ -67,10 +78,11 @@
              });
 }
 
-void InventoryWatch::Watch(std::uint64_t aCall, std::uint64_t aAfter)
+void InventoryWatch::Watch(std::uint64_t aCall, std::uint64_t aAfter,
+                           Duration aWait)
 {
   mStore.Watch(
-    mOptions.mKey, aAfter, mOptions.mWatchFor,
+    mOptions.mKey, aAfter, aWait,
     [self = shared_from_this(), aCall](Result<std::optional<Object>> aChange) {
       self->OnWatched(aCall, std::move(aChange));
     });
@@ -149,14 +161,14 @@
   }
 }
 
-void InventoryWatch::OnPeerDocument(const std::string& aDocument)
+bool InventoryWatch::OnPeerDocument(const std::string& aDocument)
 {
-  Accept(aDocument, "peer");
+  return Accept(aDocument, "peer");
 }
 
 /** Failure met: a late answer, a stale read or a slow peer brings a version
  * below the one in force, and routes that were dropped serve again. */
-void InventoryWatch::Accept(const std::string& aDocument,
+bool InventoryWatch::Accept(const std::string& aDocument,
                             std::string_view aSource)
 {
   auto inventory = mReader.Read(aDocument);
@@ -164,12 +176,12 @@
     LogEvent(
       LogLevel::Error, "routes_unreadable",
       { { "source", aSource }, { "why", inventory.error().Describe() } });
-    return;
+    return false;
   }
   {
     std::lock_guard lock(mLock);
     if ((*inventory)->mVersion <= mVersion) {
-      return;
+      return true;
     }
     mVersion = (*inventory)->mVersion;
     mDocument = aDocument;
@@ -179,6 +191,7 @@
              { "routes", (*inventory)->mRoutes.size() },
              { "source", aSource } });
   mOnInventory(std::move(*inventory), aDocument);
+  return true;
 }
 
 std::uint64_t InventoryWatch::Version() const
--- a/src/passthrough/InventoryWatch.h
+++ b/src/passthrough/InventoryWatch.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "include/heatherplank/Clock.h"
@@ -33,10 +34,6 @@
   {
     /** The store's key of the document. */
     std::string mKey;
-    /** How long a watch waits. A balancer that misses changes without knowing
-     * it is at most this and the call's time-out behind; a shorter wait costs
-     * a call each time. */
-    Duration mWatchFor = std::chrono::milliseconds(5000);
     /** A watch that ends with nothing sooner than this did not wait: the next
      * call pauses, or a store that answers at once would be called in a
      * stream. */
@@ -53,6 +50,11 @@
     const FlowInventoryReader& aReader, Options aOptions,
     OnInventory aOnInventory);
 
+  /** How long watches wait from now on; none to begin no more calls. A watch
+   * that went silent is noticed after this and the call's time-out; a shorter
+   * wait costs a call each time. */
+  void SetWatchFor(std::optional<Duration> aWait);
+
   /** Starts the next call when it is due; call it some ten times a second. */
   void OnTick();
 
@@ -60,8 +62,8 @@
    * still, or a peer knows a newer version. */
   void ReadNow();
 
-  /** A document that a peer sent. */
-  void OnPeerDocument(const std::string& aDocument);
+  /** A document that a peer sent. False if it can't be read. */
+  bool OnPeerDocument(const std::string& aDocument);
 
   /** The version in force, or 0, and what it was read from. */
   std::uint64_t Version() const;
@@ -79,13 +81,13 @@
                  OnInventory aOnInventory);
 
   void Read(std::uint64_t aCall);
-  void Watch(std::uint64_t aCall, std::uint64_t aAfter);
+  void Watch(std::uint64_t aCall, std::uint64_t aAfter, Duration aWait);
   void OnRead(std::uint64_t aCall, Result<Object> aObject);
   void OnWatched(std::uint64_t aCall, Result<std::optional<Object>> aChange);
   void OnFailure(std::uint64_t aCall, const Error& aWhy);
   /** False if aCall is not the one under way any more. */
   bool EndCall(std::uint64_t aCall);
-  void Accept(const std::string& aDocument, std::string_view aSource);
+  bool Accept(const std::string& aDocument, std::string_view aSource);
 
   const Clock& mClock;
   ObjectStore& mStore;
@@ -94,6 +96,9 @@
   const OnInventory mOnInventory;
   mutable std::mutex mLock;
   Backoff mBackoff;
+  std::optional<Duration> mWatchFor;
+  /** The object is to be read, whether it is watched or not. */
+  bool mReadOnce = false;
   /** The call under way; answers to others are dropped. */
   std::uint64_t mCall = 0;
   bool mCalling = false;
--- a/src/passthrough/PassthroughSettings.cpp
+++ b/src/passthrough/PassthroughSettings.cpp
@@ -12,6 +12,10 @@
 constexpr std::int64_t kMostFlows = 50000000;
 constexpr std::int64_t kDaySeconds = 86400;
 constexpr std::int64_t kHourMs = 3600000;
+/** Watches of a part of it would be a stream of calls below. */
+constexpr std::int64_t kLeastInForceMs = 500;
+constexpr double kLeastLinkMbps = 0.01;
+constexpr double kMostLinkMbps = 1000000;
 constexpr std::int64_t kMostOffsetMs = kDaySeconds * 1000;
 
 void ReadShared(JsonReader& aReader, PassthroughSettings& aOut)
@@ -45,6 +49,11 @@
   aOut.mRoutesKey = aReader.RequiredString("routes_key");
   aOut.mMaxHints = static_cast<std::uint32_t>(
     aReader.Integer("max_hints", 1, kMostFlows, aOut.mMaxHints));
+  aOut.mLinkMbps =
+    aReader.Number("link_mbps", kLeastLinkMbps, kMostLinkMbps, aOut.mLinkMbps);
+  aOut.mRoutesInForceWithinMs = static_cast<std::uint32_t>(
+    aReader.Integer("routes_in_force_within_ms", kLeastInForceMs, kHourMs,
+                    aOut.mRoutesInForceWithinMs));
 }
 
 void ReadAgent(JsonReader& aReader, FlowAgentSettings& aOut)
--- a/src/passthrough/PassthroughSettings.h
+++ b/src/passthrough/PassthroughSettings.h
@@ -45,6 +45,12 @@
   std::string mRoutesKey;
   /** Flows whose host it remembers; a bound, since hints may be lost. */
   std::uint32_t mMaxHints = 65536;
+  /** What this machine's link carries, Mbit/s; documents to other balancers
+   * take a share of it. */
+  double mLinkMbps = 1000;
+  /** Routes that the operator changed are in force everywhere within this, ms.
+   */
+  std::uint32_t mRoutesInForceWithinMs = 3000;
 };
 
 /** The agent beside a host of opaque flows. */
--- a/src/wire/PassthroughCodec.cpp
+++ b/src/wire/PassthroughCodec.cpp
@@ -1,5 +1,8 @@
 #include "src/wire/PassthroughCodec.h"
 
+#include <algorithm>
+#include <limits>
+
 #include "src/wire/Alignment.h"
 #include "src/wire/WireAddress.h"
 #include "src/wire/passthrough_generated.h"
@@ -19,6 +22,24 @@
   return { view.begin(), view.end() };
 }
 
+/** The largest value stands for none. */
+constexpr auto kNoMs = std::numeric_limits<std::uint32_t>::max();
+
+std::uint32_t ToWireMs(std::optional<Duration> aSpan)
+{
+  if (!aSpan) {
+    return kNoMs;
+  }
+  auto ms = duration_cast<milliseconds>(*aSpan).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, kNoMs - 1));
+}
+
+std::optional<Duration> FromWireMs(std::uint32_t aMs)
+{
+  return aMs == kNoMs ? std::nullopt
+                      : std::optional<Duration>(milliseconds(aMs));
+}
+
 bool IsAddressed(const SteeredPacket& aMessage)
 {
   return !aMessage.mIngress.IsNone() &&
@@ -128,7 +149,8 @@
   Builder builder(128);
   auto control = ToWire(aMessage.mControl);
   builder.Finish(wire::CreateInventoryNotice(
-    builder, aMessage.mVersion, &control, aMessage.mWantsDocument));
+    builder, aMessage.mVersion, &control, aMessage.mWantsDocument,
+    aMessage.mIsBusy, ToWireMs(aMessage.mConfirmedAgo)));
   return Finish(builder);
 }
 
@@ -138,18 +160,18 @@
   if (!root) {
     return tl::unexpected(root.error());
   }
-  return InventoryNotice{ (*root)->version(), FromWire(*(*root)->control()),
-                          (*root)->wants_document() };
+  const auto* notice = *root;
+  return InventoryNotice{ notice->version(), FromWire(*notice->control()),
+                          notice->wants_document(), notice->is_busy(),
+                          FromWireMs(notice->confirmed_ms_ago()) };
 }
 
 Bytes EncodePayload(const InventoryDocument& aMessage)
 {
-  Builder builder(aMessage.mText.size() + 64);
-  auto text = builder.CreateVector(
-    reinterpret_cast<const std::uint8_t*>(aMessage.mText.data()),
-    aMessage.mText.size());
+  Builder builder(aMessage.mPacked.size() + 64);
+  auto packed = builder.CreateVector(aMessage.mPacked);
   builder.Finish(
-    wire::CreateInventoryDocument(builder, aMessage.mVersion, text));
+    wire::CreateInventoryDocument(builder, aMessage.mVersion, packed));
   return Finish(builder);
 }
 
@@ -159,9 +181,9 @@
   if (!root) {
     return tl::unexpected(root.error());
   }
-  const auto* text = (*root)->text();
+  const auto* packed = (*root)->packed();
   return InventoryDocument{ (*root)->version(),
-                            { text->begin(), text->end() } };
+                            { packed->begin(), packed->end() } };
 }
 
 } // namespace heatherplank
--- a/src/wire/passthrough_generated.h
+++ b/src/wire/passthrough_generated.h
@@ -260,7 +260,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
     VT_CONTROL = 6,
-    VT_WANTS_DOCUMENT = 8
+    VT_WANTS_DOCUMENT = 8,
+    VT_IS_BUSY = 10,
+    VT_CONFIRMED_MS_AGO = 12
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -271,11 +273,19 @@
   bool wants_document() const {
     return GetField<uint8_t>(VT_WANTS_DOCUMENT, 0) != 0;
   }
+  bool is_busy() const {
+    return GetField<uint8_t>(VT_IS_BUSY, 0) != 0;
+  }
+  uint32_t confirmed_ms_ago() const {
+    return GetField<uint32_t>(VT_CONFIRMED_MS_AGO, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyFieldRequired<heatherplank::wire::WireAddress>(verifier, VT_CONTROL, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_DOCUMENT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_BUSY, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIRMED_MS_AGO, 4) &&
            verifier.EndTable();
   }
 };
@@ -293,6 +303,12 @@
   void add_wants_document(bool wants_document) {
     fbb_.AddElement<uint8_t>(InventoryNotice::VT_WANTS_DOCUMENT, static_cast<uint8_t>(wants_document), 0);
   }
+  void add_is_busy(bool is_busy) {
+    fbb_.AddElement<uint8_t>(InventoryNotice::VT_IS_BUSY, static_cast<uint8_t>(is_busy), 0);
+  }
+  void add_confirmed_ms_ago(uint32_t confirmed_ms_ago) {
+    fbb_.AddElement<uint32_t>(InventoryNotice::VT_CONFIRMED_MS_AGO, confirmed_ms_ago, 4294967295);
+  }
   explicit InventoryNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -309,10 +325,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
     const heatherplank::wire::WireAddress *control = nullptr,
-    bool wants_document = false) {
+    bool wants_document = false,
+    bool is_busy = false,
+    uint32_t confirmed_ms_ago = 4294967295) {
   InventoryNoticeBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_confirmed_ms_ago(confirmed_ms_ago);
   builder_.add_control(control);
+  builder_.add_is_busy(is_busy);
   builder_.add_wants_document(wants_document);
   return builder_.Finish();
 }
@@ -321,19 +341,19 @@
   typedef InventoryDocumentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
-    VT_TEXT = 6
+    VT_PACKED = 6
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
-  const flatbuffers::Vector<uint8_t> *text() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEXT);
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyOffsetRequired(verifier, VT_TEXT) &&
-           verifier.VerifyVector(text()) &&
+           VerifyOffsetRequired(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
            verifier.EndTable();
   }
 };
@@ -345,8 +365,8 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(InventoryDocument::VT_VERSION, version, 0);
   }
-  void add_text(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text) {
-    fbb_.AddOffset(InventoryDocument::VT_TEXT, text);
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(InventoryDocument::VT_PACKED, packed);
   }
   explicit InventoryDocumentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -355,7 +375,7 @@
   flatbuffers::Offset<InventoryDocument> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<InventoryDocument>(end);
-    fbb_.Required(o, InventoryDocument::VT_TEXT);
+    fbb_.Required(o, InventoryDocument::VT_PACKED);
     return o;
   }
 };
@@ -363,22 +383,22 @@
 inline flatbuffers::Offset<InventoryDocument> CreateInventoryDocument(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0) {
   InventoryDocumentBuilder builder_(_fbb);
   builder_.add_version(version);
-  builder_.add_text(text);
+  builder_.add_packed(packed);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<InventoryDocument> CreateInventoryDocumentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    const std::vector<uint8_t> *text = nullptr) {
-  auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
+    const std::vector<uint8_t> *packed = nullptr) {
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return heatherplank::wire::CreateInventoryDocument(
       _fbb,
       version,
-      text__);
+      packed__);
 }
 
 }  // namespace wire
--- a/tests/InventoryWatchTest.cpp
+++ b/tests/InventoryWatchTest.cpp
@@ -85,6 +85,11 @@
       mSeen.push_back(aIt->mVersion);
     });
 
+  void setup() override
+  {
+    mWatch->SetWatchFor(5000ms);
+  }
+
   void ReadFirst()
   {
     mWatch->OnTick();
@@ -187,3 +192,18 @@
   // It goes on from there, not in a circle.
   CHECK_EQUAL(105, mStore.mHeld[0].mAfter);
 }
+
+// In a large fleet most balancers leave the store to a few. One that stood
+// still may have missed what those told, and reads once.
+TEST(InventoryWatch, WithoutAWatchItReadsOnlyWhenTold)
+{
+  mWatch->SetWatchFor(std::nullopt);
+  mWatch->OnTick();
+  CHECK_EQUAL(0, mStore.mCalls);
+  mWatch->ReadNow();
+  CHECK_EQUAL(1, mStore.mHeld.size());
+  mStore.Take().mGot(Doc("7", 100));
+  mWatch->OnTick();
+  CHECK_EQUAL(1, mStore.mCalls);
+  CHECK_EQUAL(7, mWatch->Version());
+}
--- a/tests/PassthroughCodecTest.cpp
+++ b/tests/PassthroughCodecTest.cpp
@@ -59,15 +59,20 @@
   CHECK_TRUE(gotReport->mFlow == report.mFlow);
   CHECK_TRUE(gotReport->mHost == report.mHost);
   CHECK_TRUE(gotReport->mOutcome == report.mOutcome);
-  InventoryNotice notice{ 17, *ParseAddress("1.2.3.4:5"), true };
+  InventoryNotice notice{ 17, *ParseAddress("1.2.3.4:5"), true, true, 40ms };
   auto gotNotice = DecodeInventoryNotice(EncodePayload(notice));
   CHECK_EQUAL(17, gotNotice->mVersion);
   CHECK_TRUE(gotNotice->mControl == notice.mControl);
   CHECK_TRUE(gotNotice->mWantsDocument);
+  CHECK_TRUE(gotNotice->mIsBusy);
+  CHECK_TRUE(gotNotice->mConfirmedAgo == notice.mConfirmedAgo);
+  notice.mConfirmedAgo.reset();
+  gotNotice = DecodeInventoryNotice(EncodePayload(notice));
+  CHECK_FALSE(gotNotice->mConfirmedAgo.has_value());
   auto gotDocument =
-    DecodeInventoryDocument(EncodePayload(InventoryDocument{ 3, "{}" }));
+    DecodeInventoryDocument(EncodePayload(InventoryDocument{ 3, { 1, 2 } }));
   CHECK_EQUAL(3, gotDocument->mVersion);
-  STRCMP_EQUAL("{}", gotDocument->mText.c_str());
+  CHECK_TRUE(gotDocument->mPacked == Bytes({ 1, 2 }));
 }
 
 // A damaged or foreign datagram arrives at an open port. It must be refused or
--- a/tests/PassthroughSettingsTest.cpp
+++ b/tests/PassthroughSettingsTest.cpp
@@ -33,6 +33,22 @@
   STRCMP_EQUAL("10.0.0.2:7000", read->mSeeds[0].ToString().c_str());
 }
 
+TEST(PassthroughSettings, ReadsWhatTheLinkCarries)
+{
+  auto read = ParseFlowBalancerSettings(
+    "{" + kShared + R"("ingress": "10.0.0.1:4444", "routes_key": "a/b",
+      "link_mbps": 2.5, "routes_in_force_within_ms": 6000})",
+    "f.json");
+  CHECK_TRUE(read.has_value());
+  DOUBLES_EQUAL(2.5, read->mLinkMbps, 0);
+  CHECK_EQUAL(6000, read->mRoutesInForceWithinMs);
+  CHECK_FALSE(
+    ParseFlowBalancerSettings("{" + kShared + R"("ingress": "10.0.0.1:4444",
+      "routes_key": "a/b", "link_mbps": 0})",
+                              "f.json")
+      .has_value());
+}
+
 TEST(PassthroughSettings, NamesEveryFaultAndTheRemedy)
 {
   auto read = ParseFlowBalancerSettings(
