A balancer asks some agents before it calls itself cut off

Each agent greets all balancers then and beats to its three monitors afterwards; balancers whose view was still incomplete held themselves for the monitors of 44 to 96 agents and heard few. Each spell takes a balancer out of rotation, and the fabric moves nearly all flows. Ruled out: lost heartbeats; the agents that were missed answered others. Change: silence of most agents makes a balancer ask twelve in view, whichever balancers they beat to; only if fewer than a third answer within 200 ms it counts as cut off.

--- a/src/balancer/MemberPlane.cpp
+++ b/src/balancer/MemberPlane.cpp
@@ -107,6 +107,17 @@
   mMembership.SetSeeds(std::move(aSeeds));
 }
 
+std::vector<Member> MemberPlane::AskSome(std::size_t aCount)
+{
+  std::vector<Member> asked;
+  {
+    std::lock_guard lock(mLock);
+    asked = mMembership.AskSome(aCount, mParts.mClock.Now());
+  }
+  Flush();
+  return asked;
+}
+
 void MemberPlane::Leave()
 {
   {
--- a/src/balancer/MemberPlane.h
+++ b/src/balancer/MemberPlane.h
@@ -54,6 +54,9 @@
   /** Other balancers to begin with: the settings changed. */
   void SetSeeds(std::vector<Address> aSeeds);
 
+  /** Asks some hosts in view, at random, for a sign of life. Gives those. */
+  std::vector<Member> AskSome(std::size_t aCount);
+
   /** Tells the peers that this balancer stops. */
   void Leave();
 
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -80,6 +81,8 @@
   void OnInventory(Time aNow) { mHosts.Recheck(aNow); }
   /** Other balancers to begin with: the settings changed. */
   void SetSeeds(std::vector<Address> aSeeds);
+  /** Asks some hosts in view, at random, for a heartbeat to this balancer. */
+  std::vector<Member> AskSome(std::size_t aCount, Time aNow);
   /** This balancer stops: tells its peers. */
   void Leave(Time aNow);
 
@@ -123,6 +126,7 @@
   bool IsSeeking(Time aNow) const;
   Heartbeat MakeBeat();
   void AskSuspected(const MemberTable& aTable, Time aNow);
+  void Ask(std::span<const Member> aMembers, Time aNow);
   void Flush(MemberTable& aTable, Time aNow);
   void SendChanges(std::map<std::uint8_t, MemberDelta>& aByTree);
   void TellAgents(Time aNow);
--- a/src/membership/BalancerRepair.cpp
+++ b/src/membership/BalancerRepair.cpp
@@ -20,6 +20,18 @@
  * played; their open flows were not found there. Who is asked answers by a
  * heartbeat, whoever it holds for its monitors. */
 void BalancerMembership::AskSuspected(const MemberTable& aTable, Time aNow)
+{
+  Ask(aTable.Suspected(kMostAsked), aNow);
+}
+
+std::vector<Member> BalancerMembership::AskSome(std::size_t aCount, Time aNow)
+{
+  auto asked = mHosts.Sample(aCount, mRandom);
+  Ask(asked, aNow);
+  return asked;
+}
+
+void BalancerMembership::Ask(std::span<const Member> aMembers, Time aNow)
 {
   auto self = mBalancers.Find(mSelf.mHost, aNow);
   if (!self) {
@@ -30,7 +42,7 @@
   ask.mVersion = mBalancers.Version();
   ask.mRecords.push_back(*self);
   ask.mAsks = true;
-  for (const Member& it : aTable.Suspected(kMostAsked)) {
+  for (const Member& it : aMembers) {
     mBudget.Take(BytesOf(ask));
     Send(it.mControl, ask);
   }
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string_view>
@@ -138,6 +139,9 @@
 
   /** Members that are suspected here, at most aLimit, longest silent first. */
   std::vector<Member> Suspected(std::size_t aLimit) const;
+  /** Some of the members in view, at random. */
+  std::vector<Member> Sample(std::size_t aCount,
+                             std::mt19937_64& aRandom) const;
 
   /** Applies the inventory again after it changed: drops refused members. */
   void Recheck(Time aNow);
--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -1,6 +1,7 @@
 // What a table gives out: views for steering, records and digests for peers.
 #include <algorithm>
 #include <bit>
+#include <iterator>
 
 #include "src/membership/MemberTable.h"
 
@@ -253,4 +254,23 @@
   return *state.mDigest;
 }
 
+std::vector<Member> MemberTable::Sample(std::size_t aCount,
+                                        std::mt19937_64& aRandom) const
+{
+  std::vector<const MemberEntry*> inView;
+  for (const auto& [host, entry] : mEntries) {
+    if (!entry.IsGone()) {
+      inView.push_back(&entry);
+    }
+  }
+  std::vector<const MemberEntry*> chosen;
+  std::sample(inView.begin(), inView.end(), std::back_inserter(chosen), aCount,
+              aRandom);
+  std::vector<Member> out;
+  for (const MemberEntry* it : chosen) {
+    out.push_back(it->mRecord.mMember);
+  }
+  return out;
+}
+
 } // namespace heatherplank
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -247,6 +247,13 @@
   void JudgeIsolation(Time aNow)
   {
     std::size_t agents = mMembers.Judged();
+    if (mIsolation.WantsToAsk(agents, aNow)) {
+      std::vector<Address> asked;
+      for (const Member& it : mMembers.AskSome(IsolationWatch::kAsked)) {
+        asked.push_back(it.mTunnel);
+      }
+      mIsolation.OnAsked(std::move(asked), aNow);
+    }
     bool isolated = mIsolation.IsIsolated(agents, aNow);
     if (isolated != mIsolated) {
       mIsolated = isolated;
