--- a/src/membership/MemberTableViews.cpp
+++ b/src/membership/MemberTableViews.cpp
@@ -267,6 +267,7 @@
   std::sample(inView.begin(), inView.end(), std::back_inserter(chosen), aCount,
               aRandom);
   std::vector<Member> out;
+  out.reserve(chosen.size());
   for (const MemberEntry* it : chosen) {
     out.push_back(it->mRecord.mMember);
   }
--- a/src/passthrough/InventoryExchange.cpp
+++ b/src/passthrough/InventoryExchange.cpp
@@ -36,7 +36,7 @@
   auto balancers = mParts.mBalancers();
   JudgeDuty(balancers, now);
   mWatch->OnTick();
-  Send(mPeers.OnTick(PeerAddresses(balancers), Known(now), now));
+  Send(mPeers.OnTick(PeerAddresses(balancers), WhatIsKnown(now), now));
 }
 
 void InventoryExchange::JudgeDuty(std::span<const Member> aBalancers, Time aNow)
@@ -52,16 +52,14 @@
   }
 }
 
-InventoryPeers::Known InventoryExchange::Known(Time aNow) const
+InventoryPeers::Known InventoryExchange::WhatIsKnown(Time aNow) const
 {
   InventoryPeers::Known out;
   out.mVersion = Version();
-  auto confirmed = mDuty.ConfirmedAt();
-  if (HeardAt() != Time{}) {
-    confirmed = std::max(confirmed.value_or(HeardAt()), HeardAt());
-  }
-  if (confirmed) {
-    out.mConfirmedAgo = aNow - *confirmed;
+  Time confirmedAt =
+    std::max(mWatch->ConfirmedAt(), mDuty.ConfirmedAt().value_or(Time{}));
+  if (confirmedAt != Time{}) {
+    out.mConfirmedAgo = aNow - confirmedAt;
   }
   return out;
 }
@@ -80,7 +78,8 @@
 {
   mParts.mOnInventory(std::move(aInventory));
   Time now = mParts.mClock.Now();
-  Send(mPeers.OnChanged(PeerAddresses(mParts.mBalancers()), Known(now), now));
+  Send(mPeers.OnChanged(PeerAddresses(mParts.mBalancers()), WhatIsKnown(now),
+                        now));
 }
 
 void InventoryExchange::OnNotice(const InventoryNotice& aNotice)
@@ -94,7 +93,7 @@
       aNotice.mVersion <= Version()) {
     mDuty.OnConfirmed(now - *aNotice.mConfirmedAgo);
   }
-  Send(mPeers.OnNotice(aNotice, Known(now), now));
+  Send(mPeers.OnNotice(aNotice, WhatIsKnown(now), now));
 }
 
 void InventoryExchange::GiveDocument(const InventoryNotice& aNotice, Time aNow)
@@ -110,12 +109,12 @@
     mParts.mMessages.Send(aNotice.mControl, MessageKind::InventoryDocument,
                           EncodePayload(mPacked));
   } else {
-    Send({ mPeers.Busy(aNotice, Known(aNow)) });
+    Send({ mPeers.Busy(aNotice, WhatIsKnown(aNow)) });
   }
 }
 
-/** Packing takes a machine with a small share of a core some 10 ms, so it is
- * done once a version. */
+/** Packed once a version: it takes a machine with a small share of a core some
+ * 10 ms. */
 const Bytes& InventoryExchange::Packed()
 {
   if (mPacked.mVersion != Version()) {
--- a/src/passthrough/InventoryExchange.h
+++ b/src/passthrough/InventoryExchange.h
@@ -65,7 +65,7 @@
   void JudgeDuty(std::span<const Member> aBalancers, Time aNow);
   void GiveDocument(const InventoryNotice& aNotice, Time aNow);
   const Bytes& Packed();
-  InventoryPeers::Known Known(Time aNow) const;
+  InventoryPeers::Known WhatIsKnown(Time aNow) const;
   std::vector<Address> PeerAddresses(std::span<const Member> aBalancers) const;
   void Send(const std::vector<InventoryPeers::Send>& aNotices);
 
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/InventoryWatch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/base/Log.h"
@@ -45,6 +46,7 @@
     }
     mReadOnce = false;
     wait = mWatchFor.value_or(Duration::zero());
+    mWait = mObjectVersion == 0 ? Duration::zero() : wait;
     mCalling = true;
     mCalledAt = mClock.Now();
     call = ++mCall;
@@ -129,6 +131,9 @@
     } else {
       mNextAt = mHeardAt + mOptions.mFirstPause + mBackoff.Next();
     }
+    // A change is told when it happens, whenever the watch began.
+    bool isEvent = *aChange && mObjectVersion != 0;
+    mConfirmedAt = isEvent ? mHeardAt : std::min(mHeardAt, mCalledAt + mWait);
     if (*aChange) {
       mObjectVersion = (*aChange)->mVersion;
     }
@@ -212,6 +217,12 @@
   return mStoreLost;
 }
 
+Time InventoryWatch::ConfirmedAt() const
+{
+  std::lock_guard lock(mLock);
+  return mConfirmedAt;
+}
+
 Time InventoryWatch::HeardAt() const
 {
   std::lock_guard lock(mLock);
--- a/src/passthrough/InventoryWatch.h
+++ b/src/passthrough/InventoryWatch.h
@@ -75,6 +75,11 @@
   /** When the store last answered; zero if it never did. */
   Time HeardAt() const;
 
+  /** When the store last said that nothing newer is in force; zero if it never
+   * did. An answer may have waited on the way here, so it counts from when the
+   * store gave it at the earliest. */
+  Time ConfirmedAt() const;
+
 private:
   InventoryWatch(const Clock& aClock, ObjectStore& aStore,
                  const FlowInventoryReader& aReader, Options aOptions,
@@ -108,6 +113,9 @@
   std::uint64_t mObjectVersion = 0;
   bool mStoreLost = false;
   Time mHeardAt{};
+  Time mConfirmedAt{};
+  /** How long the call under way lets the store wait. */
+  Duration mWait{};
   std::uint64_t mVersion = 0;
   std::string mDocument;
 };
--- a/src/passthrough/StoreWatchDuty.cpp
+++ b/src/passthrough/StoreWatchDuty.cpp
@@ -114,9 +114,9 @@
   }
   auto last = ranked.begin() + kWatchers;
   std::ranges::partial_sort(ranked, last,
-                            [](const auto& aLeft, const auto& aIt) {
+                            [](const auto& aLeft, const auto& aRight) {
                               return std::tie(aLeft.mIsBest, aLeft.mScore) >
-                                     std::tie(aIt.mIsBest, aIt.mScore);
+                                     std::tie(aRight.mIsBest, aRight.mScore);
                             });
   return std::any_of(ranked.begin(), last, [&](const Ranked& aIt) {
     return aIt.mHost == mOptions.mSelf;
--- a/tests/InventoryWatchTest.cpp
+++ b/tests/InventoryWatchTest.cpp
@@ -207,3 +207,22 @@
   CHECK_EQUAL(1, mStore.mCalls);
   CHECK_EQUAL(7, mWatch->Version());
 }
+
+// An answer waits on a full link, and the routes change meanwhile. Others rely
+// on what this balancer says of the store, so it must not count from when the
+// answer came.
+TEST(InventoryWatch, ALateAnswerConfirmsWhatWasTrueWhenItWasGiven)
+{
+  Time calledAt = mClock.Now();
+  mWatch->OnTick();
+  mClock.Advance(900ms);
+  mStore.Take().mGot(Doc("7", 100));
+  CHECK_TRUE(mWatch->ConfirmedAt() == calledAt);
+  Time watchedAt = mClock.Now();
+  mClock.Advance(5900ms);
+  mStore.Take().mWatched(std::optional<Object>());
+  CHECK_TRUE(mWatch->ConfirmedAt() == watchedAt + 5000ms);
+  mClock.Advance(100ms);
+  mStore.Take().mWatched(std::optional<Object>(Doc("9", 105)));
+  CHECK_TRUE(mWatch->ConfirmedAt() == mClock.Now());
+}
--- a/tests/RoutesFleet.h
+++ b/tests/RoutesFleet.h
@@ -199,7 +199,7 @@
                Done<std::optional<Object>> aDone) override
     {
       ++mFleet.mStoreCalls;
-      mFleet.Wait(mNode, aAfter, aWait, std::move(aDone));
+      mFleet.Wait(mNode, aAfter, aWait, aDone);
     }
     void Put(std::string_view, std::string, WriteCondition,
              Done<std::uint64_t>) override
@@ -292,7 +292,7 @@
   }
 
   void Wait(std::size_t aNode, std::uint64_t aAfter, Duration aWait,
-            ObjectStore::Done<std::optional<Object>> aDone)
+            const ObjectStore::Done<std::optional<Object>>& aDone)
   {
     Node& node = *mNodes[aNode];
     auto ended = std::make_shared<bool>(false);
