--- a/include/heatherplank/ObjectStore.h
+++ b/include/heatherplank/ObjectStore.h
@@ -27,6 +27,15 @@
   std::uint64_t mVersion = 0;
 };
 
+/** The names under a prefix, or that they have not changed. */
+struct NameChange
+{
+  /** The store's version as of which this holds: where to watch from next. */
+  std::uint64_t mAsOf = 0;
+  /** All names, without the prefix; none if they are as before. */
+  std::optional<std::vector<std::string>> mNames;
+};
+
 /** When a write may take effect. */
 struct WriteCondition
 {
@@ -84,6 +93,16 @@
   /** Lists keys that begin with aPrefix. */
   virtual void List(std::string_view aPrefix,
                     Done<std::vector<ObjectName>> aDone) = 0;
+
+  /** Waits up to aWait for a change of the names that begin with aPrefix after
+   * the store's version aAfter, and gives all of them then; at once if aAfter
+   * is 0. Unavailable from a store that can't watch names. */
+  virtual void WatchNames(std::string_view aPrefix, std::uint64_t aAfter,
+                          Duration aWait, Done<NameChange> aDone);
+
+  /** The newest version of the store that an answer told; 0 if none did. What
+   * was read as of it was true when that answer was given. */
+  virtual std::uint64_t SeenVersion() const { return 0; }
 };
 
 } // namespace heatherplank
--- a/src/balancer/ServiceViews.cpp
+++ b/src/balancer/ServiceViews.cpp
@@ -1,5 +1,8 @@
 #include "src/balancer/ServiceViews.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace heatherplank {
 
 void ServiceViews::Set(std::span<const MemberViewPtr> aViews,
@@ -10,10 +13,35 @@
     if (held.mView && held.mView->Version() > aViews[i]->mVersion) {
       continue;
     }
-    held.mView = MakeServiceView(aServices[i], aViews[i]->mVersion,
-                                 aViews[i]->mMembers, mScanLimit);
-    held.mSuspects = aViews[i]->mSuspects;
+    held = MakeHeld(aServices[i], aViews[i]);
+  }
+}
+
+void ServiceViews::SetDrains(DataCentreDrains aDrains)
+{
+  mDrains = std::move(aDrains);
+  for (auto& [service, held] : mViews) {
+    if (held.mMembers) {
+      held = MakeHeld(service, held.mMembers);
+    }
+  }
+}
+
+ServiceViews::Held ServiceViews::MakeHeld(ServiceId aService,
+                                          MemberViewPtr aView) const
+{
+  std::vector<Member> members = aView->mMembers;
+  for (Member& it : members) {
+    if (mDrains.Contains(it.mDataCentre)) {
+      it.mState = std::max(it.mState, HostState::Draining);
+    }
   }
+  Held out;
+  out.mView =
+    MakeServiceView(aService, aView->mVersion, std::move(members), mScanLimit);
+  out.mSuspects = aView->mSuspects;
+  out.mMembers = std::move(aView);
+  return out;
 }
 
 const ServiceViews::Held* ServiceViews::Find(ServiceId aService) const
--- /dev/null
+++ b/src/passthrough/DrainWatch.cpp
@@ -0,0 +1,150 @@
+#include "src/passthrough/DrainWatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/base/Log.h"
+
+namespace heatherplank {
+
+std::shared_ptr<DrainWatch> DrainWatch::Make(const Clock& aClock,
+                                             ObjectStore& aStore,
+                                             Options aOptions,
+                                             OnDrains aOnDrains)
+{
+  return std::shared_ptr<DrainWatch>(
+    new DrainWatch(aClock, aStore, std::move(aOptions), std::move(aOnDrains)));
+}
+
+DrainWatch::DrainWatch(const Clock& aClock, ObjectStore& aStore,
+                       Options aOptions, OnDrains aOnDrains)
+  : mClock(aClock)
+  , mStore(aStore)
+  , mOptions(std::move(aOptions))
+  , mOnDrains(std::move(aOnDrains))
+  , mSchedule(mOptions.mSchedule)
+{
+}
+
+void DrainWatch::SetWatches(bool aWatches)
+{
+  mSchedule.SetWatchFor(aWatches ? std::optional(kWatchFor) : std::nullopt);
+}
+
+Time DrainWatch::ConfirmedAt() const
+{
+  return IsUsed() ? std::max(mSchedule.ConfirmedAt(), mConfirmedAt)
+                  : mClock.Now();
+}
+
+void DrainWatch::OnStoreVersion(std::uint64_t aVersion, Time aAt)
+{
+  if (!IsUsed() || !mDrains.IsKnown()) {
+    return;
+  }
+  if (aVersion <= mDrains.mVersion) {
+    mConfirmedAt = std::max(mConfirmedAt, aAt);
+  } else if (!mLooking && mClock.Now() - mLookedAt >= kLookEvery) {
+    Look();
+  }
+}
+
+/** Reads the names beside the watch, which goes on. */
+void DrainWatch::Look()
+{
+  mLooking = true;
+  mLookedAt = mClock.Now();
+  mStore.WatchNames(mOptions.mKind + "/", 0, Duration::zero(),
+                    [self = shared_from_this(),
+                     at = mLookedAt](const Result<NameChange>& aChange) {
+                      self->OnLooked(at, aChange);
+                    });
+}
+
+void DrainWatch::OnLooked(Time aCalledAt, const Result<NameChange>& aChange)
+{
+  mLooking = false;
+  if (!aChange) {
+    LogEvent(LogLevel::Warning, "drains_not_read",
+             { { "why", aChange.error().Describe() } });
+    return;
+  }
+  mConfirmedAt = std::max(mConfirmedAt, aCalledAt);
+  Take(*aChange);
+}
+
+void DrainWatch::OnTick()
+{
+  auto call = IsUsed() ? mSchedule.Next(mClock.Now()) : std::nullopt;
+  if (!call) {
+    return;
+  }
+  mStore.WatchNames(mOptions.mKind + "/", call->mAfter, call->mWait,
+                    [self = shared_from_this(),
+                     call = *call](const Result<NameChange>& aChange) {
+                      self->OnAnswer(call, aChange);
+                    });
+}
+
+void DrainWatch::ReadNow()
+{
+  mSchedule.ReadNow(mClock.Now());
+  OnTick();
+}
+
+void DrainWatch::OnAnswer(const WatchSchedule::Call& aCall,
+                          const Result<NameChange>& aChange)
+{
+  using Effect = WatchSchedule::Effect;
+  if (!aChange) {
+    auto effect = mSchedule.OnFailure(aCall.mId, false, mClock.Now());
+    if (effect == Effect::StoreLost) {
+      LogEvent(LogLevel::Warning, "drains_not_watched",
+               { { "why", aChange.error().Describe() } });
+    }
+    return;
+  }
+  auto effect = mSchedule.OnAnswer(aCall.mId, aChange->mNames.has_value(),
+                                   aChange->mAsOf, mClock.Now());
+  if (effect == Effect::Stale) {
+    return;
+  }
+  Take(*aChange);
+  OnTick();
+}
+
+void DrainWatch::Take(const NameChange& aChange)
+{
+  DataCentreDrains read{ aChange.mAsOf, mDrains.mDataCentres };
+  if (aChange.mNames) {
+    read.mDataCentres.clear();
+    for (const std::string& it : *aChange.mNames) {
+      read.mDataCentres.push_back(MakeDataCentreId(it));
+    }
+    std::ranges::sort(read.mDataCentres);
+  }
+  Accept(read, "store");
+}
+
+/** Failure met: a peer that was cut off, or an answer that was held up, tells
+ * of an order that was taken back since, or of the state before an order. */
+void DrainWatch::Accept(const DataCentreDrains& aDrains,
+                        std::string_view aSource)
+{
+  if (!IsUsed() || aDrains.mVersion <= mDrains.mVersion) {
+    return;
+  }
+  bool isNews =
+    !mDrains.IsKnown() || aDrains.mDataCentres != mDrains.mDataCentres;
+  mDrains = aDrains;
+  if (!isNews) {
+    return;
+  }
+  LogEvent(LogLevel::Info, "drains_in_force",
+           { { "version", mDrains.mVersion },
+             { "data_centres", mDrains.mDataCentres.size() },
+             { "source", aSource } });
+  mOnDrains(mDrains);
+}
+
+} // namespace heatherplank
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -285,6 +285,10 @@
       mMembers.OnFrame(aFrame);
       return;
     }
+    if (aFrame.mKind == MessageKind::DrainNotice) {
+      Take(DecodeDrainNotice(aFrame.mPayload));
+      return;
+    }
     auto steered = aFrame.mKind == MessageKind::SteeredPacket
                      ? DecodeSteeredPacket(aFrame.mPayload)
                      : Fail(ErrorKind::Malformed, "unknown kind", "");
@@ -295,6 +299,15 @@
     mFlows.OnSteered(std::move(*steered), mClock.Now());
   }
 
+  void Take(const Result<DrainNotice>& aNotice)
+  {
+    if (!aNotice) {
+      mProcess.CountMalformed();
+      return;
+    }
+    mFlows.OnDrainNotice(*aNotice, mClock.Now());
+  }
+
   void ToHost(ByteView aPacket) override
   {
     mOutbox->Send(aPacket, mSettings.mHostInbox);
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/FlowBalancer.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -76,7 +77,16 @@
 {
   InventoryWatch::Options options;
   options.mKey = aSettings.mRoutesKey;
-  options.mSeed = SeedOf(aSelf);
+  options.mSchedule.mSeed = SeedOf(aSelf);
+  return options;
+}
+
+DrainWatch::Options MakeDrainOptions(const FlowBalancerSettings& aSettings,
+                                     const Member& aSelf)
+{
+  DrainWatch::Options options;
+  options.mKind = aSettings.mDrains;
+  options.mSchedule.mSeed = SeedOf(aSelf) + 1;
   return options;
 }
 
@@ -91,9 +101,12 @@
 StoreWatchDuty::Options MakeDutyOptions(const FlowBalancerSettings& aSettings,
                                         const Member& aSelf, Time aNow)
 {
-  return { aSelf.mHost, aSelf.mDataCentre,
-           std::chrono::milliseconds(aSettings.mRoutesInForceWithinMs), aNow,
-           SeedOf(aSelf) };
+  std::uint32_t withinMs = aSettings.mRoutesInForceWithinMs;
+  if (!aSettings.mDrains.empty()) {
+    withinMs = std::min(withinMs, aSettings.mDrainsInForceWithinMs);
+  }
+  return { aSelf.mHost, aSelf.mDataCentre, std::chrono::milliseconds(withinMs),
+           aNow, SeedOf(aSelf) };
 }
 
 } // namespace
@@ -122,12 +135,17 @@
                mSelf, MakeMembershipOptions(aSettings.mSeeds))
     , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
                 aAdapter.Inventories(), MakeWatchOptions(aSettings, mSelf),
+                MakeDrainOptions(aSettings, mSelf),
                 MakePeerOptions(aSettings, mSelf),
                 MakeDutyOptions(aSettings, mSelf, mClock.Now()),
                 [this] { return mMembers.Balancers(); },
                 [this] { return mProcess.Seeds(); },
                 [this](FlowInventoryPtr aInventory) {
                   mSteering.SetInventory(std::move(aInventory));
+                },
+                [this](const DataCentreDrains& aDrains) {
+                  mDrains = aDrains;
+                  mSteering.SetDrains(aDrains);
                 } })
     , mRetryTimer(mProcess.mRuntime.Executor())
     , mStartedAt(mClock.Now())
@@ -143,6 +161,7 @@
   FlowSteering mSteering;
   MemberPlane mMembers;
   InventoryExchange mRoutes;
+  DataCentreDrains mDrains;
   boost::asio::steady_timer mRetryTimer;
   std::optional<Time> mRetryAt;
   StandstillWatch mStandstill;
@@ -303,6 +322,7 @@
   {
     if (IsMembership(aFrame.mKind)) {
       mMembers.OnFrame(aFrame);
+      TellDrained(aFrame);
       return;
     }
     bool taken = false;
@@ -327,6 +347,25 @@
     }
   }
 
+  /** Answers the heartbeat of an agent in a drained data centre. */
+  void TellDrained(const Frame& aFrame)
+  {
+    if (mDrains.mDataCentres.empty() ||
+        aFrame.mKind != MessageKind::Heartbeat) {
+      return;
+    }
+    auto beat = DecodeHeartbeat(aFrame.mPayload);
+    if (!beat) {
+      return;
+    }
+    const Member& agent = beat->mRecord.mMember;
+    bool isAgent = agent.mService != BalancerService();
+    if (isAgent && mDrains.Contains(agent.mDataCentre)) {
+      mProcess.mMessages.Send(agent.mControl, MessageKind::DrainNotice,
+                              EncodePayload(DrainNotice{ mDrains.mVersion }));
+    }
+  }
+
   bool Take(const Result<PlacementReport>& aReport)
   {
     if (aReport) {
--- a/src/passthrough/FlowInventory.cpp
+++ b/src/passthrough/FlowInventory.cpp
@@ -38,4 +38,10 @@
   return it == mRoutes.end() ? nullptr : &it->second;
 }
 
+double FlowInventory::ColdRateOf(ServiceId aService) const
+{
+  auto it = mColdRates.find(aService);
+  return it == mColdRates.end() ? 0 : it->second;
+}
+
 } // namespace heatherplank
--- a/src/passthrough/FlowInventory.h
+++ b/src/passthrough/FlowInventory.h
@@ -41,9 +41,15 @@
   /** A higher one replaces a lower one, never back. */
   std::uint64_t mVersion = 0;
   std::unordered_map<Address, FlowRoute> mRoutes;
+  /** New flows a second that a host bears while it is cold, for services whose
+   * hosts fall over above that. */
+  std::unordered_map<ServiceId, double> mColdRates;
 
   /** The route of an address, or null. Thread safe. */
   const FlowRoute* Find(const Address& aAddress) const;
+
+  /** The cold rate of a service; 0 if it has no bound. Thread safe. */
+  double ColdRateOf(ServiceId aService) const;
 };
 
 using FlowInventoryPtr = std::shared_ptr<const FlowInventory>;
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -49,10 +49,22 @@
   mInventory = std::move(aInventory);
 }
 
+void FlowSteering::SetDrains(const DataCentreDrains& aDrains)
+{
+  mDrains = aDrains;
+  mViews.SetDrains(aDrains);
+  TakeMembers();
+}
+
 void FlowSteering::SetViews(std::span<const MemberViewPtr> aViews,
                             std::span<const ServiceId> aServices)
 {
   mViews.Set(aViews, aServices);
+  TakeMembers();
+}
+
+void FlowSteering::TakeMembers()
+{
   std::unordered_map<HostId, Member> members;
   for (const auto& [service, held] : mViews.All()) {
     for (const Member& it : held.mView->Members()) {
@@ -124,6 +136,10 @@
     out.mImportance = aRoute->mImportance;
     out.mLatencyTarget = aRoute->mLatencyTarget;
   }
+  if (aPurpose == SteerPurpose::Place) {
+    out.mDrainsVersion = mDrains.mVersion;
+    out.mColdRate = mInventory->ColdRateOf(aService);
+  }
   out.mPacket.assign(aDatagram.begin(), aDatagram.end());
   return out;
 }
@@ -222,7 +238,9 @@
     MakeSteered(route, service, SteerPurpose::Place, aDatagram);
   // A copy of an opening packet goes to the host that answered the first one,
   // if any: there it opens nothing new.
-  if (hinted != nullptr && hinted->mService == service) {
+  bool isHintOfUse = hinted != nullptr && hinted->mService == service &&
+                     !mDrains.Contains(hinted->mDataCentre);
+  if (isHintOfUse) {
     std::erase_if(candidates, [&](const PlacementCandidate& aIt) {
       return aIt.mHost == hinted->mHost;
     });
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -55,6 +55,12 @@
                FlowSteeringOutput& aOutput);
 
   void SetInventory(FlowInventoryPtr aInventory);
+
+  /** Data centres were drained or taken back. Flows that are open at their
+   * hosts stay; no opening packet goes there, not even the copy of one that
+   * did, and where no other host is left callers are refused: what the operator
+   * takes away is about to lose power. */
+  void SetDrains(const DataCentreDrains& aDrains);
   void SetViews(std::span<const MemberViewPtr> aViews,
                 std::span<const ServiceId> aServices);
 
@@ -99,6 +105,7 @@
   }
 
 private:
+  void TakeMembers();
   void LogChanges(const std::unordered_map<HostId, Member>& aBefore) const;
   void Open(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
@@ -130,6 +137,7 @@
   const PacketFormat& mFormat;
   FlowSteeringOutput& mOutput;
   FlowInventoryPtr mInventory;
+  DataCentreDrains mDrains;
   ServiceViews mViews;
   /** Every host in view, for hints. */
   std::unordered_map<HostId, Member> mMembers;
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -70,6 +70,7 @@
   , mAdmission(aOptions.mAdmission)
   , mStartedAt(aNow)
   , mLife(aOptions.mSilentAfter)
+  , mColdRate(aNow)
   , mFlows(aOptions.mMaxFlows)
 {
 }
@@ -78,7 +79,8 @@
 {
   HostCondition out;
   bool unheard = !mOptions.mGuards.mHearFirst && !mLife.IsHeard(aNow);
-  out.mTakesNewFlows = !mLeaving && (unheard || mLife.TakesNewFlows(aNow));
+  out.mTakesNewFlows = !mLeaving && !mDrain.IsDrained(aNow) &&
+                       (unheard || mLife.TakesNewFlows(aNow));
   bool unanswered =
     mUnansweredSince != Time{} && aNow - mUnansweredSince > kAnswerWithin;
   out.mSeemsDown = unanswered && aNow - mTriedAt < kTryEvery;
@@ -89,6 +91,36 @@
   return out;
 }
 
+/** Failure met: hosts turn cold while their data centre is drained, and say so
+ * only with their next announcement; taken back, they would be given what warm
+ * hosts bear. */
+bool HostFlows::MayBeCold(Time aNow) const
+{
+  bool wasDrained = mDrain.Until() != Time{};
+  return mLife.IsCold(aNow) || (wasDrained && mLife.HeardAt() < mDrain.Until());
+}
+
+HostCondition HostFlows::ConditionFor(const SteeredPacket& aSteered,
+                                      Time aNow) const
+{
+  HostCondition out = Condition(aNow);
+  if (MayBeCold(aNow) &&
+      !mColdRate.Allows(aSteered.mColdRate, aSteered.mImportance, aNow)) {
+    out.mTakesNewFlows = false;
+  }
+  return out;
+}
+
+void HostFlows::OnDrainNotice(const DrainNotice& aNotice, Time aNow)
+{
+  bool was = IsDrained(aNow);
+  mDrain.OnNotice(aNotice.mVersion, aNow);
+  if (!was && IsDrained(aNow)) {
+    LogEvent(LogLevel::Info, "drained",
+             { { "version", aNotice.mVersion }, { "flows", mFlows.Size() } });
+  }
+}
+
 void HostFlows::OnSteered(SteeredPacket aSteered, Time aNow)
 {
   auto packet = mFormat.Parse(aSteered.mPacket);
@@ -105,6 +137,7 @@
     return;
   }
   if (aSteered.mPurpose == SteerPurpose::Place) {
+    mDrain.OnOffer(aSteered.mDrainsVersion, aNow);
     Place(aSteered, *packet, aNow);
     return;
   }
@@ -131,7 +164,7 @@
   offer.mBestWait = aSteered.mBestWait;
   offer.mMustTake = aSteered.mMustTake;
   offer.mReturnsLater = aPacket.mRepeats > 0 && aPacket.mRepeatsAgain;
-  switch (mAdmission.Decide(Condition(aNow), offer)) {
+  switch (mAdmission.Decide(ConditionFor(aSteered, aNow), offer)) {
     case FlowDecision::Take:
       Take(aSteered, aPacket, aNow);
       return;
@@ -165,7 +198,7 @@
                            Table::Entry& aEntry, Time aNow)
 {
   mFlows.Touch(aEntry, aNow);
-  HostCondition host = Condition(aNow);
+  HostCondition host = ConditionFor(aSteered, aNow);
   bool isOfThisLife = aEntry.mValue.mHostLife == mHostLives;
   if (aEntry.mValue.mStage != Stage::Offered &&
       (host.mTakesNewFlows || isOfThisLife)) {
@@ -200,6 +233,7 @@
                       { "slots", mLife.Slots() },
                       { "host_heard_ms_ago", HeardAgo(aNow) } });
   entry->mValue.mTold = aSteered.mIngress;
+  mColdRate.OnTaken(aNow);
   mWork.Begin(flow, aNow, aNow + kOpenWithin);
   if (mUnansweredSince == Time{}) {
     mUnansweredSince = aNow;
@@ -216,7 +250,7 @@
     Refuse(aSteered, aFlow, aNow);
     return;
   }
-  HostCondition host = Condition(aNow);
+  HostCondition host = ConditionFor(aSteered, aNow);
   if (host.mTakesNewFlows && !host.mSeemsDown) {
     Duration wait = FlowAdmission::WaitAt(host);
     if (aSteered.mBest.IsNone() || wait < aSteered.mBestWait) {
@@ -240,7 +274,7 @@
                        Time aNow)
 {
   Add(HostFlowEvent::Refused);
-  HostCondition host = Condition(aNow);
+  HostCondition host = ConditionFor(aSteered, aNow);
   LogEvent(LogLevel::Info, "refused",
            { { "flow", aFlow.ToString() },
              { "in_progress", host.mInProgress },
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -6,9 +6,12 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
+#include "src/passthrough/ColdRate.h"
+#include "src/passthrough/DrainLease.h"
 #include "src/passthrough/FlowAdmission.h"
 #include "src/passthrough/HostAnnouncement.h"
 #include "src/passthrough/HostLife.h"
+#include "src/passthrough/InventoryMessages.h"
 #include "src/passthrough/NewBytes.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/ServiceTime.h"
@@ -122,6 +125,9 @@
 
   AnnouncementEffect OnAnnouncement(const HostAnnouncement& aIt, Time aNow);
 
+  /** A balancer says that the data centre is drained. */
+  void OnDrainNotice(const DrainNotice& aNotice, Time aNow);
+
   /** This agent stops soon: new flows go elsewhere from now on. */
   void Leave() { mLeaving = true; }
 
@@ -130,6 +136,8 @@
 
   const HostLife& Host() const { return mLife; }
   HostCondition Condition(Time aNow) const;
+  /** Whether the operator drains the data centre: the host gets no new flow. */
+  bool IsDrained(Time aNow) const { return mDrain.IsDrained(aNow); }
   std::size_t Size() const { return mFlows.Size(); }
   std::uint64_t Count(HostFlowEvent aEvent) const
   {
@@ -190,6 +198,8 @@
   static constexpr std::size_t kMostPending = 256;
 
   void Place(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
+  HostCondition ConditionFor(const SteeredPacket& aSteered, Time aNow) const;
+  bool MayBeCold(Time aNow) const;
   void PlaceKnown(SteeredPacket& aSteered, const FlowPacket& aPacket,
                   Table::Entry& aEntry, Time aNow);
   void Take(SteeredPacket& aSteered, const FlowPacket& aPacket, Time aNow);
@@ -223,6 +233,8 @@
   const FlowAdmission mAdmission;
   const Time mStartedAt;
   HostLife mLife;
+  DrainLease mDrain;
+  ColdRate mColdRate;
   /** Lives of the host that were seen to begin. */
   std::uint32_t mHostLives = 0;
   Table mFlows;
--- a/src/passthrough/InventoryExchange.cpp
+++ b/src/passthrough/InventoryExchange.cpp
@@ -27,6 +27,9 @@
       [this](FlowInventoryPtr aInventory, const std::string&) {
         OnInventory(std::move(aInventory));
       }))
+  , mDrains(DrainWatch::Make(
+      mParts.mClock, mParts.mStore, mParts.mDrainWatch,
+      [this](const DataCentreDrains& aDrains) { OnDrains(aDrains); }))
 {
 }
 
@@ -36,14 +39,18 @@
   auto balancers = mParts.mBalancers();
   JudgeDuty(balancers, now);
   mWatch->OnTick();
+  mDrains->OnTick();
+  mDrains->OnStoreVersion(mParts.mStore.SeenVersion(), mWatch->ConfirmedAt());
   Send(mPeers.OnTick(PeerAddresses(balancers), WhatIsKnown(now), now));
 }
 
 void InventoryExchange::JudgeDuty(std::span<const Member> aBalancers, Time aNow)
 {
   auto wait =
-    mDuty.WatchFor(aBalancers, Version() != 0, mPeers.IsAsking(aNow), aNow);
+    mDuty.WatchFor(aBalancers, KnowsAll(), mPeers.IsAsking(aNow), aNow);
   mWatch->SetWatchFor(wait);
+  // While the store is away one kind of call is enough to find it again.
+  mDrains->SetWatches(wait && !mWatch->IsStoreLost());
   if (wait.has_value() != mWatches) {
     mWatches = wait.has_value();
     LogEvent(
@@ -52,14 +59,19 @@
   }
 }
 
+Time InventoryExchange::ConfirmedAt() const
+{
+  Time here = std::min(mWatch->ConfirmedAt(), mDrains->ConfirmedAt());
+  return std::max(here, mDuty.ConfirmedAt().value_or(Time{}));
+}
+
 InventoryPeers::Known InventoryExchange::WhatIsKnown(Time aNow) const
 {
   InventoryPeers::Known out;
   out.mVersion = Version();
-  Time confirmedAt =
-    std::max(mWatch->ConfirmedAt(), mDuty.ConfirmedAt().value_or(Time{}));
-  if (confirmedAt != Time{}) {
-    out.mConfirmedAgo = aNow - confirmedAt;
+  out.mDrains = mDrains->Drains();
+  if (ConfirmedAt() != Time{}) {
+    out.mConfirmedAgo = aNow - ConfirmedAt();
   }
   return out;
 }
@@ -74,9 +86,35 @@
   return out.empty() ? mParts.mSeeds() : out;
 }
 
+void InventoryExchange::ReadNow()
+{
+  mWatch->ReadNow();
+  mDrains->ReadNow();
+}
+
 void InventoryExchange::OnInventory(FlowInventoryPtr aInventory)
 {
-  mParts.mOnInventory(std::move(aInventory));
+  mWaiting = std::move(aInventory);
+  PutInForce();
+  TellPeers();
+}
+
+void InventoryExchange::OnDrains(const DataCentreDrains& aDrains)
+{
+  mParts.mOnDrains(aDrains);
+  PutInForce();
+  TellPeers();
+}
+
+void InventoryExchange::PutInForce()
+{
+  if (mWaiting && mDrains->IsKnown()) {
+    mParts.mOnInventory(std::exchange(mWaiting, nullptr));
+  }
+}
+
+void InventoryExchange::TellPeers()
+{
   Time now = mParts.mClock.Now();
   Send(mPeers.OnChanged(PeerAddresses(mParts.mBalancers()), WhatIsKnown(now),
                         now));
@@ -85,12 +123,14 @@
 void InventoryExchange::OnNotice(const InventoryNotice& aNotice)
 {
   Time now = mParts.mClock.Now();
+  mDrains->OnPeer(aNotice.mDrains);
   if (InventoryPeers::IsOwedDocument(aNotice, Version())) {
     GiveDocument(aNotice, now);
     return;
   }
-  if (aNotice.mConfirmedAgo && Version() != 0 &&
-      aNotice.mVersion <= Version()) {
+  bool isAllHere = Version() != 0 && aNotice.mVersion <= Version() &&
+                   aNotice.mDrains.mVersion >= mDrains->Drains().mVersion;
+  if (aNotice.mConfirmedAgo && isAllHere) {
     mDuty.OnConfirmed(now - *aNotice.mConfirmedAgo);
   }
   Send(mPeers.OnNotice(aNotice, WhatIsKnown(now), now));
--- a/src/passthrough/InventoryPeers.cpp
+++ b/src/passthrough/InventoryPeers.cpp
@@ -49,6 +49,7 @@
   out.mVersion = aKnown.mVersion;
   out.mControl = mOptions.mSelf;
   out.mConfirmedAgo = aKnown.mConfirmedAgo;
+  out.mDrains = aKnown.mDrains;
   return out;
 }
 
--- a/src/passthrough/InventoryPeers.h
+++ b/src/passthrough/InventoryPeers.h
@@ -64,6 +64,7 @@
     /** 0 before any are in force. */
     std::uint64_t mVersion = 0;
     std::optional<Duration> mConfirmedAgo;
+    DataCentreDrains mDrains;
   };
 
   struct Send
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -1,6 +1,5 @@
 #include "src/passthrough/InventoryWatch.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "src/base/Log.h"
@@ -23,39 +22,30 @@
   , mReader(aReader)
   , mOptions(std::move(aOptions))
   , mOnInventory(std::move(aOnInventory))
-  , mBackoff(mOptions.mFirstPause, mOptions.mLongestPause, mOptions.mSeed)
+  , mSchedule(mOptions.mSchedule)
 {
 }
 
 void InventoryWatch::SetWatchFor(std::optional<Duration> aWait)
 {
   std::lock_guard lock(mLock);
-  mWatchFor = aWait;
+  mSchedule.SetWatchFor(aWait);
 }
 
 void InventoryWatch::OnTick()
 {
-  std::uint64_t call = 0;
-  std::uint64_t after = 0;
-  Duration wait{};
+  std::optional<WatchSchedule::Call> call;
   {
     std::lock_guard lock(mLock);
-    bool wanted = mWatchFor.has_value() || mReadOnce;
-    if (!wanted || mCalling || mClock.Now() < mNextAt) {
-      return;
-    }
-    mReadOnce = false;
-    wait = mWatchFor.value_or(Duration::zero());
-    mWait = mObjectVersion == 0 ? Duration::zero() : wait;
-    mCalling = true;
-    mCalledAt = mClock.Now();
-    call = ++mCall;
-    after = mObjectVersion;
+    call = mSchedule.Next(mClock.Now());
+  }
+  if (!call) {
+    return;
   }
-  if (after == 0) {
-    Read(call);
+  if (call->mAfter == 0) {
+    Read(*call);
   } else {
-    Watch(call, after, wait);
+    Watch(*call);
   }
 }
 
@@ -63,82 +53,48 @@
 {
   {
     std::lock_guard lock(mLock);
-    ++mCall;
-    mCalling = false;
-    mReadOnce = true;
-    mObjectVersion = 0;
-    mNextAt = mClock.Now();
+    mSchedule.ReadNow(mClock.Now());
   }
   OnTick();
 }
 
-void InventoryWatch::Read(std::uint64_t aCall)
+void InventoryWatch::Read(const WatchSchedule::Call& aCall)
 {
   mStore.Get(mOptions.mKey,
              [self = shared_from_this(), aCall](Result<Object> aObject) {
-               self->OnRead(aCall, std::move(aObject));
+               self->OnAnswer(aCall, std::move(aObject).map([](Object&& aIt) {
+                 return std::optional(std::move(aIt));
+               }));
              });
 }
 
-void InventoryWatch::Watch(std::uint64_t aCall, std::uint64_t aAfter,
-                           Duration aWait)
+void InventoryWatch::Watch(const WatchSchedule::Call& aCall)
 {
   mStore.Watch(
-    mOptions.mKey, aAfter, aWait,
+    mOptions.mKey, aCall.mAfter, aCall.mWait,
     [self = shared_from_this(), aCall](Result<std::optional<Object>> aChange) {
-      self->OnWatched(aCall, std::move(aChange));
+      self->OnAnswer(aCall, std::move(aChange));
     });
 }
 
-bool InventoryWatch::EndCall(std::uint64_t aCall)
-{
-  std::lock_guard lock(mLock);
-  if (aCall != mCall) {
-    return false;
-  }
-  mCalling = false;
-  return true;
-}
-
-void InventoryWatch::OnRead(std::uint64_t aCall, Result<Object> aObject)
-{
-  if (!aObject) {
-    OnFailure(aCall, aObject.error());
-    return;
-  }
-  OnWatched(aCall, std::optional<Object>(std::move(*aObject)));
-}
-
-void InventoryWatch::OnWatched(std::uint64_t aCall,
-                               Result<std::optional<Object>> aChange)
+void InventoryWatch::OnAnswer(const WatchSchedule::Call& aCall,
+                              Result<std::optional<Object>> aChange)
 {
   if (!aChange) {
     OnFailure(aCall, aChange.error());
     return;
   }
-  if (!EndCall(aCall)) {
-    return;
-  }
-  bool regained = false;
+  auto effect = WatchSchedule::Effect::Stale;
   {
     std::lock_guard lock(mLock);
-    regained = std::exchange(mStoreLost, false);
-    mHeardAt = mClock.Now();
-    bool waited = mHeardAt - mCalledAt >= mOptions.mShortestWatch;
-    if (*aChange || waited) {
-      mBackoff.Reset();
-      mNextAt = mHeardAt;
-    } else {
-      mNextAt = mHeardAt + mOptions.mFirstPause + mBackoff.Next();
-    }
-    // A change is told when it happens, whenever the watch began.
-    bool isEvent = *aChange && mObjectVersion != 0;
-    mConfirmedAt = isEvent ? mHeardAt : std::min(mHeardAt, mCalledAt + mWait);
-    if (*aChange) {
-      mObjectVersion = (*aChange)->mVersion;
-    }
+    effect = mSchedule.OnAnswer(aCall.mId, aChange->has_value(),
+                                *aChange ? (*aChange)->mVersion : aCall.mAfter,
+                                mClock.Now());
+  }
+  if (effect == WatchSchedule::Effect::Stale) {
+    return;
   }
-  if (regained) {
+  if (effect == WatchSchedule::Effect::StoreRegained) {
     LogEvent(LogLevel::Info, "store_regained", {});
   }
   if (*aChange) {
@@ -147,21 +103,17 @@
   OnTick();
 }
 
-void InventoryWatch::OnFailure(std::uint64_t aCall, const Error& aWhy)
+void InventoryWatch::OnFailure(const WatchSchedule::Call& aCall,
+                               const Error& aWhy)
 {
-  if (!EndCall(aCall)) {
-    return;
-  }
-  bool lost = false;
+  auto effect = WatchSchedule::Effect::Stale;
   {
     std::lock_guard lock(mLock);
-    mNextAt = mClock.Now() + mBackoff.Next();
-    mObjectVersion = 0;
     // No routes yet is an answer: the store is there.
-    lost =
-      aWhy.mKind != ErrorKind::NotFound && !std::exchange(mStoreLost, true);
+    effect = mSchedule.OnFailure(aCall.mId, aWhy.mKind == ErrorKind::NotFound,
+                                 mClock.Now());
   }
-  if (lost) {
+  if (effect == WatchSchedule::Effect::StoreLost) {
     LogEvent(LogLevel::Warning, "store_lost", { { "why", aWhy.Describe() } });
   }
 }
@@ -214,19 +166,19 @@
 bool InventoryWatch::IsStoreLost() const
 {
   std::lock_guard lock(mLock);
-  return mStoreLost;
+  return mSchedule.IsStoreLost();
 }
 
 Time InventoryWatch::ConfirmedAt() const
 {
   std::lock_guard lock(mLock);
-  return mConfirmedAt;
+  return mSchedule.ConfirmedAt();
 }
 
 Time InventoryWatch::HeardAt() const
 {
   std::lock_guard lock(mLock);
-  return mHeardAt;
+  return mSchedule.HeardAt();
 }
 
 } // namespace heatherplank
--- a/src/passthrough/PassthroughSettings.cpp
+++ b/src/passthrough/PassthroughSettings.cpp
@@ -47,6 +47,7 @@
   ReadShared(aReader, aOut);
   aOut.mIngress = RequiredAddress(aReader, "ingress");
   aOut.mRoutesKey = aReader.RequiredString("routes_key");
+  aOut.mDrains = aReader.String("drains", "");
   aOut.mMaxHints = static_cast<std::uint32_t>(
     aReader.Integer("max_hints", 1, kMostFlows, aOut.mMaxHints));
   aOut.mLinkMbps =
@@ -54,6 +55,9 @@
   aOut.mRoutesInForceWithinMs = static_cast<std::uint32_t>(
     aReader.Integer("routes_in_force_within_ms", kLeastInForceMs, kHourMs,
                     aOut.mRoutesInForceWithinMs));
+  aOut.mDrainsInForceWithinMs = static_cast<std::uint32_t>(
+    aReader.Integer("drains_in_force_within_ms", kLeastInForceMs, kHourMs,
+                    aOut.mRoutesInForceWithinMs));
 }
 
 void ReadAgent(JsonReader& aReader, FlowAgentSettings& aOut)
--- a/src/passthrough/PassthroughSettings.h
+++ b/src/passthrough/PassthroughSettings.h
@@ -43,6 +43,9 @@
   Address mIngress;
   /** The store's key of the routes. */
   std::string mRoutesKey;
+  /** The kind of the store's objects that are named after the data centres that
+   * the operator drains; empty: none is ever drained. */
+  std::string mDrains;
   /** Flows whose host it remembers; a bound, since hints may be lost. */
   std::uint32_t mMaxHints = 65536;
   /** What this machine's link carries, Mbit/s; documents to other balancers
@@ -51,6 +54,8 @@
   /** Routes that the operator changed are in force everywhere within this, ms.
    */
   std::uint32_t mRoutesInForceWithinMs = 3000;
+  /** The same for drains, ms. */
+  std::uint32_t mDrainsInForceWithinMs = 3000;
 };
 
 /** The agent beside a host of opaque flows. */
--- a/src/passthrough/SteerMessages.h
+++ b/src/passthrough/SteerMessages.h
@@ -41,6 +41,10 @@
   /** The host with the shortest wait of those that passed the packet on. */
   Address mBest;
   Duration mBestWait{};
+  /** As of which version the balancer knows the drained data centres. */
+  std::uint64_t mDrainsVersion = 0;
+  /** New flows a second that a cold host of the service bears; 0: no bound. */
+  double mColdRate = 0;
   /** The packet as its sender wrote it. */
   Bytes mPacket;
 };
--- /dev/null
+++ b/src/passthrough/WatchSchedule.cpp
@@ -0,0 +1,83 @@
+#include "src/passthrough/WatchSchedule.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherplank {
+
+WatchSchedule::WatchSchedule(const Options& aOptions)
+  : mOptions(aOptions)
+  , mBackoff(mOptions.mFirstPause, mOptions.mLongestPause, mOptions.mSeed)
+{
+}
+
+std::optional<WatchSchedule::Call> WatchSchedule::Next(Time aNow)
+{
+  bool wanted = mWatchFor.has_value() || mReadOnce;
+  if (!wanted || mCalling || aNow < mNextAt) {
+    return std::nullopt;
+  }
+  mReadOnce = false;
+  mCalling = true;
+  mCalledAt = aNow;
+  ++mCall.mId;
+  mCall.mAfter = mVersion;
+  mCall.mWait =
+    mVersion == 0 ? Duration::zero() : mWatchFor.value_or(Duration::zero());
+  return mCall;
+}
+
+void WatchSchedule::ReadNow(Time aNow)
+{
+  ++mCall.mId;
+  mCalling = false;
+  mReadOnce = true;
+  mVersion = 0;
+  mNextAt = aNow;
+}
+
+bool WatchSchedule::EndCall(std::uint64_t aCall)
+{
+  if (!mCalling || aCall != mCall.mId) {
+    return false;
+  }
+  mCalling = false;
+  return true;
+}
+
+WatchSchedule::Effect WatchSchedule::OnAnswer(std::uint64_t aCall,
+                                              bool aIsChange,
+                                              std::uint64_t aVersion, Time aNow)
+{
+  if (!EndCall(aCall)) {
+    return Effect::Stale;
+  }
+  bool regained = std::exchange(mStoreLost, false);
+  mHeardAt = aNow;
+  bool waited = aNow - mCalledAt >= mOptions.mShortestWatch;
+  if (aIsChange || waited) {
+    mBackoff.Reset();
+    mNextAt = aNow;
+  } else {
+    mNextAt = aNow + mOptions.mFirstPause + mBackoff.Next();
+  }
+  // A change is told when it happens, whenever the watch began.
+  bool isEvent = aIsChange && mVersion != 0;
+  mConfirmedAt = isEvent ? aNow : std::min(aNow, mCalledAt + mCall.mWait);
+  mVersion = aVersion;
+  return regained ? Effect::StoreRegained : Effect::Taken;
+}
+
+WatchSchedule::Effect WatchSchedule::OnFailure(std::uint64_t aCall,
+                                               bool aStoreAnswered, Time aNow)
+{
+  if (!EndCall(aCall)) {
+    return Effect::Stale;
+  }
+  mNextAt = aNow + mBackoff.Next();
+  mVersion = 0;
+  bool lost = !aStoreAnswered && !std::exchange(mStoreLost, true);
+  return lost ? Effect::StoreLost : Effect::Taken;
+}
+
+} // namespace heatherplank
--- a/src/wire/Alignment.h
+++ b/src/wire/Alignment.h
@@ -18,4 +18,12 @@
          reinterpret_cast<std::uintptr_t>(aVector->Data()) % alignof(T) == 0;
 }
 
+/** The same for a vector of scalars. */
+template<typename T>
+bool IsAligned(const flatbuffers::Vector<T>* aVector)
+{
+  return aVector == nullptr ||
+         reinterpret_cast<std::uintptr_t>(aVector->Data()) % alignof(T) == 0;
+}
+
 } // namespace heatherplank
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -42,6 +42,7 @@
   PlacementReport = 51,
   InventoryNotice = 52,
   InventoryDocument = 53,
+  DrainNotice = 54,
 };
 
 using Bytes = std::vector<std::uint8_t>;
--- a/src/wire/PassthroughCodec.cpp
+++ b/src/wire/PassthroughCodec.cpp
@@ -78,6 +78,8 @@
       duration_cast<microseconds>(aMessage.mBestWait).count()));
   }
   out.add_packet(packet);
+  out.add_drains_version(aMessage.mDrainsVersion);
+  out.add_cold_rate(static_cast<float>(aMessage.mColdRate));
   builder.Finish(out.Finish());
   return Finish(builder);
 }
@@ -91,6 +93,7 @@
   }
   const wire::SteeredPacket& in = **root;
   if (in.purpose() > static_cast<std::uint8_t>(SteerPurpose::Last) ||
+      !(in.cold_rate() >= 0) ||
       in.importance() > static_cast<std::uint8_t>(Importance::Critical) ||
       !IsAligned(in.candidates())) {
     return MalformedMessage(kWhat);
@@ -111,6 +114,8 @@
     out.mBest = FromWire(*in.best());
     out.mBestWait = microseconds(in.best_wait_us());
   }
+  out.mDrainsVersion = in.drains_version();
+  out.mColdRate = in.cold_rate();
   out.mPacket.assign(in.packet()->begin(), in.packet()->end());
   if (!IsAddressed(out)) {
     return MalformedMessage(kWhat);
@@ -148,22 +153,64 @@
 {
   Builder builder(128);
   auto control = ToWire(aMessage.mControl);
+  std::vector<std::uint64_t> ids;
+  for (DataCentreId it : aMessage.mDrains.mDataCentres) {
+    ids.push_back(it.mValue);
+  }
+  flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>> drained;
+  if (!ids.empty()) {
+    drained = builder.CreateVector(ids);
+  }
   builder.Finish(wire::CreateInventoryNotice(
     builder, aMessage.mVersion, &control, aMessage.mWantsDocument,
-    aMessage.mIsBusy, ToWireMs(aMessage.mConfirmedAgo)));
+    aMessage.mIsBusy, ToWireMs(aMessage.mConfirmedAgo),
+    aMessage.mDrains.mVersion, drained));
   return Finish(builder);
 }
 
 Result<InventoryNotice> DecodeInventoryNotice(ByteView aPayload)
 {
-  auto root = ReadRoot<wire::InventoryNotice>(aPayload, "inventory notice");
+  static constexpr const char* kWhat = "inventory notice";
+  auto root = ReadRoot<wire::InventoryNotice>(aPayload, kWhat);
   if (!root) {
     return tl::unexpected(root.error());
   }
   const auto* notice = *root;
-  return InventoryNotice{ notice->version(), FromWire(*notice->control()),
-                          notice->wants_document(), notice->is_busy(),
-                          FromWireMs(notice->confirmed_ms_ago()) };
+  InventoryNotice out;
+  out.mVersion = notice->version();
+  out.mControl = FromWire(*notice->control());
+  out.mWantsDocument = notice->wants_document();
+  out.mIsBusy = notice->is_busy();
+  out.mConfirmedAgo = FromWireMs(notice->confirmed_ms_ago());
+  out.mDrains.mVersion = notice->drains_version();
+  if (!IsAligned(notice->drained())) {
+    return MalformedMessage(kWhat);
+  }
+  if (notice->drained() != nullptr) {
+    for (std::uint64_t it : *notice->drained()) {
+      out.mDrains.mDataCentres.push_back({ it });
+    }
+  }
+  if (!std::ranges::is_sorted(out.mDrains.mDataCentres)) {
+    return MalformedMessage(kWhat);
+  }
+  return out;
+}
+
+Bytes EncodePayload(const DrainNotice& aMessage)
+{
+  Builder builder(64);
+  builder.Finish(wire::CreateDrainNotice(builder, aMessage.mVersion));
+  return Finish(builder);
+}
+
+Result<DrainNotice> DecodeDrainNotice(ByteView aPayload)
+{
+  auto root = ReadRoot<wire::DrainNotice>(aPayload, "drain notice");
+  if (!root) {
+    return tl::unexpected(root.error());
+  }
+  return DrainNotice{ (*root)->version() };
 }
 
 Bytes EncodePayload(const InventoryDocument& aMessage)
--- a/src/wire/PassthroughCodec.h
+++ b/src/wire/PassthroughCodec.h
@@ -16,6 +16,7 @@
 Bytes EncodePayload(const PlacementReport& aMessage);
 Bytes EncodePayload(const InventoryNotice& aMessage);
 Bytes EncodePayload(const InventoryDocument& aMessage);
+Bytes EncodePayload(const DrainNotice& aMessage);
 
 /** Reads a payload of its kind; Malformed if it does not verify or holds values
  * out of range. Thread safe. */
@@ -23,5 +24,6 @@
 Result<PlacementReport> DecodePlacementReport(ByteView aPayload);
 Result<InventoryNotice> DecodeInventoryNotice(ByteView aPayload);
 Result<InventoryDocument> DecodeInventoryDocument(ByteView aPayload);
+Result<DrainNotice> DecodeDrainNotice(ByteView aPayload);
 
 } // namespace heatherplank
--- a/src/wire/passthrough_generated.h
+++ b/src/wire/passthrough_generated.h
@@ -27,6 +27,9 @@
 struct InventoryNotice;
 struct InventoryNoticeBuilder;
 
+struct DrainNotice;
+struct DrainNoticeBuilder;
+
 struct InventoryDocument;
 struct InventoryDocumentBuilder;
 
@@ -42,7 +45,9 @@
     VT_CANDIDATES = 16,
     VT_BEST = 18,
     VT_BEST_WAIT_US = 20,
-    VT_PACKET = 22
+    VT_PACKET = 22,
+    VT_DRAINS_VERSION = 24,
+    VT_COLD_RATE = 26
   };
   uint64_t service_id() const {
     return GetField<uint64_t>(VT_SERVICE_ID, 0);
@@ -74,6 +79,12 @@
   const flatbuffers::Vector<uint8_t> *packet() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKET);
   }
+  uint64_t drains_version() const {
+    return GetField<uint64_t>(VT_DRAINS_VERSION, 0);
+  }
+  float cold_rate() const {
+    return GetField<float>(VT_COLD_RATE, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE_ID, 8) &&
@@ -88,6 +99,8 @@
            VerifyField<uint32_t>(verifier, VT_BEST_WAIT_US, 4) &&
            VerifyOffsetRequired(verifier, VT_PACKET) &&
            verifier.VerifyVector(packet()) &&
+           VerifyField<uint64_t>(verifier, VT_DRAINS_VERSION, 8) &&
+           VerifyField<float>(verifier, VT_COLD_RATE, 4) &&
            verifier.EndTable();
   }
 };
@@ -126,6 +139,12 @@
   void add_packet(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packet) {
     fbb_.AddOffset(SteeredPacket::VT_PACKET, packet);
   }
+  void add_drains_version(uint64_t drains_version) {
+    fbb_.AddElement<uint64_t>(SteeredPacket::VT_DRAINS_VERSION, drains_version, 0);
+  }
+  void add_cold_rate(float cold_rate) {
+    fbb_.AddElement<float>(SteeredPacket::VT_COLD_RATE, cold_rate, 0.0f);
+  }
   explicit SteeredPacketBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -150,9 +169,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::WireAddress *>> candidates = 0,
     const heatherplank::wire::WireAddress *best = nullptr,
     uint32_t best_wait_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packet = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packet = 0,
+    uint64_t drains_version = 0,
+    float cold_rate = 0.0f) {
   SteeredPacketBuilder builder_(_fbb);
+  builder_.add_drains_version(drains_version);
   builder_.add_service_id(service_id);
+  builder_.add_cold_rate(cold_rate);
   builder_.add_packet(packet);
   builder_.add_best_wait_us(best_wait_us);
   builder_.add_best(best);
@@ -176,7 +199,9 @@
     const std::vector<heatherplank::wire::WireAddress> *candidates = nullptr,
     const heatherplank::wire::WireAddress *best = nullptr,
     uint32_t best_wait_us = 0,
-    const std::vector<uint8_t> *packet = nullptr) {
+    const std::vector<uint8_t> *packet = nullptr,
+    uint64_t drains_version = 0,
+    float cold_rate = 0.0f) {
   auto candidates__ = candidates ? _fbb.CreateVectorOfStructs<heatherplank::wire::WireAddress>(*candidates) : 0;
   auto packet__ = packet ? _fbb.CreateVector<uint8_t>(*packet) : 0;
   return heatherplank::wire::CreateSteeredPacket(
@@ -190,7 +215,9 @@
       candidates__,
       best,
       best_wait_us,
-      packet__);
+      packet__,
+      drains_version,
+      cold_rate);
 }
 
 struct PlacementReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -262,7 +289,9 @@
     VT_CONTROL = 6,
     VT_WANTS_DOCUMENT = 8,
     VT_IS_BUSY = 10,
-    VT_CONFIRMED_MS_AGO = 12
+    VT_CONFIRMED_MS_AGO = 12,
+    VT_DRAINS_VERSION = 14,
+    VT_DRAINED = 16
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -279,6 +308,12 @@
   uint32_t confirmed_ms_ago() const {
     return GetField<uint32_t>(VT_CONFIRMED_MS_AGO, 4294967295);
   }
+  uint64_t drains_version() const {
+    return GetField<uint64_t>(VT_DRAINS_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *drained() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DRAINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -286,6 +321,9 @@
            VerifyField<uint8_t>(verifier, VT_WANTS_DOCUMENT, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_BUSY, 1) &&
            VerifyField<uint32_t>(verifier, VT_CONFIRMED_MS_AGO, 4) &&
+           VerifyField<uint64_t>(verifier, VT_DRAINS_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DRAINED) &&
+           verifier.VerifyVector(drained()) &&
            verifier.EndTable();
   }
 };
@@ -309,6 +347,12 @@
   void add_confirmed_ms_ago(uint32_t confirmed_ms_ago) {
     fbb_.AddElement<uint32_t>(InventoryNotice::VT_CONFIRMED_MS_AGO, confirmed_ms_ago, 4294967295);
   }
+  void add_drains_version(uint64_t drains_version) {
+    fbb_.AddElement<uint64_t>(InventoryNotice::VT_DRAINS_VERSION, drains_version, 0);
+  }
+  void add_drained(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> drained) {
+    fbb_.AddOffset(InventoryNotice::VT_DRAINED, drained);
+  }
   explicit InventoryNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -327,9 +371,13 @@
     const heatherplank::wire::WireAddress *control = nullptr,
     bool wants_document = false,
     bool is_busy = false,
-    uint32_t confirmed_ms_ago = 4294967295) {
+    uint32_t confirmed_ms_ago = 4294967295,
+    uint64_t drains_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> drained = 0) {
   InventoryNoticeBuilder builder_(_fbb);
+  builder_.add_drains_version(drains_version);
   builder_.add_version(version);
+  builder_.add_drained(drained);
   builder_.add_confirmed_ms_ago(confirmed_ms_ago);
   builder_.add_control(control);
   builder_.add_is_busy(is_busy);
@@ -337,6 +385,68 @@
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<InventoryNotice> CreateInventoryNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const heatherplank::wire::WireAddress *control = nullptr,
+    bool wants_document = false,
+    bool is_busy = false,
+    uint32_t confirmed_ms_ago = 4294967295,
+    uint64_t drains_version = 0,
+    const std::vector<uint64_t> *drained = nullptr) {
+  auto drained__ = drained ? _fbb.CreateVector<uint64_t>(*drained) : 0;
+  return heatherplank::wire::CreateInventoryNotice(
+      _fbb,
+      version,
+      control,
+      wants_document,
+      is_busy,
+      confirmed_ms_ago,
+      drains_version,
+      drained__);
+}
+
+struct DrainNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DrainNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct DrainNoticeBuilder {
+  typedef DrainNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(DrainNotice::VT_VERSION, version, 0);
+  }
+  explicit DrainNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DrainNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DrainNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DrainNotice> CreateDrainNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0) {
+  DrainNoticeBuilder builder_(_fbb);
+  builder_.add_version(version);
+  return builder_.Finish();
+}
+
 struct InventoryDocument FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef InventoryDocumentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- /dev/null
+++ b/tests/ColdRateTest.cpp
@@ -0,0 +1,104 @@
+#include "src/passthrough/ColdRate.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double kRate = 20;
+
+} // namespace
+
+TEST_GROUP(ColdRate)
+{
+  ManualClock mClock;
+  std::vector<Time> mTaken;
+
+  bool Offer(ColdRate & aRate, Importance aImportance)
+  {
+    bool takes = aRate.Allows(kRate, aImportance, mClock.Now());
+    if (takes) {
+      aRate.OnTaken(mClock.Now());
+      mTaken.push_back(mClock.Now());
+    }
+    return takes;
+  }
+
+  std::size_t MostInASecond() const
+  {
+    std::size_t most = 0;
+    for (Time from : mTaken) {
+      most = std::max<std::size_t>(most,
+                                   std::ranges::count_if(mTaken, [&](Time aIt) {
+                                     return aIt >= from && aIt - from < 1s;
+                                   }));
+    }
+    return most;
+  }
+};
+
+// Load: all callers of a returned data centre at once, ten times what its hosts
+// bear, for three seconds.
+TEST(ColdRate, NoSpanOfASecondHoldsMoreThanTheRate)
+{
+  mClock.Advance(1s);
+  ColdRate rate(mClock.Now() - 1s);
+  for (int i = 0; i < 600; ++i) {
+    Offer(rate, Importance::High);
+    mClock.Advance(5ms);
+  }
+  CHECK_EQUAL(20, MostInASecond());
+  CHECK_EQUAL(60, mTaken.size());
+}
+
+// Load: ordinary flows first, then important ones, while all hosts are cold.
+TEST(ColdRate, TheLastPartIsForTheImportant)
+{
+  mClock.Advance(1s);
+  ColdRate rate(mClock.Now() - 1s);
+  int ordinary = 0;
+  int important = 0;
+  for (int i = 0; i < 30; ++i) {
+    ordinary += Offer(rate, Importance::Normal) ? 1 : 0;
+  }
+  for (int i = 0; i < 30; ++i) {
+    important += Offer(rate, Importance::High) ? 1 : 0;
+  }
+  CHECK_EQUAL(16, ordinary);
+  CHECK_EQUAL(4, important);
+}
+
+// Guards against an agent that restarts within the second and gives its cold
+// host a second helping.
+TEST(ColdRate, AnAgentsFirstSecondCountsAsUsedUp)
+{
+  ColdRate before(mClock.Now() - 1s);
+  while (Offer(before, Importance::High)) {
+  }
+  mClock.Advance(300ms);
+  ColdRate after(mClock.Now());
+  for (int i = 0; i < 100; ++i) {
+    Offer(after, Importance::High);
+    mClock.Advance(20ms);
+  }
+  CHECK_EQUAL(20, MostInASecond());
+}
+
+TEST(ColdRate, WithoutABoundEverythingIsAllowed)
+{
+  ColdRate rate(mClock.Now());
+  CHECK_TRUE(rate.Allows(0, Importance::Low, mClock.Now()));
+}
+
+// A rate below one a second still lets the host warm up.
+TEST(ColdRate, ASmallRateLetsOneIn)
+{
+  ColdRate rate(mClock.Now() - 1s);
+  CHECK_TRUE(rate.Allows(0.5, Importance::Normal, mClock.Now()));
+  rate.OnTaken(mClock.Now());
+  CHECK_FALSE(rate.Allows(0.5, Importance::High, mClock.Now()));
+}
--- a/tests/FakeObjectStore.h
+++ b/tests/FakeObjectStore.h
@@ -25,7 +25,7 @@
 };
 
 /** A platform in memory that answers at once, with faults on demand. */
-class FakeObjectStore final : public ObjectStore
+class FakeObjectStore : public ObjectStore
 {
 public:
   /** Decides the fault of each write; none if empty. */
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -386,3 +386,50 @@
   CHECK_TRUE(mOut.mToCaller.empty());
   CHECK_TRUE(mOut.mSteered.empty());
 }
+
+// Guards against flows opened in a data centre that is about to lose power.
+TEST(FlowSteering, ADrainedDataCentreGetsNoNewFlow)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near"), Host(2, "near"), Host(3, "far") });
+  mSteering.SetDrains({ 7, { MakeDataCentreId("near") } });
+  Syn();
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  STRCMP_EQUAL("10.0.1.3:7000", mOut.mSteered[0].first.ToString().c_str());
+  CHECK_EQUAL(0, mOut.mSteered[0].second.mCandidates.size());
+  CHECK_EQUAL(7, mOut.mSteered[0].second.mDrainsVersion);
+  // Views that come later hold the drain too, until it is taken back.
+  SetHosts({ Host(1, "near"), Host(3, "far") });
+  CHECK_EQUAL(1, mSteering.UsableHosts());
+  mSteering.SetDrains({ 9, {} });
+  CHECK_EQUAL(2, mSteering.UsableHosts());
+}
+
+// Guards against a copy of an opening packet that follows a hint into a drained
+// data centre.
+TEST(FlowSteering, ACopyFollowsNoHintIntoADrainedDataCentre)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near"), Host(3, "far") });
+  Report(1, PlacementOutcome::Placed);
+  mSteering.SetDrains({ 7, { MakeDataCentreId("near") } });
+  Syn(1);
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  STRCMP_EQUAL("10.0.1.3:7000", mOut.mSteered[0].first.ToString().c_str());
+  // Packets of a flow that is open there still go there.
+  Report(1, PlacementOutcome::Placed);
+  Data();
+  STRCMP_EQUAL("10.0.1.1:7000", mOut.mSteered.back().first.ToString().c_str());
+}
+
+// Every data centre of a service is drained: callers are told at once, and no
+// host is given anything.
+TEST(FlowSteering, WithEveryDataCentreDrainedCallersAreRefused)
+{
+  SetRoutes();
+  SetHosts({ Host(1, "near") });
+  mSteering.SetDrains({ 7, { MakeDataCentreId("near") } });
+  Syn();
+  CHECK_EQUAL(0, mOut.mSteered.size());
+  CHECK_EQUAL(1, mOut.mToCaller.size());
+}
--- a/tests/InventoryPeersTest.cpp
+++ b/tests/InventoryPeersTest.cpp
@@ -28,13 +28,13 @@
 
   std::vector<InventoryPeers::Send> Hear(const InventoryNotice& aNotice)
   {
-    return mPeers.OnNotice(aNotice, Known{ 5, {} }, mClock.Now());
+    return mPeers.OnNotice(aNotice, Known{ 5, {}, {} }, mClock.Now());
   }
 };
 
 TEST(InventoryPeers, TellsItsVersionTwiceASecondAndAtOnceOnChange)
 {
-  Known known{ 5, 40ms };
+  Known known{ 5, 40ms, {} };
   CHECK_EQUAL(2, mPeers.OnTick(mOthers, known, mClock.Now()).size());
   mClock.Advance(499ms);
   CHECK_EQUAL(0, mPeers.OnTick(mOthers, known, mClock.Now()).size());
@@ -104,7 +104,7 @@
 TEST(InventoryPeers, WhoIsTurnedAwayAsksAnother)
 {
   Hear(NoticeOf(0, 9));
-  auto busy = mPeers.Busy(NoticeOf(1, 3), Known{ 9, {} });
+  auto busy = mPeers.Busy(NoticeOf(1, 3), Known{ 9, {}, {} });
   CHECK_TRUE(busy.mTo == mOthers[1]);
   CHECK_TRUE(busy.mNotice.mIsBusy);
   auto turnsAway = NoticeOf(0, 9);
@@ -136,5 +136,5 @@
     many.push_back({ mOthers[0].mIp, i });
   }
   CHECK_EQUAL(InventoryPeers::kFanOut,
-              mPeers.OnTick(many, Known{ 1, {} }, mClock.Now()).size());
+              mPeers.OnTick(many, Known{ 1, {}, {} }, mClock.Now()).size());
 }
--- a/tests/PassthroughCodecTest.cpp
+++ b/tests/PassthroughCodecTest.cpp
@@ -59,7 +59,9 @@
   CHECK_TRUE(gotReport->mFlow == report.mFlow);
   CHECK_TRUE(gotReport->mHost == report.mHost);
   CHECK_TRUE(gotReport->mOutcome == report.mOutcome);
-  InventoryNotice notice{ 17, *ParseAddress("1.2.3.4:5"), true, true, 40ms };
+  InventoryNotice notice{
+    17, *ParseAddress("1.2.3.4:5"), true, true, 40ms, {}
+  };
   auto gotNotice = DecodeInventoryNotice(EncodePayload(notice));
   CHECK_EQUAL(17, gotNotice->mVersion);
   CHECK_TRUE(gotNotice->mControl == notice.mControl);
@@ -93,3 +95,32 @@
     DecodeInventoryDocument(bad);
   }
 }
+
+TEST(PassthroughCodec, KeepsDrainsAndColdRates)
+{
+  SteeredPacket steered = Sample();
+  steered.mDrainsVersion = 41;
+  steered.mColdRate = 12.5;
+  auto got = DecodeSteeredPacket(EncodePayload(steered));
+  CHECK_EQUAL(41, got->mDrainsVersion);
+  DOUBLES_EQUAL(12.5, got->mColdRate, 0.001);
+  InventoryNotice notice;
+  notice.mControl = *ParseAddress("10.0.0.1:7");
+  notice.mDrains = { 42, { { 5 }, { 9 } } };
+  auto heard = DecodeInventoryNotice(EncodePayload(notice));
+  CHECK_EQUAL(42, heard->mDrains.mVersion);
+  CHECK_TRUE(heard->mDrains.mDataCentres == notice.mDrains.mDataCentres);
+  CHECK_EQUAL(43,
+              DecodeDrainNotice(EncodePayload(DrainNotice{ 43 }))->mVersion);
+}
+
+TEST(PassthroughCodec, RefusesDrainsOutOfOrderAndRatesBelowZero)
+{
+  InventoryNotice notice;
+  notice.mControl = *ParseAddress("10.0.0.1:7");
+  notice.mDrains = { 42, { { 9 }, { 5 } } };
+  CHECK_FALSE(DecodeInventoryNotice(EncodePayload(notice)).has_value());
+  SteeredPacket steered = Sample();
+  steered.mColdRate = -1;
+  CHECK_FALSE(DecodeSteeredPacket(EncodePayload(steered)).has_value());
+}
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -180,3 +180,30 @@
   Play();
   CHECK_TRUE(mGot->has_value());
 }
+
+// Guards against an order at the store that a change beside it hides, or that a
+// forgotten history swallows.
+TEST(PlatformStore, WatchesTheNamesOfAKind)
+{
+  std::optional<Result<NameChange>> names;
+  mStore->WatchNames("drains/", 0, 0ms, Into(names));
+  Play();
+  CHECK_TRUE((*names)->mNames->empty());
+  std::uint64_t asOf = (*names)->mAsOf;
+  CHECK_TRUE(asOf > 0);
+  names.reset();
+  mStore->WatchNames("drains/", asOf, 1s, Into(names));
+  Play();
+  CHECK_FALSE(names.has_value());
+  mStandIn.Write("drains", "a", boost::json::object{});
+  Play();
+  CHECK_EQUAL(1, (*names)->mNames->size());
+  STRCMP_EQUAL("a", (*names)->mNames->front().c_str());
+  asOf = (*names)->mAsOf;
+  mStandIn.Write("drains", "b", boost::json::object{});
+  mStandIn.Compact();
+  names.reset();
+  mStore->WatchNames("drains/", asOf, 1s, Into(names));
+  Play();
+  CHECK_EQUAL(2, (*names)->mNames->size());
+}
--- a/tests/RouteDocumentTest.cpp
+++ b/tests/RouteDocumentTest.cpp
@@ -66,3 +66,16 @@
     CHECK_FALSE(mReader.Read(it).has_value());
   }
 }
+
+// 0 and nothing are no bound: a host would else get nothing while it is cold.
+TEST(RouteDocument, ReadsWhatColdHostsBear)
+{
+  auto read = mReader.Read(R"({"Version":7,"Routes":[],"Services":[
+    {"Name":"a","ColdPerS":20.5},{"Name":"b","ColdPerS":0.0},{"Name":"c"},
+    {"Name":"d","ColdPerS":"9"},{"Name":"e","ColdPerS":-1},5,{"ColdPerS":3}]})");
+  CHECK_TRUE(read.has_value());
+  DOUBLES_EQUAL(20.5, (*read)->ColdRateOf(MakeServiceId("a")), 0.01);
+  for (const char* it : { "b", "c", "d", "e", "f" }) {
+    DOUBLES_EQUAL(0, (*read)->ColdRateOf(MakeServiceId(it)), 0.01);
+  }
+}
--- a/tests/RoutesFleet.h
+++ b/tests/RoutesFleet.h
@@ -47,6 +47,7 @@
   void Change(std::uint64_t aVersion)
   {
     mVersion = aVersion;
+    ++mRevision;
     mDocument = std::to_string(aVersion) + " ";
     std::minstd_rand random(static_cast<std::uint32_t>(aVersion));
     while (mDocument.size() < mOptions.mDocumentBytes) {
@@ -65,6 +66,8 @@
     Node& node = *mNodes[aNode];
     ++node.mLife;
     node.mVersion = 0;
+    node.mDrained = kUnknown;
+    node.mSeen = 0;
     node.mGotDocuments = 0;
     node.mSender = std::make_unique<Sender>(*this, aNode);
     node.mStore = std::make_unique<Store>(*this, aNode);
@@ -74,14 +77,16 @@
       *node.mSender,
       *node.mStore,
       mReader,
-      { .mKey = "k", .mSeed = seed },
+      { .mKey = "k", .mSchedule = { .mSeed = seed } },
+      { .mKind = "drains", .mSchedule = { .mSeed = seed + 1 } },
       { node.mSelf.mControl, BytesPerSecond(), seed },
       { node.mSelf.mHost, node.mSelf.mDataCentre, mOptions.mInForceWithin,
         mClock.Now(), seed },
       [this, aNode] { return Others(aNode); },
       [this, aNode] { return std::vector<Address>{ Seed(aNode) }; },
-      [&node](const FlowInventoryPtr& aIt) {
-        node.mVersion = aIt->mVersion;
+      [&node](const FlowInventoryPtr& aIt) { node.mVersion = aIt->mVersion; },
+      [&node](const DataCentreDrains& aIt) {
+        node.mDrained = aIt.mDataCentres.size();
       } });
   }
 
@@ -92,6 +97,42 @@
     }
   }
 
+  /** The operator drains data centres, and takes the others back. */
+  void Drain(std::vector<std::string> aNames)
+  {
+    mDrained = std::move(aNames);
+    mDrainsVersion = ++mRevision;
+    for (auto& it : std::exchange(mNameWatches, {})) {
+      it();
+    }
+  }
+
+  /** How many balancers know that exactly so many are drained. */
+  std::size_t CountDraining(std::size_t aDataCentres) const
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      mNodes, [&](const auto& aIt) { return aIt->mDrained == aDataCentres; }));
+  }
+
+  /** How long it takes until all know that so many are drained. */
+  Duration UntilAllDrain(std::size_t aDataCentres, Duration aMost)
+  {
+    Time began = mClock.Now();
+    while (mClock.Now() - began < aMost &&
+           CountDraining(aDataCentres) < mNodes.size()) {
+      Run(std::chrono::milliseconds(5));
+    }
+    return mClock.Now() - began;
+  }
+
+  /** Nobody gets answers from the store from now on. */
+  void CutAllFromStore()
+  {
+    for (auto& it : mNodes) {
+      it->mIsCut = true;
+    }
+  }
+
   /** A balancer gets no answers from the store from now on. */
   void CutFromStore(std::size_t aNode) { mNodes[aNode]->mIsCut = true; }
 
@@ -148,6 +189,8 @@
   std::vector<std::size_t> Watching() const { return mWatching; }
 
 private:
+  static constexpr std::size_t kUnknown = 1000;
+
   struct Node
   {
     Member mSelf;
@@ -156,6 +199,10 @@
     std::unique_ptr<ObjectStore> mStore;
     std::unique_ptr<InventoryExchange> mRoutes;
     std::uint64_t mVersion = 0;
+    /** Data centres that it knows to be drained. */
+    std::size_t mDrained = kUnknown;
+    /** The store's version that its last answer told. */
+    std::uint64_t mSeen = 0;
     std::size_t mGotDocuments = 0;
     bool mIsCut = false;
     Time mOutFreeAt{};
@@ -209,6 +256,15 @@
     {
     }
     void List(std::string_view, Done<std::vector<ObjectName>>) override {}
+    void WatchNames(std::string_view, std::uint64_t aAfter, Duration aWait,
+                    Done<NameChange> aDone) override
+    {
+      mFleet.WaitForNames(mNode, aAfter, aWait, std::move(aDone));
+    }
+    std::uint64_t SeenVersion() const override
+    {
+      return mFleet.mNodes[mNode]->mSeen;
+    }
 
   private:
     RoutesFleet& mFleet;
@@ -283,9 +339,11 @@
     }
     Time at = Receive(node, mDocument.size(),
                       mClock.Now() + std::chrono::milliseconds(4));
-    At(at, [&node, life = node.mLife, done = std::move(aDone)] {
+    At(at, [&node, life = node.mLife, revision = mRevision,
+            done = std::move(aDone)] {
       if (node.mLife == life) {
         ++node.mGotDocuments;
+        node.mSeen = revision;
         done();
       }
     });
@@ -317,10 +375,43 @@
       }
       *ended = true;
       std::erase(mWatching, aNode);
+      mNodes[aNode]->mSeen = mRevision;
       aDone(std::optional<Object>());
     });
   }
 
+  void WaitForNames(std::size_t aNode, std::uint64_t aAfter, Duration aWait,
+                    ObjectStore::Done<NameChange> aDone)
+  {
+    ++mStoreCalls;
+    auto ended = std::make_shared<bool>(false);
+    auto answer = [this, aNode, ended, life = mNodes[aNode]->mLife,
+                   done = std::move(aDone)](bool aChanged) {
+      Node& node = *mNodes[aNode];
+      if (*ended || node.mLife != life || node.mIsCut) {
+        return;
+      }
+      *ended = true;
+      NameChange change{ mRevision, {} };
+      if (aChanged) {
+        change.mNames = mDrained;
+      }
+      At(mClock.Now() + std::chrono::milliseconds(4),
+         [&node, life, done, change] {
+           if (node.mLife == life) {
+             node.mSeen = change.mAsOf;
+             done(change);
+           }
+         });
+    };
+    if (aAfter == 0 || aAfter < mDrainsVersion) {
+      answer(true);
+      return;
+    }
+    mNameWatches.emplace_back([answer] { answer(true); });
+    At(mClock.Now() + aWait, [answer] { answer(false); });
+  }
+
   std::vector<Member> Others(std::size_t aNode) const
   {
     std::vector<Member> out;
@@ -343,6 +434,10 @@
   std::multimap<Time, std::function<void()>> mEvents;
   std::vector<std::function<void()>> mWatches;
   std::vector<std::size_t> mWatching;
+  std::vector<std::function<void()>> mNameWatches;
+  std::vector<std::string> mDrained;
+  std::uint64_t mRevision = 1;
+  std::uint64_t mDrainsVersion = 1;
   std::uint64_t mVersion = 0;
   std::string mDocument;
   std::size_t mStoreCalls = 0;
--- a/tests/RoutesFleetTest.cpp
+++ b/tests/RoutesFleetTest.cpp
@@ -83,3 +83,70 @@
   fleet.Change(23);
   CHECK_TRUE(fleet.UntilAllHave(23, 5s) <= 3s);
 }
+
+// Guards against a data centre that loses power with flows which some balancers
+// still placed there.
+TEST(RoutesFleet, ADrainReachesALargeFleetWithinASecond)
+{
+  RoutesFleet fleet({ .mBalancers = 91, .mLinkMbps = 20 });
+  fleet.Change(17);
+  fleet.StartAll();
+  fleet.UntilAllHave(17, 5s);
+  fleet.Run(10s);
+  fleet.Drain({ "dc-1" });
+  CHECK_TRUE(fleet.UntilAllDrain(1, 5s) <= 1s);
+  fleet.Drain({});
+  CHECK_TRUE(fleet.UntilAllDrain(0, 5s) <= 1s);
+}
+
+// Guards against order and take-back that overtake each other on the way to
+// balancers which do not watch.
+TEST(RoutesFleet, ADrainThatFlipsEndsWhereTheOperatorLeftIt)
+{
+  RoutesFleet fleet({ .mBalancers = 30, .mLinkMbps = 20 });
+  fleet.Change(17);
+  fleet.StartAll();
+  fleet.UntilAllHave(17, 5s);
+  fleet.Run(5s);
+  for (int i = 0; i < 5; ++i) {
+    fleet.Drain({ "dc-1", "dc-2" });
+    fleet.Run(70ms);
+    fleet.Drain({ "dc-2" });
+    fleet.Run(90ms);
+  }
+  CHECK_TRUE(fleet.UntilAllDrain(1, 5s) <= 1s);
+  fleet.Run(5s);
+  CHECK_EQUAL(30, fleet.CountDraining(1));
+}
+
+// Guards against a balancer that starts while the store is away and routes
+// without knowing the drain.
+TEST(RoutesFleet, ABalancerWithoutTheStoreLearnsADrainFromItsPeers)
+{
+  RoutesFleet fleet({});
+  fleet.Change(17);
+  fleet.StartAll();
+  fleet.UntilAllHave(17, 5s);
+  fleet.Drain({ "dc-1" });
+  fleet.UntilAllDrain(1, 5s);
+  fleet.CutAllFromStore();
+  fleet.Start(3);
+  CHECK_TRUE(fleet.UntilAllHave(17, 5s) <= 1500ms);
+  CHECK_EQUAL(10, fleet.CountDraining(1));
+}
+
+// Guards against watchers that are cut off from the store while the others rely
+// on them.
+TEST(RoutesFleet, ADrainIsHeardInTimeWhenTheWatchersAreCutOff)
+{
+  RoutesFleet fleet({ .mBalancers = 30, .mLinkMbps = 20 });
+  fleet.Change(17);
+  fleet.StartAll();
+  fleet.UntilAllHave(17, 5s);
+  fleet.Run(5s);
+  for (std::size_t it : fleet.Watching()) {
+    fleet.CutFromStore(it);
+  }
+  fleet.Drain({ "dc-1" });
+  CHECK_TRUE(fleet.UntilAllDrain(1, 5s) <= 3000ms);
+}
