Explored schedules with a drained data centre; drains are read with the first routes

Cause: the drain's tests so far play one module each; what balancers, agents, late copies and restarts do together was not shown. A balancer that had routes waited up to a tick to ask for the drains where the store had just come back. Change: PassthroughWorld drains a data centre at a moment of its own, with one balancer that never hears of it or agents that are not told; DrainWatch::ReadFirst. The schedules of before are the same (own options).

--- a/src/passthrough/DrainWatch.cpp
+++ b/src/passthrough/DrainWatch.cpp
@@ -49,6 +49,13 @@
   }
 }
 
+void DrainWatch::ReadFirst()
+{
+  if (!IsKnown() && !mLooking) {
+    Look();
+  }
+}
+
 /** Reads the names beside the watch, which goes on. */
 void DrainWatch::Look()
 {
--- a/src/passthrough/DrainWatch.h
+++ b/src/passthrough/DrainWatch.h
@@ -57,6 +57,10 @@
   /** Reads anew: this process stood still. */
   void ReadNow();
 
+  /** The store answers, and routes wait for the drains: reads them at once, if
+   * nothing is known yet. */
+  void ReadFirst();
+
   /** An answer to another call told the store's version, which was in force at
    * aAt. */
   void OnStoreVersion(std::uint64_t aVersion, Time aAt);
--- a/src/passthrough/InventoryExchange.cpp
+++ b/src/passthrough/InventoryExchange.cpp
@@ -95,6 +95,7 @@
 void InventoryExchange::OnInventory(FlowInventoryPtr aInventory)
 {
   mWaiting = std::move(aInventory);
+  mDrains->ReadFirst();
   PutInForce();
   TellPeers();
 }
--- a/tests/PassthroughExplorationTest.cpp
+++ b/tests/PassthroughExplorationTest.cpp
@@ -24,16 +24,16 @@
 
 /** Plays schedules on several threads, all of them or until one fails. */
 Found Explore(std::uint64_t aFrom, std::uint64_t aCount,
-              const HostFlowGuards& aGuards, bool aStopAtFirst = false)
+              const PassthroughWorld::Options& aOptions,
+              bool aStopAtFirst = false)
 {
   std::atomic<std::uint64_t> next = aFrom;
   std::mutex lock;
   Found found;
   auto play = [&] {
     for (std::uint64_t seed = next++; seed < aFrom + aCount; seed = next++) {
-      PassthroughWorld::Options options;
+      PassthroughWorld::Options options = aOptions;
       options.mSeed = seed;
-      options.mGuards = aGuards;
       PassthroughWorld world(options);
       auto violations = world.Run();
       std::lock_guard guard(lock);
@@ -104,9 +104,32 @@
          GuardCase{ "ask unknown", &HostFlowGuards::mAskUnknown },
          GuardCase{ "hear first", &HostFlowGuards::mHearFirst },
        }) {
-    HostFlowGuards guards;
-    guards.*it.mGuard = false;
-    Found found = Explore(1, kSchedules, guards, true);
+    PassthroughWorld::Options options;
+    options.mGuards.*it.mGuard = false;
+    Found found = Explore(1, kSchedules, options, true);
     CHECK_TRUE_TEXT(!found.mViolations.empty(), it.mName);
   }
 }
+
+// The operator drains a data centre while balancers and agents die, hosts crash
+// and leave, and packets are late. Balancers alone see to it that nothing is
+// opened there; where one of them never hears of the drain, the agents do.
+TEST(PassthroughExploration, NothingOpensInADrainedDataCentre)
+{
+  PassthroughWorld::Options options;
+  options.mDrains = true;
+  options.mTellsAgents = false;
+  CHECK_EQUAL(0, Explore(1, kSchedules, options).mViolations.size());
+  options.mTellsAgents = true;
+  options.mDeafBalancer = true;
+  CHECK_EQUAL(0, Explore(1, kSchedules, options).mViolations.size());
+}
+
+TEST(PassthroughExploration, ABalancerThatIsDeafOpensThereUnlessAgentsAreTold)
+{
+  PassthroughWorld::Options options;
+  options.mDrains = true;
+  options.mDeafBalancer = true;
+  options.mTellsAgents = false;
+  CHECK_TRUE(!Explore(1, kSchedules, options, true).mViolations.empty());
+}
--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -229,6 +229,9 @@
   for (int i = 0; i < mOptions.mFaults; ++i) {
     PlanFault();
   }
+  if (mOptions.mDrains) {
+    At(Between(200, 1500), [this] { Drain(); });
+  }
   Time end = mClock.Now() + kTroubleFor;
   while (mClock.Now() < end) {
     PlayUntil(mClock.Now() + 50ms);
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -25,7 +25,8 @@
  * - once the world is calm, a packet of an open flow reaches its host;
  * - no host is given a flow of another service;
  * - no flow is opened at a host after its agent acknowledged that it leaves;
- * - hosts get packets only as their callers wrote them.
+ * - hosts get packets only as their callers wrote them;
+ * - no flow is opened in a data centre long after the operator drained it.
  */
 class PassthroughWorld
 {
@@ -36,6 +37,13 @@
     HostFlowGuards mGuards;
     int mCallers = 12;
     int mFaults = 4;
+    /** The operator drains a data centre; no process freezes then, which would
+     * hide for how long a drain may be unknown. */
+    bool mDrains = false;
+    /** One balancer never hears of the drain, and no agent forgets it. */
+    bool mDeafBalancer = false;
+    /** Agents are told of the drain. */
+    bool mTellsAgents = true;
   };
 
   explicit PassthroughWorld(const Options& aOptions);
@@ -73,6 +81,9 @@
   void DrainHost();
   void ReuseAddress();
   void CutAgents();
+  void Drain();
+  void TellDrained(Agent& aAgent);
+  bool IsLongDrained(const Agent& aAgent) const;
 
   void OnCallerPacket(Bytes aPacket);
   void Offer(Balancer& aBalancer, const Bytes& aPacket);
@@ -105,6 +116,8 @@
   std::uint64_t mVersion = 1;
   std::uint32_t mNextSequence = 1000;
   std::int64_t mNextLife = 1;
+  DataCentreDrains mDrains{ 1, {} };
+  std::optional<Time> mDrainedAt;
   bool mCalm = false;
   int mOpened = 0;
   int mAnswered = 0;
--- a/tests/PassthroughWorldFaults.cpp
+++ b/tests/PassthroughWorldFaults.cpp
@@ -5,6 +5,18 @@
 
 void PassthroughWorld::PlanFault()
 {
+  if (mOptions.mDrains) {
+    static constexpr void (PassthroughWorld::*kBesideADrain[])() = {
+      &PassthroughWorld::DrainHost, &PassthroughWorld::CutAgents,
+      &PassthroughWorld::KillBalancer, &PassthroughWorld::KillAgent,
+      &PassthroughWorld::CrashHost
+    };
+    // The first ones leave the memory of agents and the deaf balancer alone.
+    std::size_t kinds = mOptions.mDeafBalancer ? 2 : std::size(kBesideADrain);
+    auto beside = kBesideADrain[Pick(kinds)];
+    At(Between(100, 2200), [this, beside] { (this->*beside)(); });
+    return;
+  }
   static constexpr void (PassthroughWorld::*kFaults[])() = {
     &PassthroughWorld::KillBalancer, &PassthroughWorld::FreezeBalancer,
     &PassthroughWorld::KillAgent,    &PassthroughWorld::FreezeAgent,
@@ -87,6 +99,46 @@
   ViewsChanged();
 }
 
+/** The operator's order: each balancer hears of it at its own moment. */
+void PassthroughWorld::Drain()
+{
+  mDrains = { mDrains.mVersion + 1, { DataCentreOf(Pick(2)) } };
+  mDrainedAt = mClock.Now();
+  for (auto& it : mBalancers) {
+    bool isDeaf = mOptions.mDeafBalancer && it == mBalancers.front();
+    if (isDeaf) {
+      continue;
+    }
+    At(Between(0, 100), [this, &balancer = *it] {
+      balancer.mDrains = mDrains;
+      balancer.mSteering->SetDrains(mDrains);
+    });
+  }
+}
+
+/** A balancer answers the heartbeat of an agent. */
+void PassthroughWorld::TellDrained(Agent& aAgent)
+{
+  for (const auto& it : mBalancers) {
+    if (mOptions.mTellsAgents &&
+        it->mDrains.Contains(DataCentreOf(aAgent.mIndex))) {
+      aAgent.mFlows->OnDrainNotice({ it->mDrains.mVersion }, mClock.Now());
+    }
+  }
+}
+
+/** Whether all that hear of the drain of an agent's data centre have known it
+ * for long enough. */
+bool PassthroughWorld::IsLongDrained(const Agent& aAgent) const
+{
+  Duration known = kDrainKnownWithin + kOfferedWithin;
+  if (mOptions.mDeafBalancer) {
+    known += kBeatEvery;
+  }
+  return mDrainedAt && mDrains.Contains(DataCentreOf(aAgent.mIndex)) &&
+         mClock.Now() - *mDrainedAt > known;
+}
+
 void PassthroughWorld::CutAgents()
 {
   Agent& one = *mAgents[Pick(mAgents.size())];
--- a/tests/PassthroughWorldHosts.cpp
+++ b/tests/PassthroughWorldHosts.cpp
@@ -30,6 +30,7 @@
     // Agents take calls of hosts of their own service only.
     if (host->mService == aAgent.mService) {
       aAgent.mFlows->OnAnnouncement(beat, mClock.Now());
+      TellDrained(aAgent);
     }
     if (aAgent.State() != before) {
       ViewsChanged();
@@ -61,6 +62,7 @@
       Member member;
       member.mHost = MakeHostId("host-" + std::to_string(it->mIndex));
       member.mService = MakeServiceId(it->mService);
+      member.mDataCentre = DataCentreOf(it->mIndex);
       member.mState = it->State();
       member.mTunnel = it->mTunnel;
       // A process that is down for a moment stays in view until it is missed.
@@ -121,6 +123,9 @@
     if (host.mLeftAt && mClock.Now() > *host.mLeftAt + kOnTheWay) {
       Violated("a leaving host got a new flow");
     }
+    if (IsLongDrained(aAgent)) {
+      Violated("a host of a drained data centre got a new flow");
+    }
   }
   FromHost(aAgent, MakePacket(flow.mService, flow.mCaller, kSyn | kAck,
                               it->second.mSequence, 1, 0));
--- a/tests/PassthroughWorldParts.h
+++ b/tests/PassthroughWorldParts.h
@@ -24,6 +24,19 @@
 /** A packet may be on its way from the agent to the host as it leaves. */
 inline constexpr auto kOnTheWay = 5ms;
 
+/** A drain is known to every balancer that hears of it within this, and to an
+ * agent a heartbeat later. */
+inline constexpr auto kDrainKnownWithin = 100ms;
+/** What was offered before is placed by then: late copies, and hosts that are
+ * offered to again because others were silent. */
+inline constexpr auto kOfferedWithin = 150ms;
+
+/** The data centre of a host: they take turns. */
+inline DataCentreId DataCentreOf(std::size_t aIndex)
+{
+  return MakeDataCentreId(aIndex % 2 == 0 ? "even" : "odd");
+}
+
 inline Address At4(const char* aPrefix, std::size_t aIndex, std::uint16_t aPort)
 {
   return *ParseAddress(aPrefix + std::to_string(aIndex + 1) + ":" +
@@ -59,6 +72,7 @@
   std::unique_ptr<FlowSteering> mSteering;
   bool mFrozen = false;
   std::vector<std::function<void()>> mHeld;
+  DataCentreDrains mDrains;
 
   /** Runs now, or when it wakes. */
   void Do(std::function<void()> aWhat)
@@ -87,6 +101,7 @@
       FlowSteering::Options{ mTunnel, MakeDataCentreId("z"), 64 },
       mWorld->mPackets, *this);
     mSteering->SetInventory(mWorld->mInventory);
+    mSteering->SetDrains(mDrains);
     mWorld->GiveViews(*this);
   }
 
