Time of a request: first expected from the target, more on a cold host

Cause: after a mass return no host has answered yet, and 15 ms a request was assumed where a cold host of the shifted deployment takes 53; refusals stood at 7 or 8 in progress with an assumed wait of 45 to 52 ms, so all answers of such a queue were late.

--- a/lab/flows/FlowFarm.cpp
+++ b/lab/flows/FlowFarm.cpp
@@ -100,6 +100,7 @@
   offer.mReturnsLater = aReturnsLater;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     Machine& host = mHosts[aCandidates[i]];
+    host.mServiceTime.Expect(offer.mLatencyTarget, false);
     HostCondition condition = ConditionOf(host);
     offer.mHasMore = i + 1 < aCandidates.size();
     switch (admission.Decide(condition, offer)) {
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -138,6 +138,7 @@
   }
   if (aSteered.mPurpose == SteerPurpose::Place) {
     mDrain.OnOffer(aSteered.mDrainsVersion, aNow);
+    mServiceTime.Expect(aSteered.mLatencyTarget, MayBeCold(aNow));
     Place(aSteered, *packet, aNow);
     return;
   }
--- a/tests/RoutesFleet.h
+++ b/tests/RoutesFleet.h
@@ -27,6 +27,8 @@
     double mLinkMbps = 2;
     std::size_t mDocumentBytes = 160000;
     Duration mInForceWithin = std::chrono::milliseconds(3000);
+    /** How long a message is under way, beside its time on the links. */
+    Duration mTrip{};
   };
 
   explicit RoutesFleet(const Options& aOptions)
@@ -312,7 +314,8 @@
     Time begins = std::max(from.mOutFreeAt, mClock.Now());
     from.mOutFreeAt = begins + TakenBy(aPayload.size());
     // The receiver's link carries the first bytes while the last are sent.
-    Time at = std::max(from.mOutFreeAt, Receive(to, aPayload.size(), begins));
+    Time at = std::max(from.mOutFreeAt, Receive(to, aPayload.size(), begins)) +
+              mOptions.mTrip;
     At(at, [&to, life = to.mLife, aKind, payload = std::move(aPayload)] {
       if (to.mLife == life) {
         Take(to, aKind, payload);
--- a/tests/RoutesFleetTest.cpp
+++ b/tests/RoutesFleetTest.cpp
@@ -150,3 +150,22 @@
   fleet.Drain({ "dc-1" });
   CHECK_TRUE(fleet.UntilAllDrain(1, 5s) <= 3000ms);
 }
+
+// Guards against notices that are long under way and keep a confirmation young
+// while the watchers are cut off.
+TEST(RoutesFleet, SlowNoticesDoNotHideADrain)
+{
+  for (Duration trip : { 20ms, 50ms, 100ms }) {
+    RoutesFleet fleet({ .mBalancers = 91, .mLinkMbps = 20, .mTrip = trip });
+    fleet.Change(17);
+    fleet.StartAll();
+    fleet.UntilAllHave(17, 5s);
+    fleet.Run(5s);
+    for (std::size_t it : fleet.Watching()) {
+      fleet.CutFromStore(it);
+    }
+    fleet.Run(1500ms);
+    fleet.Drain({ "dc-1" });
+    CHECK_TRUE(fleet.UntilAllDrain(1, 5s) <= 3000ms);
+  }
+}
--- a/tests/ServiceTimeTest.cpp
+++ b/tests/ServiceTimeTest.cpp
@@ -8,8 +8,40 @@
 TEST_GROUP(ServiceTime)
 {
   ServiceTime mTime;
+
+  void setup() override
+  {
+    mTime.Expect(100ms, false);
+  }
 };
 
+// Load: everything has come back, and the first flows are placed before any
+// host has answered one.
+TEST(ServiceTime, TheFirstGuessFollowsTheTargetUntilAnAnswerCame)
+{
+  CHECK(mTime.Get() == 15ms);
+  mTime.Expect(200ms, true);
+  CHECK_TRUE(mTime.Get() > 44ms && mTime.Get() < 46ms);
+  mTime.Expect(300ms, false);
+  CHECK(mTime.Get() == 45ms);
+  mTime.Learn(45ms, 0, 2);
+  mTime.Expect(800ms, false);
+  CHECK(mTime.Get() == 45ms);
+  mTime.Reset();
+  mTime.Expect(200ms, false);
+  CHECK(mTime.Get() == 30ms);
+}
+
+// Guards against answers to flows from before a restart that hold the estimate
+// at nothing for good.
+TEST(ServiceTime, AnswersThatNobodyExpectedSayNothing)
+{
+  ServiceTime time;
+  time.Learn(30ms, 0, 2);
+  time.Expect(300ms, false);
+  CHECK(time.Get() == 45ms);
+}
+
 TEST(ServiceTime, FollowsAHostThatBecameSlow)
 {
   for (int i = 0; i < 100; ++i) {
