--- /dev/null
+++ b/src/passthrough/FlowBalancerOptions.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <vector>
+
+#include "include/heatherplank/Member.h"
+#include "src/membership/BalancerMembership.h"
+#include "src/passthrough/InventoryExchange.h"
+#include "src/passthrough/PassthroughSettings.h"
+
+namespace heatherplank {
+
+/** What the settings of a balancer of opaque flows mean for its parts. All
+ * thread safe. */
+
+/** This balancer as a member: a new incarnation at each call. */
+Member MakeSelf(const FlowBalancerSettings& aSettings);
+BalancerMembershipOptions MakeMembershipOptions(std::vector<Address> aSeeds);
+InventoryWatch::Options MakeWatchOptions(const FlowBalancerSettings& aSettings,
+                                         const Member& aSelf);
+DrainWatch::Options MakeDrainOptions(const FlowBalancerSettings& aSettings,
+                                     const Member& aSelf);
+InventoryPeers::Options MakePeerOptions(const FlowBalancerSettings& aSettings,
+                                        const Member& aSelf);
+StoreWatchDuty::Options MakeDutyOptions(const FlowBalancerSettings& aSettings,
+                                        const Member& aSelf, Time aNow);
+
+} // namespace heatherplank
--- a/src/passthrough/InventoryExchange.cpp
+++ b/src/passthrough/InventoryExchange.cpp
@@ -40,7 +40,8 @@
   JudgeDuty(balancers, now);
   mWatch->OnTick();
   mDrains->OnTick();
-  mDrains->OnStoreVersion(mParts.mStore.SeenVersion(), mWatch->ConfirmedAt());
+  // A read of one object does not tell the store's version.
+  mDrains->OnStoreVersion(mParts.mStore.SeenVersion(), mWatch->WatchedAt());
   Send(mPeers.OnTick(PeerAddresses(balancers), WhatIsKnown(now), now));
 }
 
--- a/src/passthrough/InventoryWatch.cpp
+++ b/src/passthrough/InventoryWatch.cpp
@@ -175,6 +175,12 @@
   return mSchedule.ConfirmedAt();
 }
 
+Time InventoryWatch::WatchedAt() const
+{
+  std::lock_guard lock(mLock);
+  return mSchedule.WatchedAt();
+}
+
 Time InventoryWatch::HeardAt() const
 {
   std::lock_guard lock(mLock);
--- a/src/passthrough/InventoryWatch.h
+++ b/src/passthrough/InventoryWatch.h
@@ -63,6 +63,7 @@
   bool IsStoreLost() const;
   Time HeardAt() const;
   Time ConfirmedAt() const;
+  Time WatchedAt() const;
 
 private:
   InventoryWatch(const Clock& aClock, ObjectStore& aStore,
--- a/src/passthrough/WatchSchedule.cpp
+++ b/src/passthrough/WatchSchedule.cpp
@@ -64,6 +64,9 @@
   // A change is told when it happens, whenever the watch began.
   bool isEvent = aIsChange && mVersion != 0;
   mConfirmedAt = isEvent ? aNow : std::min(aNow, mCalledAt + mCall.mWait);
+  if (mCall.mAfter != 0) {
+    mWatchedAt = mConfirmedAt;
+  }
   mVersion = aVersion;
   return regained ? Effect::StoreRegained : Effect::Taken;
 }
--- a/src/passthrough/WatchSchedule.h
+++ b/src/passthrough/WatchSchedule.h
@@ -81,6 +81,9 @@
    * store gave it at the earliest. */
   Time ConfirmedAt() const { return mConfirmedAt; }
 
+  /** The same of answers to watches alone. */
+  Time WatchedAt() const { return mWatchedAt; }
+
 private:
   bool EndCall(std::uint64_t aCall);
 
@@ -97,6 +100,7 @@
   bool mStoreLost = false;
   Time mHeardAt{};
   Time mConfirmedAt{};
+  Time mWatchedAt{};
 };
 
 } // namespace heatherplank
--- a/tests/InventoryWatchTest.cpp
+++ b/tests/InventoryWatchTest.cpp
@@ -226,3 +226,16 @@
   mStore.Take().mWatched(std::optional<Object>(Doc("9", 105)));
   CHECK_TRUE(mWatch->ConfirmedAt() == mClock.Now());
 }
+
+// Guards against a read of one object that is taken for word of the whole
+// store: what else changed there is not known by it.
+TEST(InventoryWatch, OnlyWatchesTellHowTheStoreStands)
+{
+  mClock.Advance(1s);
+  ReadFirst();
+  CHECK(mWatch->ConfirmedAt() == mClock.Now());
+  CHECK(mWatch->WatchedAt() == Time{});
+  mClock.Advance(5000ms);
+  mStore.Take().mWatched(std::optional<Object>());
+  CHECK(mWatch->WatchedAt() == mClock.Now());
+}
