--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -74,6 +74,9 @@
 {
   mPeers.OnTick(aNow);
   mBalancers.OnTick(aNow);
+  if (mAssignment && aNow - mConfirmedAt > mOptions.mAssignmentTimeout) {
+    mAssignment.reset();
+  }
   Duration interval = IsDiscovering(aNow) ? mOptions.mDiscoveryInterval
                                           : mOptions.mHeartbeatInterval;
   if (aNow - mHeartbeatAt >= interval) {
@@ -124,11 +127,17 @@
   Heartbeat heartbeat = MakeHeartbeat(aNow);
   std::vector<Address> receivers = Monitors();
   mLastMonitors = receivers;
-  bool probes = mHeartbeatNumber % kHeartbeatsPerProbe == 0 &&
-                !mOptions.mMonitors.IncludesAll(Balancers()->mMembers.size());
+  bool isSubset = mAssignment ||
+                  !mOptions.mMonitors.IncludesAll(Balancers()->mMembers.size());
+  bool probes = isSubset && mHeartbeatNumber % kHeartbeatsPerProbe == 0;
   if (probes && !receivers.empty()) {
     receivers.push_back(RandomBalancer());
   }
+  bool knowsNone = !mAssignment && Balancers()->mMembers.empty();
+  if (knowsNone && receivers.size() > mOptions.mMaxSeedsPerHeartbeat) {
+    std::shuffle(receivers.begin(), receivers.end(), mRandom);
+    receivers.resize(mOptions.mMaxSeedsPerHeartbeat);
+  }
   for (const Address& it : receivers) {
     mActions.push_back({ it, heartbeat });
   }
@@ -146,16 +155,39 @@
   mPeers.OnHeartbeat(heartbeat, aNow);
   heartbeat.mServiceDigest =
     mOptions.mWantsPeers ? mPeers.ServiceDigest(mSelf.mService) : kWantsNoPeers;
-  heartbeat.mBalancerDigest = mBalancers.ServiceDigest(BalancerService());
+  heartbeat.mBalancerDigest = mAssignment
+                                ? mAssignment->Digest()
+                                : mBalancers.ServiceDigest(BalancerService());
+  heartbeat.mMonitorSource = Source();
   return heartbeat;
 }
 
+MonitorSource AgentMembership::Source() const
+{
+  if (!mOptions.mAcceptsAssignment) {
+    return MonitorSource::AllBalancers;
+  }
+  if (!mAssignment) {
+    return MonitorSource::None;
+  }
+  return mAssignment->mIsProvisional ? MonitorSource::Provisional
+                                     : MonitorSource::Assigned;
+}
+
 /** Guards against: all monitors of a host die at once, no balancer notifies its
  * agent of the new monitors, and the host is declared dead. Some heartbeats
  * therefore also go to a randomly chosen balancer, which detects by the digests
  * that the agent's list is outdated and sends the current one. */
 Address AgentMembership::RandomBalancer()
 {
+  if (mAssignment) {
+    std::vector<Address> others = mSeeds;
+    for (const MemberRecord& it : mAssignment->Spares()) {
+      others.push_back(it.mMember.mControl);
+    }
+    return others.empty() ? mAssignment->mRecords.front().mMember.mControl
+                          : others[mRandom() % others.size()];
+  }
   MemberViewPtr view = Balancers();
   std::size_t known = view->mMembers.size();
   std::size_t pick = mRandom() % (known + mSeeds.size());
@@ -164,6 +196,13 @@
 
 std::vector<Address> AgentMembership::Monitors() const
 {
+  if (mAssignment) {
+    std::vector<Address> out;
+    for (const MemberRecord& it : mAssignment->Monitors()) {
+      out.push_back(it.mMember.mControl);
+    }
+    return out;
+  }
   MemberViewPtr view = Balancers();
   if (view->mMembers.empty()) {
     return mSeeds;
@@ -198,18 +237,12 @@
       mConfirmedAt,
       mHeartbeatSentAt[delta->mAnswersHeartbeat % kMaxTrackedHeartbeats]);
   }
-  bool isHosts = delta->mTable == MemberTableId::Hosts;
-  MemberTable& table = isHosts ? mPeers : mBalancers;
-  ServiceId service = isHosts ? mSelf.mService : BalancerService();
-  if (delta->mIsComplete) {
-    table.OnServiceDelta(service, *delta, mOptions.mDropUnlistedAfter, aNow);
+  if (delta->mTable == MemberTableId::Hosts) {
+    OnPeers(*delta, aNow);
+  } else if (delta->mAssignedMonitors != 0) {
+    OnAssignment(*delta, aNow);
   } else {
-    table.OnDelta(*delta, aNow);
-  }
-  if (isHosts) {
-    SupersedeNewerIncarnation(*delta, aNow);
-  } else {
-    AnnounceToNewMonitors(aNow);
+    OnBalancers(*delta, aNow);
   }
   // A balancer that suspects this host requests a heartbeat; see
   // BalancerMembership::RequestHeartbeatsFromSuspects.
@@ -219,6 +252,52 @@
   }
 }
 
+void AgentMembership::OnPeers(const MemberDelta& aDelta, Time aNow)
+{
+  if (aDelta.mIsComplete) {
+    mPeers.OnServiceDelta(mSelf.mService, aDelta, mOptions.mDropUnlistedAfter,
+                          aNow);
+  } else {
+    mPeers.OnDelta(aDelta, aNow);
+  }
+  SupersedeNewerIncarnation(aDelta, aNow);
+}
+
+/** A balancer that starts knows few others, so its assignment does not replace
+ * one of a balancer that knows all.
+ *
+ * Guards against: balancers whose views differ assign different monitors, and
+ * each heartbeat to a new monitor is answered with another assignment. At most
+ * one is accepted per heartbeat interval. */
+void AgentMembership::OnAssignment(const MemberDelta& aDelta, Time aNow)
+{
+  bool isWorse =
+    mAssignment && !mAssignment->mIsProvisional && aDelta.mIsProvisional;
+  bool isTooSoon =
+    mAssignment && aNow - mAssignedAt < mOptions.mHeartbeatInterval;
+  if (!mOptions.mAcceptsAssignment || isWorse || isTooSoon ||
+      aDelta.mAssignedMonitors > aDelta.mRecords.size()) {
+    return;
+  }
+  mAssignment = MonitorAssignment{ aDelta.mRecords, aDelta.mAssignedMonitors,
+                                   aDelta.mIsProvisional };
+  mAssignedAt = aNow;
+  AnnounceToNewMonitors(aNow);
+}
+
+void AgentMembership::OnBalancers(const MemberDelta& aDelta, Time aNow)
+{
+  if (aDelta.mIsComplete) {
+    // The fleet has become so small that all balancers are monitors.
+    mAssignment.reset();
+    mBalancers.OnServiceDelta(BalancerService(), aDelta,
+                              mOptions.mDropUnlistedAfter, aNow);
+  } else if (!aDelta.mRequestsHeartbeat || !mAssignment) {
+    mBalancers.OnDelta(aDelta, aNow);
+  }
+  AnnounceToNewMonitors(aNow);
+}
+
 /** Guards against: the host's clock steps back across a restart, so the new
  * incarnation is lower than the previous one, every heartbeat counts as stale
  * and the host never returns. Visible in the counter heartbeat_stale. The agent
--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "include/heatherplank/Member.h"
 #include "src/membership/MemberTable.h"
 #include "src/membership/MembershipActions.h"
+#include "src/membership/MonitorAssignment.h"
 #include "src/membership/Monitors.h"
 
 namespace heatherplank {
@@ -29,6 +31,15 @@
   Duration mDiscoveryTimeout = std::chrono::seconds(5);
   /** Chooses the balancers that are sent heartbeats. */
   MonitorRule mMonitors;
+  /** Whether a balancer of a large fleet may assign the monitors, so that this
+   * agent holds no list of all balancers. */
+  bool mAcceptsAssignment = false;
+  /** An assignment is dropped if no balancer answered for this long: all
+   * monitors and spares may be lost, and the seeds are tried again. */
+  Duration mAssignmentTimeout = std::chrono::milliseconds(1500);
+  /** Maximum number of seeds that one heartbeat is sent to before any balancer
+   * is known. Heartbeats of a whole fleet that starts would overload them. */
+  std::size_t mMaxSeedsPerHeartbeat = 3;
   /** False if Peers is not used: balancers then send no members of the service,
    * and agents are spared the processing of each change. */
   bool mWantsPeers = true;
@@ -76,7 +87,10 @@
   const Member& Self() const { return mSelf; }
   /** Members of the host's service, including this host. */
   MemberViewPtr Peers() const { return mPeers.View(mSelf.mService); }
+  /** The balancers in the list of all; not those of an assignment. */
   MemberViewPtr Balancers() const { return mBalancers.View(BalancerService()); }
+  /** The control addresses that heartbeats are sent to. */
+  std::vector<Address> Monitors() const;
 
 private:
   class BalancerCheck final : public InventoryCheck
@@ -93,7 +107,10 @@
   void AnnounceToNewMonitors(Time aNow);
   bool IsDiscovering(Time aNow) const;
   Heartbeat MakeHeartbeat(Time aNow);
-  std::vector<Address> Monitors() const;
+  void OnPeers(const MemberDelta& aDelta, Time aNow);
+  void OnAssignment(const MemberDelta& aDelta, Time aNow);
+  void OnBalancers(const MemberDelta& aDelta, Time aNow);
+  MonitorSource Source() const;
   Address RandomBalancer();
   void SupersedeNewerIncarnation(const MemberDelta& aDelta, Time aNow);
 
@@ -107,6 +124,8 @@
   BalancerCheck mBalancerCheck;
   MemberTable mPeers;
   MemberTable mBalancers;
+  std::optional<MonitorAssignment> mAssignment;
+  Time mAssignedAt{};
   std::vector<SendMembership> mActions;
   /** The monitors that were sent the last heartbeat. */
   std::vector<Address> mLastMonitors;
--- a/src/membership/BalancerBootstrap.cpp
+++ b/src/membership/BalancerBootstrap.cpp
@@ -1,5 +1,6 @@
 // Snapshots: how a new balancer obtains its view, and how its peers serve it.
 #include "src/membership/BalancerMembership.h"
+#include "src/membership/MessageSize.h"
 #include "src/wire/MembershipCodec.h"
 
 namespace heatherplank {
@@ -21,7 +22,8 @@
 void BalancerMembership::On(const MemberSnapshot& aSnapshot, Time aNow)
 {
   TableOf(aSnapshot.mTable).OnSnapshot(aSnapshot, aNow);
-  bool isExpected = !mStarted && aSnapshot.mTable == MemberTableId::Hosts &&
+  bool isExpected = !mStarted && !aSnapshot.mIsPartial &&
+                    aSnapshot.mTable == MemberTableId::Hosts &&
                     aSnapshot.mFirst <= mCursor && aSnapshot.mLast >= mCursor;
   if (!isExpected) {
     return;
@@ -35,21 +37,42 @@
   RequestSnapshot(aNow);
 }
 
-/** Answers requests within the byte budget. A balancer that is still starting
- * answers none: two new balancers would take each other's partial views for
- * complete ones. */
+/** Names some other balancers to a new peer. */
+void BalancerMembership::Introduce(const Member& aNewPeer, Time aNow)
+{
+  MemberDelta delta;
+  delta.mTable = MemberTableId::Balancers;
+  delta.mVersion = mBalancers.Version();
+  for (const Member& it : mBalancers.Sample(mOptions.mIntroductions, mRandom)) {
+    if (it.mHost == aNewPeer.mHost || it.mHost == mSelf.mHost) {
+      continue;
+    }
+    if (auto record = mBalancers.Find(it.mHost, aNow)) {
+      delta.mRecords.push_back(std::move(*record));
+    }
+  }
+  if (!delta.mRecords.empty()) {
+    mSnapshotBudget.Take(EncodedBytes(delta));
+    Send(aNewPeer.mControl, delta);
+  }
+}
+
+/** Answers requests within the byte budget. What a balancer sends while it is
+ * still starting is marked as partial: two new balancers would take each
+ * other's views for complete ones. */
 void BalancerMembership::ServeSnapshots(Time aNow)
 {
   while (!mSnapshotRequests.empty() && mSnapshotBudget.Available(aNow) > 0) {
     MemberSnapshotRequest request = mSnapshotRequests.front();
     mSnapshotRequests.pop_front();
     const Member* peer = FindBalancer(request.mFrom);
-    if (peer == nullptr || !mStarted) {
+    if (peer == nullptr) {
       continue;
     }
     MemberSnapshot chunk =
       TableOf(request.mTable).Snapshot(request, mOptions.mChunkRecords, aNow);
     chunk.mFrom = mSelf.mHost;
+    chunk.mIsPartial = !mStarted;
     mSnapshotBudget.Take(EncodePayload(chunk).size());
     Send(peer->mControl, chunk);
   }
--- a/src/membership/BalancerMembership.cpp
+++ b/src/membership/BalancerMembership.cpp
@@ -40,7 +40,8 @@
   , mSnapshotBudget(aOptions.mSnapshotBytesPerSecond,
                     aOptions.mSnapshotBytesPerSecond)
   , mStartedAt(aNow)
-  , mDigestAt(aNow + aOptions.mDigestInterval)
+  , mDigestAt(aNow + aOptions.mMinDigestInterval)
+  , mDigestInterval(aOptions.mMinDigestInterval)
   , mHostCountChangedAt(aNow)
 {
   std::erase(mSeeds, mSelf.mControl);
@@ -94,6 +95,7 @@
     // The new peer learns of this balancer, and through it of the hosts,
     // without waiting up to 0.5 s for the next periodic heartbeat.
     Send(aHeartbeat.mRecord.mMember.mControl, MakeHeartbeat());
+    Introduce(aHeartbeat.mRecord.mMember, aNow);
   }
   if (accepted) {
     SendNewerIncarnation(aHeartbeat, aNow);
@@ -107,7 +109,10 @@
     return;
   }
   mAgents[member.mHost] = { member.mControl, member.mService,
-                            aHeartbeat.mServiceDigest != kWantsNoPeers, aNow };
+                            aHeartbeat.mServiceDigest != kWantsNoPeers,
+                            aHeartbeat.mMonitorSource !=
+                              MonitorSource::AllBalancers,
+                            aNow };
   ConfirmHeartbeat(aHeartbeat);
   RepairAgent(aHeartbeat, aNow);
 }
@@ -140,7 +145,6 @@
   MemberDelta forwarded{ aDelta.mTable, aDelta.mVersion, aDelta.mTree, false,
                          std::move(changed) };
   for (const Address& it : mTree.NextHops(aDelta.mTree)) {
-    mBudget.Take(EncodedBytes(forwarded));
     Send(it, forwarded);
   }
 }
@@ -169,16 +173,7 @@
     NotifyAgents(aNow);
   }
   ServeSnapshots(aNow);
-  MemberViewPtr view = mBalancers.View(BalancerService());
-  if (aNow >= mDigestAt && view->mMembers.size() > 1) {
-    // Jitter keeps balancers that started together from staying synchronised.
-    mDigestAt = aNow + mOptions.mDigestInterval +
-                mOptions.mDigestInterval / 8 * (mRandom() % 3);
-    const Member& peer = view->mMembers[mRandom() % view->mMembers.size()];
-    if (peer.mHost != mSelf.mHost) {
-      SendDigests(peer.mControl, false);
-    }
-  }
+  SendDigestsIfDue(aNow);
 }
 
 bool BalancerMembership::IsDiscovering(Time aNow) const
@@ -212,12 +207,17 @@
     receivers.push_back(it.mControl);
   }
   // Seeds that are not members yet are reached by their addresses.
+  std::vector<Address> unknown;
   for (const Address& it : mSeeds) {
-    bool known = std::ranges::count(view->mMembers, it, &Member::mControl) > 0;
-    if (!known) {
-      receivers.push_back(it);
+    if (std::ranges::count(view->mMembers, it, &Member::mControl) == 0) {
+      unknown.push_back(it);
     }
   }
+  if (unknown.size() > mOptions.mMaxSeedsPerHeartbeat) {
+    std::shuffle(unknown.begin(), unknown.end(), mRandom);
+    unknown.resize(mOptions.mMaxSeedsPerHeartbeat);
+  }
+  receivers.insert(receivers.end(), unknown.begin(), unknown.end());
   for (const Address& it : receivers) {
     if (it != mSelf.mControl) {
       Send(it, heartbeat);
@@ -297,6 +297,7 @@
   balancers.mTable = MemberTableId::Balancers;
   balancers.mVersion = mBalancers.Version();
   balancers.mRecords = mBalancers.TakeViewChanges(aNow);
+  bool assigns = AssignsMonitors();
   for (auto it = mAgents.begin(); it != mAgents.end();) {
     const Agent& agent = it->second;
     if (aNow - agent.mLastHeartbeatAt > kAgentTimeout) {
@@ -307,7 +308,8 @@
     if (agent.mWantsPeers && changes != byService.end()) {
       Send(agent.mControl, changes->second);
     }
-    if (!balancers.mRecords.empty()) {
+    bool isAssigned = agent.mAcceptsAssignment && assigns;
+    if (!isAssigned && !balancers.mRecords.empty()) {
       Send(agent.mControl, balancers);
     }
     ++it;
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -35,6 +36,14 @@
 struct BalancerMembershipOptions
 {
   MemberTableOptions mTable;
+  /** Number of other balancers that a balancer names to a new peer.
+   *
+   * Guards against: a whole fleet starts, each balancer knows only the seeds,
+   * and the seeds send each of them the whole list. With these names the others
+   * get it from each other. */
+  std::size_t mIntroductions = 8;
+  /** Maximum number of seeds outside the view that one heartbeat is sent to. */
+  std::size_t mMaxSeedsPerHeartbeat = 3;
   /** Control addresses of the first balancers to contact, from the settings. */
   std::vector<Address> mSeeds;
   Duration mHeartbeatInterval = std::chrono::milliseconds(500);
@@ -46,11 +55,18 @@
   MonitorRule mMonitors;
   /** Changes are batched for this long into one message. */
   Duration mFlushInterval = std::chrono::milliseconds(100);
-  /** Bytes per second for changes and repair, and for snapshots to a new
-   * balancer, which are rare. */
+  /** Bytes per second for changes and repair, and for what is rare: snapshots
+   * to a new balancer, and monitors assigned to agents. */
   double mBytesPerSecond = 12000;
   double mSnapshotBytesPerSecond = 250000;
+  /** Interval of digests while they find no difference, and the shortest one.
+   *
+   * Guards against: many balancers start at once, know few others at first, and
+   * send changes along trees that differ. The interval shrinks to the shortest
+   * when a digest finds a difference and doubles when it finds none, so tables
+   * converge in a number of rounds logarithmic in the size of the fleet. */
   Duration mDigestInterval = std::chrono::seconds(10);
+  Duration mMinDigestInterval = std::chrono::milliseconds(250);
   /** Maximum number of ranges requested after a digest. */
   std::size_t mMaxRepairRanges = 8;
   /** Maximum number of records in a snapshot chunk. */
@@ -115,6 +131,7 @@
     Address mControl;
     ServiceId mService;
     bool mWantsPeers = true;
+    bool mAcceptsAssignment = false;
     Time mLastHeartbeatAt{};
   };
 
@@ -139,9 +156,14 @@
   void SendNewerIncarnation(const Heartbeat& aHeartbeat, Time aNow);
   void SupersedeNewerIncarnation(const MemberDelta& aDelta, Time aNow);
   void RepairAgent(const Heartbeat& aHeartbeat, Time aNow);
+  bool AssignsMonitors() const;
+  void RepairAssignment(const Heartbeat& aHeartbeat, Time aNow);
   void SendService(const Address& aTo, const MemberTable& aTable,
                    ServiceId aService, Time aNow);
   void SendDigests(const Address& aTo, bool aIsReply);
+  void SendDigestsIfDue(Time aNow);
+  void Introduce(const Member& aNewPeer, Time aNow);
+  void AdaptDigestInterval(bool aFoundDifference, Time aNow);
   void ServeSnapshots(Time aNow);
   void RequestSnapshot(Time aNow);
   void Bootstrap(Time aNow);
@@ -165,6 +187,9 @@
   const Time mStartedAt;
   Time mFlushAt{};
   Time mDigestAt{};
+  Duration mDigestInterval;
+  /** When ranges were last requested from a peer, by table. */
+  std::array<Time, 2> mRepairRequestedAt{};
   /** True if every balancer monitors every host. */
   bool mMonitorsAll = true;
 
--- a/src/membership/BalancerRepair.cpp
+++ b/src/membership/BalancerRepair.cpp
@@ -1,6 +1,9 @@
 // Repair of outdated or wrong records in this balancer, its peers and agents.
+#include <algorithm>
+
 #include "src/membership/BalancerMembership.h"
 #include "src/membership/MessageSize.h"
+#include "src/membership/MonitorAssignment.h"
 
 namespace heatherplank {
 
@@ -87,6 +90,11 @@
 void BalancerMembership::RepairAgent(const Heartbeat& aHeartbeat, Time aNow)
 {
   const Member& member = aHeartbeat.mRecord.mMember;
+  bool accepts = aHeartbeat.mMonitorSource != MonitorSource::AllBalancers;
+  if (accepts && AssignsMonitors()) {
+    RepairAssignment(aHeartbeat, aNow);
+    return;
+  }
   // A balancer that is still starting holds only part of the service.
   if (!mStarted || mBudget.Available(aNow) == 0) {
     return;
@@ -102,6 +110,40 @@
   }
 }
 
+/** Whether agents that accept it get their monitors assigned instead of a list
+ * of all balancers. */
+bool BalancerMembership::AssignsMonitors() const
+{
+  std::size_t balancers = mBalancers.View(BalancerService())->mMembers.size();
+  return !mOptions.mMonitors.IncludesAll(balancers);
+}
+
+void BalancerMembership::RepairAssignment(const Heartbeat& aHeartbeat,
+                                          Time aNow)
+{
+  bool isWorse =
+    !mStarted && aHeartbeat.mMonitorSource == MonitorSource::Assigned;
+  if (isWorse) {
+    return;
+  }
+  const Member& agent = aHeartbeat.mRecord.mMember;
+  auto assignment = AssignMonitors(agent, mBalancers, mOptions.mMonitors, aNow);
+  bool isFinal =
+    !mStarted || aHeartbeat.mMonitorSource == MonitorSource::Assigned;
+  bool isSame = assignment.Digest() == aHeartbeat.mBalancerDigest;
+  if (assignment.mMonitors == 0 || (isSame && isFinal)) {
+    return;
+  }
+  MemberDelta delta;
+  delta.mTable = MemberTableId::Balancers;
+  delta.mVersion = mBalancers.Version();
+  delta.mRecords = std::move(assignment.mRecords);
+  delta.mAssignedMonitors = static_cast<std::uint8_t>(assignment.mMonitors);
+  delta.mIsProvisional = !mStarted;
+  mSnapshotBudget.Take(EncodedBytes(delta));
+  Send(agent.mControl, delta);
+}
+
 void BalancerMembership::SendService(const Address& aTo,
                                      const MemberTable& aTable,
                                      ServiceId aService, Time aNow)
@@ -114,30 +156,59 @@
 void BalancerMembership::On(const MemberDigest& aDigest, Time aNow)
 {
   const Member* peer = FindBalancer(aDigest.mFrom);
-  if (peer == nullptr || mBudget.Available(aNow) == 0) {
+  if (peer == nullptr || mSnapshotBudget.Available(aNow) == 0) {
     return;
   }
   MemberTable& table = TableOf(aDigest.mTable);
-  for (auto& it : table.Differences(aDigest, mOptions.mMaxRepairRanges)) {
-    it.mFrom = mSelf.mHost;
-    Send(peer->mControl, it);
+  auto differences = table.Differences(aDigest, mOptions.mMaxRepairRanges);
+  AdaptDigestInterval(!differences.empty(), aNow);
+  // Several peers may hold what is missing here; one of them sends it.
+  Time& requestedAt = mRepairRequestedAt[static_cast<int>(aDigest.mTable)];
+  if (aNow - requestedAt >= mOptions.mMinDigestInterval) {
+    requestedAt = differences.empty() ? requestedAt : aNow;
+    for (auto& it : differences) {
+      it.mFrom = mSelf.mHost;
+      Send(peer->mControl, it);
+    }
   }
   if (!aDigest.mIsReply) {
     MemberDigest reply = table.Digest();
     reply.mFrom = mSelf.mHost;
     reply.mIsReply = true;
-    mBudget.Take(EncodedBytes(reply));
+    mSnapshotBudget.Take(EncodedBytes(reply));
     Send(peer->mControl, reply);
   }
 }
 
+void BalancerMembership::AdaptDigestInterval(bool aFoundDifference, Time aNow)
+{
+  mDigestInterval = aFoundDifference
+                      ? mOptions.mMinDigestInterval
+                      : std::min(2 * mDigestInterval, mOptions.mDigestInterval);
+  mDigestAt = std::min(mDigestAt, aNow + mDigestInterval);
+}
+
+void BalancerMembership::SendDigestsIfDue(Time aNow)
+{
+  MemberViewPtr view = mBalancers.View(BalancerService());
+  if (aNow < mDigestAt || view->mMembers.size() <= 1) {
+    return;
+  }
+  // Jitter keeps balancers that started together from staying synchronised.
+  mDigestAt = aNow + mDigestInterval + mDigestInterval / 8 * (mRandom() % 3);
+  const Member& peer = view->mMembers[mRandom() % view->mMembers.size()];
+  if (peer.mHost != mSelf.mHost) {
+    SendDigests(peer.mControl, false);
+  }
+}
+
 void BalancerMembership::SendDigests(const Address& aTo, bool aIsReply)
 {
   for (MemberTable* it : { &mHosts, &mBalancers }) {
     MemberDigest digest = it->Digest();
     digest.mFrom = mSelf.mHost;
     digest.mIsReply = aIsReply;
-    mBudget.Take(EncodedBytes(digest));
+    mSnapshotBudget.Take(EncodedBytes(digest));
     Send(aTo, digest);
   }
 }
--- a/src/membership/MemberRecord.h
+++ b/src/membership/MemberRecord.h
@@ -64,6 +64,19 @@
 /** Service digest of an agent that does not want the members of its service. */
 constexpr std::uint64_t kWantsNoPeers = 0;
 
+/** What an agent's choice of monitors is based on. */
+enum class MonitorSource : std::uint8_t
+{
+  /** The list of all balancers, from which it chooses by the rule. */
+  AllBalancers = 0,
+  /** It accepts an assignment of monitors, but has none. */
+  None = 1,
+  /** An assignment by a balancer that may not know all others. */
+  Provisional = 2,
+  Assigned = 3,
+  Last = Assigned,
+};
+
 struct Heartbeat
 {
   MemberTableId mTable = MemberTableId::Hosts;
@@ -73,8 +86,10 @@
   std::uint64_t mVersion = 0;
   /** MemberTable::ServiceDigest of the sender's service, or kWantsNoPeers. */
   std::uint64_t mServiceDigest = 0;
-  /** MemberTable::ServiceDigest of the balancers known to the sender, or 0. */
+  /** MemberTable::ServiceDigest of the balancers known to the sender, or
+   * MonitorAssignment::Digest; 0 for none. */
   std::uint64_t mBalancerDigest = 0;
+  MonitorSource mMonitorSource = MonitorSource::AllBalancers;
 };
 
 /** No dissemination tree: the receiver doesn't forward the records. */
@@ -94,6 +109,11 @@
   /** Requests a heartbeat from the receiver. The sender's record is then the
    * only one. */
   bool mRequestsHeartbeat = false;
+  /** If not 0, the records are an assignment to the receiver, an agent: this
+   * many monitors, then spares (MonitorAssignment). */
+  std::uint8_t mAssignedMonitors = 0;
+  /** The sender of the assignment may not know all balancers yet. */
+  bool mIsProvisional = false;
 };
 
 struct MemberDigest
@@ -128,6 +148,9 @@
   HostId mFirst;
   HostId mLast;
   std::vector<MemberRecord> mRecords;
+  /** The sender is still starting, and may not know all members in the range.
+   */
+  bool mIsPartial = false;
 };
 
 } // namespace heatherplank
--- a/src/membership/Monitors.cpp
+++ b/src/membership/Monitors.cpp
@@ -27,13 +27,23 @@
   return { std::min(aNear, aCount - far), far };
 }
 
-/** Returns the aCount members with the highest scores. Reorders the list. */
-std::span<const Member> Best(std::vector<Member>& aList, HostId aHost,
-                             std::size_t aCount)
+struct Scored
 {
-  std::ranges::sort(aList, std::ranges::greater{},
-                    [aHost](const Member& aIt) { return ScoreOf(aHost, aIt); });
-  return std::span<const Member>(aList).first(std::min(aCount, aList.size()));
+  std::uint64_t mScore = 0;
+  const Member* mMember = nullptr;
+};
+
+/** Appends the aCount members with the highest scores. Reorders the list. */
+void AppendBest(std::vector<Scored>& aList, std::size_t aCount,
+                std::vector<Member>& aOut)
+{
+  auto end =
+    aList.begin() + static_cast<std::ptrdiff_t>(std::min(aCount, aList.size()));
+  std::ranges::partial_sort(aList, end, std::ranges::greater{},
+                            &Scored::mScore);
+  for (auto it = aList.begin(); it != end; ++it) {
+    aOut.push_back(*it->mMember);
+  }
 }
 
 } // namespace
@@ -42,22 +52,19 @@
                                    std::span<const Member> aBalancers,
                                    std::size_t aCount)
 {
-  std::vector<Member> near;
-  std::vector<Member> far;
+  std::vector<Scored> near;
+  std::vector<Scored> far;
   for (const Member& it : aBalancers) {
     // A balancer is monitored by others too, and can't monitor itself.
     if (it.mHost != aHost) {
-      (it.mDataCentre == aDataCentre ? near : far).push_back(it);
+      (it.mDataCentre == aDataCentre ? near : far)
+        .push_back({ ScoreOf(aHost, it), &it });
     }
   }
   Quota quota = QuotaOf(near.size(), far.size(), aCount);
   std::vector<Member> out;
-  for (const Member& it : Best(near, aHost, quota.mNear)) {
-    out.push_back(it);
-  }
-  for (const Member& it : Best(far, aHost, quota.mFar)) {
-    out.push_back(it);
-  }
+  AppendBest(near, quota.mNear, out);
+  AppendBest(far, quota.mFar, out);
   return out;
 }
 
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -55,6 +55,7 @@
   options.mHeartbeatInterval = kHeartbeatInterval;
   options.mMonitors = kMonitorRule;
   options.mWantsPeers = false;
+  options.mAcceptsAssignment = true;
   return options;
 }
 
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -62,7 +62,7 @@
                  [this](auto aViews, auto aServices) {
                    mSteering.SetViews(aViews, aServices);
                  } },
-               mSelf, MakeMembershipOptions(aSettings.mSeeds))
+               mSelf, MakeMembershipOptions(aSettings))
     , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
                 aAdapter.Inventories(), MakeWatchOptions(aSettings, mSelf),
                 MakeDrainOptions(aSettings, mSelf),
--- a/src/passthrough/FlowBalancerOptions.cpp
+++ b/src/passthrough/FlowBalancerOptions.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+/** The share of a balancer's link for members sent to its peers. */
+constexpr double kSnapshotLinkShare = 0.25;
+
+double LinkBytesPerSecond(const FlowBalancerSettings& aSettings)
+{
+  constexpr double kBytesPerMegabit = 125000;
+  return aSettings.mLinkMbps * kBytesPerMegabit;
+}
+
 std::uint64_t MakeSeed(const Member& aSelf)
 {
   return MixHash(aSelf.mHost.mValue, aSelf.mIncarnation);
@@ -29,11 +38,16 @@
   return self;
 }
 
-BalancerMembershipOptions MakeMembershipOptions(std::vector<Address> aSeeds)
+BalancerMembershipOptions MakeMembershipOptions(
+  const FlowBalancerSettings& aSettings)
 {
   BalancerMembershipOptions options;
-  options.mSeeds = std::move(aSeeds);
+  options.mSeeds = aSettings.mSeeds;
   options.mMonitors = kMonitorRule;
+  // Callers' packets need the rest of the link while a fleet starts.
+  options.mSnapshotBytesPerSecond =
+    std::min(options.mSnapshotBytesPerSecond,
+             LinkBytesPerSecond(aSettings) * kSnapshotLinkShare);
   // Three heartbeats of an agent. Flows do not wait for it: a host that does
   // not answer an opening packet is tried last at once.
   options.mTable.mSuspectTimeout = std::chrono::milliseconds(1600);
@@ -64,9 +78,7 @@
 InventoryPeers::Options MakePeerOptions(const FlowBalancerSettings& aSettings,
                                         const Member& aSelf)
 {
-  constexpr double kBytesPerMegabit = 125000;
-  return { aSelf.mControl, aSettings.mLinkMbps * kBytesPerMegabit,
-           MakeSeed(aSelf) };
+  return { aSelf.mControl, LinkBytesPerSecond(aSettings), MakeSeed(aSelf) };
 }
 
 StoreWatcherSelection::Options MakeWatcherSelectionOptions(
--- a/src/passthrough/FlowBalancerOptions.h
+++ b/src/passthrough/FlowBalancerOptions.h
@@ -14,7 +14,8 @@
 
 /** Describes this balancer as a member, with a new incarnation at each call. */
 Member MakeSelf(const FlowBalancerSettings& aSettings);
-BalancerMembershipOptions MakeMembershipOptions(std::vector<Address> aSeeds);
+BalancerMembershipOptions MakeMembershipOptions(
+  const FlowBalancerSettings& aSettings);
 InventoryWatch::Options MakeWatchOptions(const FlowBalancerSettings& aSettings,
                                          const Member& aSelf);
 DrainWatch::Options MakeDrainOptions(const FlowBalancerSettings& aSettings,
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -142,7 +142,8 @@
     builder,
     wire::CreateHeartbeat(builder, static_cast<std::uint8_t>(aMessage.mTable),
                           &record, aMessage.mVersion, aMessage.mServiceDigest,
-                          aMessage.mBalancerDigest));
+                          aMessage.mBalancerDigest,
+                          static_cast<std::uint8_t>(aMessage.mMonitorSource)));
 }
 
 Bytes EncodePayload(const MemberDelta& aMessage)
@@ -150,11 +151,11 @@
   flatbuffers::FlatBufferBuilder builder;
   auto records = RecordsToWire(builder, aMessage.mRecords);
   return FinishPayload(
-    builder,
-    wire::CreateMemberDelta(builder, static_cast<std::uint8_t>(aMessage.mTable),
-                            aMessage.mVersion, aMessage.mTree,
-                            aMessage.mIsComplete, aMessage.mAnswersHeartbeat,
-                            records, aMessage.mRequestsHeartbeat));
+    builder, wire::CreateMemberDelta(
+               builder, static_cast<std::uint8_t>(aMessage.mTable),
+               aMessage.mVersion, aMessage.mTree, aMessage.mIsComplete,
+               aMessage.mAnswersHeartbeat, records, aMessage.mRequestsHeartbeat,
+               aMessage.mAssignedMonitors, aMessage.mIsProvisional));
 }
 
 Bytes EncodePayload(const MemberDigest& aMessage)
@@ -186,7 +187,7 @@
     builder, wire::CreateMemberSnapshot(
                builder, static_cast<std::uint8_t>(aMessage.mTable),
                aMessage.mFrom.mValue, aMessage.mVersion, aMessage.mFirst.mValue,
-               aMessage.mLast.mValue, records));
+               aMessage.mLast.mValue, records, aMessage.mIsPartial));
 }
 
 Result<Heartbeat> DecodeHeartbeat(ByteView aPayload)
@@ -196,12 +197,16 @@
     return tl::unexpected(read.error());
   }
   const wire::Heartbeat& from = **read;
-  if (!IsValid(*from.record()) || !IsKnownTable(from.table_id())) {
+  if (!IsValid(*from.record()) || !IsKnownTable(from.table_id()) ||
+      from.monitor_source() > static_cast<std::uint8_t>(MonitorSource::Last)) {
     return MalformedMessage("heartbeat");
   }
   return Heartbeat{ static_cast<MemberTableId>(from.table_id()),
-                    FromWire(*from.record()), from.version(),
-                    from.service_digest(), from.balancer_digest() };
+                    FromWire(*from.record()),
+                    from.version(),
+                    from.service_digest(),
+                    from.balancer_digest(),
+                    static_cast<MonitorSource>(from.monitor_source()) };
 }
 
 Result<MemberDelta> DecodeMemberDelta(ByteView aPayload)
@@ -218,6 +223,8 @@
   out.mIsComplete = from.is_complete();
   out.mAnswersHeartbeat = from.answers_beat();
   out.mRequestsHeartbeat = from.asks();
+  out.mAssignedMonitors = from.assigned_monitors();
+  out.mIsProvisional = from.is_provisional();
   if (!IsKnownTable(from.table_id()) ||
       !ReadRecords(aPayload, *from.records(), out.mRecords)) {
     return MalformedMessage("member delta");
@@ -275,6 +282,7 @@
   out.mFrom = { from.from() };
   out.mFirst = { from.first() };
   out.mLast = { from.last() };
+  out.mIsPartial = from.is_partial();
   if (!IsKnownTable(from.table_id()) || from.first() > from.last() ||
       !ReadRecords(aPayload, *from.records(), out.mRecords)) {
     return MalformedMessage("member snapshot");
--- a/src/wire/membership_generated.h
+++ b/src/wire/membership_generated.h
@@ -160,7 +160,8 @@
     VT_RECORD = 6,
     VT_VERSION = 8,
     VT_SERVICE_DIGEST = 10,
-    VT_BALANCER_DIGEST = 12
+    VT_BALANCER_DIGEST = 12,
+    VT_MONITOR_SOURCE = 14
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
@@ -177,6 +178,9 @@
   uint64_t balancer_digest() const {
     return GetField<uint64_t>(VT_BALANCER_DIGEST, 0);
   }
+  uint8_t monitor_source() const {
+    return GetField<uint8_t>(VT_MONITOR_SOURCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
@@ -184,6 +188,7 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_BALANCER_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MONITOR_SOURCE, 1) &&
            verifier.EndTable();
   }
 };
@@ -207,6 +212,9 @@
   void add_balancer_digest(uint64_t balancer_digest) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_BALANCER_DIGEST, balancer_digest, 0);
   }
+  void add_monitor_source(uint8_t monitor_source) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_MONITOR_SOURCE, monitor_source, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -225,12 +233,14 @@
     const heatherplank::wire::MemberRecord *record = nullptr,
     uint64_t version = 0,
     uint64_t service_digest = 0,
-    uint64_t balancer_digest = 0) {
+    uint64_t balancer_digest = 0,
+    uint8_t monitor_source = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_balancer_digest(balancer_digest);
   builder_.add_service_digest(service_digest);
   builder_.add_version(version);
   builder_.add_record(record);
+  builder_.add_monitor_source(monitor_source);
   builder_.add_table_id(table_id);
   return builder_.Finish();
 }
@@ -244,7 +254,9 @@
     VT_IS_COMPLETE = 10,
     VT_ANSWERS_BEAT = 12,
     VT_RECORDS = 14,
-    VT_ASKS = 16
+    VT_ASKS = 16,
+    VT_ASSIGNED_MONITORS = 18,
+    VT_IS_PROVISIONAL = 20
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
@@ -267,6 +279,12 @@
   bool asks() const {
     return GetField<uint8_t>(VT_ASKS, 0) != 0;
   }
+  uint8_t assigned_monitors() const {
+    return GetField<uint8_t>(VT_ASSIGNED_MONITORS, 0);
+  }
+  bool is_provisional() const {
+    return GetField<uint8_t>(VT_IS_PROVISIONAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
@@ -277,6 +295,8 @@
            VerifyOffsetRequired(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ASSIGNED_MONITORS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PROVISIONAL, 1) &&
            verifier.EndTable();
   }
 };
@@ -306,6 +326,12 @@
   void add_asks(bool asks) {
     fbb_.AddElement<uint8_t>(MemberDelta::VT_ASKS, static_cast<uint8_t>(asks), 0);
   }
+  void add_assigned_monitors(uint8_t assigned_monitors) {
+    fbb_.AddElement<uint8_t>(MemberDelta::VT_ASSIGNED_MONITORS, assigned_monitors, 0);
+  }
+  void add_is_provisional(bool is_provisional) {
+    fbb_.AddElement<uint8_t>(MemberDelta::VT_IS_PROVISIONAL, static_cast<uint8_t>(is_provisional), 0);
+  }
   explicit MemberDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -326,11 +352,15 @@
     bool is_complete = false,
     uint32_t answers_beat = 0,
     flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records = 0,
-    bool asks = false) {
+    bool asks = false,
+    uint8_t assigned_monitors = 0,
+    bool is_provisional = false) {
   MemberDeltaBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_records(records);
   builder_.add_answers_beat(answers_beat);
+  builder_.add_is_provisional(is_provisional);
+  builder_.add_assigned_monitors(assigned_monitors);
   builder_.add_asks(asks);
   builder_.add_is_complete(is_complete);
   builder_.add_tree(tree);
@@ -346,7 +376,9 @@
     bool is_complete = false,
     uint32_t answers_beat = 0,
     const std::vector<heatherplank::wire::MemberRecord> *records = nullptr,
-    bool asks = false) {
+    bool asks = false,
+    uint8_t assigned_monitors = 0,
+    bool is_provisional = false) {
   auto records__ = records ? _fbb.CreateVectorOfStructs<heatherplank::wire::MemberRecord>(*records) : 0;
   return heatherplank::wire::CreateMemberDelta(
       _fbb,
@@ -356,7 +388,9 @@
       is_complete,
       answers_beat,
       records__,
-      asks);
+      asks,
+      assigned_monitors,
+      is_provisional);
 }
 
 struct MemberDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -548,7 +582,8 @@
     VT_VERSION = 8,
     VT_FIRST = 10,
     VT_LAST = 12,
-    VT_RECORDS = 14
+    VT_RECORDS = 14,
+    VT_IS_PARTIAL = 16
   };
   uint8_t table_id() const {
     return GetField<uint8_t>(VT_TABLE_ID, 0);
@@ -568,6 +603,9 @@
   const flatbuffers::Vector<const heatherplank::wire::MemberRecord *> *records() const {
     return GetPointer<const flatbuffers::Vector<const heatherplank::wire::MemberRecord *> *>(VT_RECORDS);
   }
+  bool is_partial() const {
+    return GetField<uint8_t>(VT_IS_PARTIAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE_ID, 1) &&
@@ -577,6 +615,7 @@
            VerifyField<uint64_t>(verifier, VT_LAST, 8) &&
            VerifyOffsetRequired(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PARTIAL, 1) &&
            verifier.EndTable();
   }
 };
@@ -603,6 +642,9 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records) {
     fbb_.AddOffset(MemberSnapshot::VT_RECORDS, records);
   }
+  void add_is_partial(bool is_partial) {
+    fbb_.AddElement<uint8_t>(MemberSnapshot::VT_IS_PARTIAL, static_cast<uint8_t>(is_partial), 0);
+  }
   explicit MemberSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -622,13 +664,15 @@
     uint64_t version = 0,
     uint64_t first = 0,
     uint64_t last = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const heatherplank::wire::MemberRecord *>> records = 0,
+    bool is_partial = false) {
   MemberSnapshotBuilder builder_(_fbb);
   builder_.add_last(last);
   builder_.add_first(first);
   builder_.add_version(version);
   builder_.add_from(from);
   builder_.add_records(records);
+  builder_.add_is_partial(is_partial);
   builder_.add_table_id(table_id);
   return builder_.Finish();
 }
@@ -640,7 +684,8 @@
     uint64_t version = 0,
     uint64_t first = 0,
     uint64_t last = 0,
-    const std::vector<heatherplank::wire::MemberRecord> *records = nullptr) {
+    const std::vector<heatherplank::wire::MemberRecord> *records = nullptr,
+    bool is_partial = false) {
   auto records__ = records ? _fbb.CreateVectorOfStructs<heatherplank::wire::MemberRecord>(*records) : 0;
   return heatherplank::wire::CreateMemberSnapshot(
       _fbb,
@@ -649,7 +694,8 @@
       version,
       first,
       last,
-      records__);
+      records__,
+      is_partial);
 }
 
 }  // namespace wire
--- a/tests/MembershipCodecTest.cpp
+++ b/tests/MembershipCodecTest.cpp
@@ -77,6 +77,25 @@
 // A message is corrupted in transit, or the control port receives random bytes.
 // Each input must decode to a message or return a typed error, and no decoded
 // record may hold a state, verdict or table that does not exist.
+TEST(MembershipCodec, RoundTripPreservesAssignmentsAndPartialSnapshots)
+{
+  Heartbeat heartbeat{ MemberTableId::Hosts, MakeRecord() };
+  heartbeat.mMonitorSource = MonitorSource::Provisional;
+  CHECK_TRUE(DecodeHeartbeat(EncodePayload(heartbeat))->mMonitorSource ==
+             MonitorSource::Provisional);
+  MemberDelta delta;
+  delta.mRecords = { MakeRecord(), MakeRecord() };
+  delta.mAssignedMonitors = 1;
+  delta.mIsProvisional = true;
+  auto decoded = DecodeMemberDelta(EncodePayload(delta)).value();
+  CHECK_EQUAL(1, decoded.mAssignedMonitors);
+  CHECK_TRUE(decoded.mIsProvisional);
+  MemberSnapshot snapshot;
+  snapshot.mLast = { 9 };
+  snapshot.mIsPartial = true;
+  CHECK_TRUE(DecodeMemberSnapshot(EncodePayload(snapshot))->mIsPartial);
+}
+
 TEST(MembershipCodec, CorruptedMessagesAreDecodedOrRejected)
 {
   std::vector<MemberRecord> records(3, MakeRecord());
--- a/tests/MembershipFleet.h
+++ b/tests/MembershipFleet.h
@@ -39,7 +39,7 @@
   MembershipFleet(std::uint64_t aSeed, int aBalancers, int aAgents,
                   const BalancerMembershipOptions& aOptions = {},
                   int aDataCentres = 1, bool aAgentsWantPeers = true,
-                  int aSeeds = 1000)
+                  int aSeeds = 1000, bool aAssignsMonitors = false)
     : mRandom(aSeed)
     , mOptions(aOptions)
     , mDataCentres(aDataCentres)
@@ -47,6 +47,7 @@
     mAgentOptions.mHeartbeatInterval = aOptions.mHeartbeatInterval;
     mAgentOptions.mMonitors = aOptions.mMonitors;
     mAgentOptions.mWantsPeers = aAgentsWantPeers;
+    mAgentOptions.mAcceptsAssignment = aAssignsMonitors;
     for (int i = 0; i < std::min(aBalancers, aSeeds); ++i) {
       mOptions.mSeeds.push_back(AddressOf(i));
     }
@@ -152,6 +153,31 @@
       [](const Member& aIt) { return aIt.mState != HostState::Leaving; }));
   }
 
+  /** The most bytes that one process has sent. */
+  std::uint64_t MostSent() const
+  {
+    std::uint64_t out = 0;
+    for (const auto& [port, bytes] : mSentBy) {
+      out = std::max(out, bytes);
+    }
+    return out;
+  }
+
+  /** Runs until every balancer has all hosts in view; returns the time taken,
+   * at most aTimeout. */
+  Duration TimeUntilAllInView(std::size_t aHosts, Duration aTimeout)
+  {
+    Time began = mNow;
+    auto hasAll = [&](const auto& aIt) {
+      return aIt.second->Hosts().Size() == aHosts;
+    };
+    while (mNow - began < aTimeout &&
+           !std::ranges::all_of(mBalancers, hasAll)) {
+      Run(std::chrono::milliseconds(50));
+    }
+    return mNow - began;
+  }
+
   /** Returns true if all processes hold the same aMembers members. */
   bool HasConverged(std::size_t aMembers)
   {
@@ -176,6 +202,8 @@
   /** Pairs of ports between which all messages are dropped. */
   std::set<std::pair<int, int>> mBlockedLinks;
   std::uint64_t mBytes = 0;
+  /** Bytes sent by each port. */
+  std::map<int, std::uint64_t> mSentBy;
   Time mNow = Time{} + std::chrono::hours(1);
   std::mt19937_64 mRandom;
 
@@ -195,9 +223,11 @@
   void SendAll(int aFrom, const std::vector<SendMembership>& aActions)
   {
     for (const SendMembership& it : aActions) {
-      mBytes += std::visit(
+      std::size_t bytes = std::visit(
         [](const auto& aMessage) { return EncodePayload(aMessage).size(); },
         it.mMessage);
+      mBytes += bytes;
+      mSentBy[aFrom] += bytes;
       int to = it.mTo.mPort - 1;
       int copies = HappensWithPercent(mNetwork.mDuplicated) ? 2 : 1;
       bool blocked = mBlockedLinks.contains({ aFrom, to }) ||
