--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -55,6 +55,7 @@
   options.mHeartbeatInterval = kHeartbeatInterval;
   options.mMonitors = kMonitorRule;
   options.mWantsPeers = false;
+  options.mAcceptsAssignment = true;
   return options;
 }
 
@@ -197,7 +198,8 @@
     Duration after = mMembers.ConfirmedAt() == Time{}
                        ? kInitialUnconfirmedTimeout
                        : kUnconfirmedTimeout;
-    mProcess.UpdateDirectory(mAnnouncedState && aNow - since > after, aNow);
+    // Agents have no entry, so the store's era does not matter to them.
+    mProcess.UpdateDirectory(mAnnouncedState && aNow - since > after, 0, aNow);
   }
 
   void EverySecond()
