--- a/lab/Await.h
+++ b/lab/Await.h
@@ -15,15 +15,16 @@
 template<typename T>
 using Awaitable = boost::asio::awaitable<T>;
 
-/** Waits. */
+/** Suspends the coroutine for aTime. */
 Awaitable<void> Sleep(Duration aTime);
 
-/** Sends a request and waits for the answer. */
+/** Sends a request and waits for the response; the errors are those of
+ * HttpClient::Send. */
 Awaitable<Result<HttpResponse>> Fetch(std::shared_ptr<HttpClient> aClient,
                                       HttpRequest aRequest, Duration aTimeout);
 
-/** Runs a command to its end, its output appended to aLog, and gives its exit
- * code; -1 if it could not start, died of a signal or ran past aTimeout. */
+/** Runs a command, appends its output to the file aLog, and returns its exit
+ * code; -1 if it did not start, was ended by a signal or exceeded aTimeout. */
 Awaitable<int> RunCommand(std::vector<std::string> aArguments, std::string aLog,
                           Duration aTimeout);
 
--- a/lab/Backend.cpp
+++ b/lab/Backend.cpp
@@ -32,7 +32,7 @@
   return number;
 }
 
-/** The size that a target asks for with "bytes=N". */
+/** Returns the body size that a target requests by "bytes=N", or 0. */
 std::size_t AskedBytes(std::string_view aTarget)
 {
   constexpr std::string_view kName = "bytes=";
@@ -52,8 +52,8 @@
 
 } // namespace
 
-/** A connection of the agent; it reads on while a request runs, so that its
- * end is seen at once and cancels the request.
+/** A connection from the agent. It keeps reading while a request is executed,
+ * so that a closed connection cancels the request at once.
  */
 class Backend::Connection : public std::enable_shared_from_this<Connection>
 {
@@ -82,7 +82,7 @@
       [self = shared_from_this(), response](error_code, std::size_t) {});
   }
 
-  /** Ends the connection; the backend server hears of it no more. */
+  /** Closes the connection without notifying the backend server. */
   void Close()
   {
     mBackend = nullptr;
--- a/lab/Backend.h
+++ b/lab/Backend.h
@@ -17,7 +17,7 @@
 
 namespace heatherplank::lab {
 
-/** One run of a request by a backend server. */
+/** One execution of a request by a backend server. */
 struct Execution
 {
   std::string mService;
@@ -26,22 +26,21 @@
   std::string mKey;
   Time mStart;
   Time mEnd;
-  /** False while it runs, and for good if it was cancelled or cut. */
+  /** False while it runs, and also afterwards if it was cancelled. */
   bool mDone = false;
 };
 
-/** What all backend servers ran, in the order of their starts. */
+/** The executions of all backend servers, in the order of their starts. */
 using ExecutionLog = std::deque<Execution>;
 
-/** Stand-in of the backend server of one host (docs/CONTRACTS.md). Each
- * request that it runs is logged at its start, so that doubles are counted
- * also when the answer gets lost. Not thread safe: belongs to an executor of
- * one thread.
+/** Simulates the backend server of one host (docs/CONTRACTS.md). Each execution
+ * is logged at its start, so that duplicates are counted even if the answer is
+ * lost. Not thread safe: used only on the thread of the executor.
  */
 class Backend
 {
 public:
-  /** Listens at a free loopback port. Precondition: aLog outlives it. */
+  /** Listens on a free loopback port. Precondition: aLog outlives it. */
   static Result<std::unique_ptr<Backend>> Make(
     const boost::asio::any_io_executor& aExecutor, const std::string& aService,
     const std::string& aHost, const BackendSpec& aSpec, std::uint64_t aSeed,
@@ -49,25 +48,25 @@
 
   ~Backend();
 
-  /** Where it listens. */
+  /** The address that it listens on. */
   Address Local() const { return mLocal; }
 
-  /** Dies with all that it runs. */
+  /** Ends the server and all its executions, without an answer. */
   void Kill();
 
-  /** Comes back at the same port, cold. System if the port is taken. */
+  /** Starts again on the same port, cold. System if the port is in use. */
   Result<void> Start();
 
-  /** Refuses new requests and finishes the present ones. */
+  /** Rejects new requests and finishes the current ones. */
   void Drain() { mDraining = true; }
 
-  /** How much longer each request takes from now on. */
+  /** Multiplies the duration of each request from now on. */
   void SetSlowness(double aFactor) { mSlowness = aFactor; }
 
 private:
   class Connection;
   struct Work;
-  /** What the hint endpoints tell, and since when. */
+  /** The state that the hint endpoints report from mAt on. */
   struct Hint
   {
     Time mAt;
--- a/lab/Content.cpp
+++ b/lab/Content.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** Cuts a text at each aAt. */
+/** Splits a text at each aAt. */
 std::vector<std::string_view> Split(std::string_view aText, char aAt)
 {
   std::vector<std::string_view> parts;
--- a/lab/Content.h
+++ b/lab/Content.h
@@ -8,7 +8,7 @@
 
 namespace heatherplank::lab {
 
-/** What a request asks its backend server to say. */
+/** The content that a request asks its backend server to return. */
 struct ContentSpec
 {
   std::string mService;
@@ -18,12 +18,12 @@
   std::size_t mBytes = 0;
 };
 
-/** The body of an answer: one line that names service, request and key, and a
- * pattern seeded by them up to mBytes. Thread safe.
+/** Returns the body of an answer: one line that names service, request and key,
+ * and a pattern derived from them, mBytes in total. Thread safe.
  */
 std::string MakeContent(const ContentSpec& aSpec);
 
-/** What is wrong with an answer's body. */
+/** The kind of mismatch found in an answer's body. */
 enum class ContentFault
 {
   None,
@@ -31,27 +31,28 @@
   WrongAnswer,
 };
 
-/** Checks a body against what was asked. With a key the answer may be that to
- * another request with that key. Thread safe.
+/** Compares a body with the requested content. For a request with a key, the
+ * answer to another request with the same key is valid. Thread safe.
  */
 ContentFault CheckContent(std::string_view aBody, const ContentSpec& aSpec);
 
-/** Puts the parts of an answer together in any order. Not thread safe. */
+/** Assembles an answer from parts that arrive in any order. Not thread safe. */
 class Reassembly
 {
 public:
-  /** Adds a part with its "bytes A-B/TOTAL". False if it makes no sense or
-   * contradicts an earlier one.
+  /** Adds a part with its "bytes A-B/TOTAL". False if the range is invalid or
+   * contradicts an earlier part.
    */
   bool Add(std::string_view aContentRange, std::string_view aPart);
 
-  /** True once a part came and none is missing. */
+  /** True if at least one part was added and none is missing. */
   bool Whole() const;
 
-  /** The first missing range, both ends included; none if whole or empty. */
+  /** The first missing range, both ends included; none if the answer is whole
+   * or no part was added. */
   std::optional<std::pair<std::size_t, std::size_t>> Missing() const;
 
-  /** The body. Precondition: Whole(). */
+  /** Returns the body. Precondition: Whole(). */
   std::string Take();
 
 private:
--- a/lab/Details.cpp
+++ b/lab/Details.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Lines on what went wrong, a bounded number of each kind. */
+/** Collects descriptions of violations, a bounded number of each kind. */
 class Details
 {
 public:
--- a/lab/Details.h
+++ b/lab/Details.h
@@ -9,7 +9,7 @@
 
 namespace heatherplank::lab {
 
-/** What all attempts under one idempotency key came to. */
+/** Summary of all attempts with one idempotency key. */
 struct KeyHistory
 {
   std::size_t mRuns = 0;
@@ -17,10 +17,11 @@
   FinalAnswer mLast = FinalAnswer::None;
 };
 
-/** The histories of all keys that ran or were answered. Thread safe. */
+/** Returns the histories of all keys that ran or were answered. Thread safe. */
 std::map<std::string, KeyHistory> CollectKeys(const Evidence& aEvidence);
 
-/** Lines on what went wrong, a bounded number of each kind. Thread safe. */
+/** Describes the violations of a run, a bounded number of each kind. Thread
+ * safe. */
 boost::json::array DescribeDetails(const Evidence& aEvidence);
 
 } // namespace heatherplank::lab
--- a/lab/Fabric.cpp
+++ b/lab/Fabric.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::size_t kMaxDatagram = 65536;
-/** Room for bursts: a stand-in's socket must not be where packets get lost. */
+/** Large enough for bursts: the lab's own sockets must not drop packets. */
 constexpr int kSocketBuffer = 4 * 1024 * 1024;
 
 } // namespace
--- a/lab/Fabric.h
+++ b/lab/Fabric.h
@@ -14,10 +14,10 @@
 
 namespace heatherplank::lab {
 
-/** Stand-in of the fabric: hands each datagram of a caller to a balancer by a
- * seeded random choice, and answers back to the caller from the service's
- * address; delays, loses and reorders both. Not thread safe: belongs to an
- * executor of one thread.
+/** Simulates the fabric: forwards each datagram of a caller to a randomly
+ * chosen balancer (seeded), and each answer to the caller from the service's
+ * address; delays, drops and reorders both. Not thread safe: used only on the
+ * thread of the executor.
  */
 class Fabric
 {
@@ -26,16 +26,16 @@
          std::uint64_t aSeed);
   ~Fabric();
 
-  /** Opens an address towards callers and gives it. */
+  /** Opens a service address for callers and returns it. */
   Address AddService();
 
-  /** The balancers' tunnel addresses that packets go to from now on. */
+  /** Sets the tunnel addresses of the balancers that receive packets. */
   void SetBalancers(std::vector<Address> aBalancers)
   {
     mBalancers = std::move(aBalancers);
   }
 
-  /** Answers to an address that no service has, or that did not decode. */
+  /** Number of answers that were malformed or had an unknown source address. */
   std::size_t Strays() const { return mStrays; }
 
 private:
@@ -45,7 +45,7 @@
   void ReceiveAnswer();
   void OnDatagram(Port& aPort, std::size_t aSize);
   void OnAnswer(ByteView aDatagram);
-  /** Sends by way of a socket, after what the fabric does to a datagram. */
+  /** Sends a datagram through aPort after delay, loss and reordering. */
   void Send(Port& aPort, Bytes aDatagram, const Address& aTo);
 
   boost::asio::any_io_executor mExecutor;
--- a/lab/Faults.h
+++ b/lab/Faults.h
@@ -7,8 +7,8 @@
 
 namespace heatherplank::lab {
 
-/** Plays faults and operators' deeds on a world. Not thread safe: belongs to
- * an executor of one thread.
+/** Injects faults into a world, and performs the operators' actions. Not thread
+ * safe: used only on the thread of the executor.
  */
 class Faults
 {
@@ -19,17 +19,18 @@
   {
   }
 
-  /** InvalidInput if a fault has no meaning or an unknown target. */
+  /** Returns InvalidInput if a fault is not known or its target does not exist.
+   */
   Result<void> Check(const FaultSpec& aFault) const;
 
-  /** Plays a fault now. Precondition: Check found nothing. A target with "*"
-   * takes its steps' time. */
+  /** Injects a fault now. Precondition: Check succeeded. A target with "*" is
+   * processed one name after another. */
   Awaitable<void> Play(FaultSpec aFault);
 
-  /** Sends packets to the balancers that run and are not frozen. */
+  /** Makes the fabric use exactly the balancers that run and are not frozen. */
   void SpreadPackets();
 
-  /** Names that a target stands for, in order. */
+  /** Returns the names that a target matches, in order. */
   std::vector<std::string> Names(std::string_view aTarget) const;
 
 private:
--- a/lab/Fleet.h
+++ b/lab/Fleet.h
@@ -14,8 +14,8 @@
 
 namespace heatherplank::lab {
 
-/** A place for one balancer or agent process; its addresses stay the same
- * over restarts. */
+/** The configuration and state of one balancer or agent process; its addresses
+ * stay the same across restarts. */
 struct Node
 {
   std::string mName;
@@ -37,55 +37,55 @@
   bool IsBalancer() const { return mService.empty(); }
 };
 
-/** The real processes of a scenario: their settings, starts, signals and
- * ends. Not thread safe: belongs to an executor of one thread.
+/** Manages the real processes of a scenario: settings, starts, signals and
+ * exits. Not thread safe: used only on the thread of the executor.
  */
 class Fleet
 {
 public:
-  /** Settings and logs go into aFolder; aBin is the heatherplank binary. */
+  /** Writes settings and logs to aFolder; aBin is the heatherplank binary. */
   Fleet(const boost::asio::any_io_executor& aExecutor, std::string aFolder,
         std::string aBin, Address aPlatform);
 
-  /** Makes a place; nothing starts yet. */
+  /** Adds a process without starting it. */
   void AddBalancer(const std::string& aName, const std::string& aDataCentre);
   void AddAgent(const std::string& aName, const std::string& aDataCentre,
                 const std::string& aService, const Address& aBackend,
                 std::size_t aSlots);
 
-  /** Agents get this for "vouch_after_ms" instead of the default. */
+  /** Sets "vouch_after_ms" in the settings of agents. */
   void SetConfirmAfter(Duration aAge) { mConfirmAfter = aAge; }
 
-  /** The place of that name, or null. */
+  /** Returns the process of that name, or null. */
   Node* Find(std::string_view aName);
   std::map<std::string, Node>& Nodes() { return mNodes; }
   const Ports& PromisedPorts() const { return mPorts; }
 
-  /** Starts a process, if need be once the one before has ended. */
+  /** Starts a process, after the previous one of that name has ended. */
   Awaitable<void> Start(std::string aName);
 
-  /** Waits until a process says that it is ready; false if it ended or has
-   * not within aTimeout. */
+  /** Waits until a process reports ready; false if it ended or did not do so
+   * within aTimeout. */
   Awaitable<bool> WaitReady(std::string aName, Duration aTimeout);
 
-  /** Sends a signal. Any end after SIGKILL, and an orderly one after SIGTERM,
-   * is no crash. */
+  /** Sends a signal. An exit after SIGKILL, or with code 0 after SIGTERM, does
+   * not count as a crash. */
   void Signal(const std::string& aName, int aNumber);
 
-  /** Cuts all processes of two data centres off from each other. */
+  /** Cuts all links between two data centres. */
   Awaitable<void> Cut(std::string aOne, std::string aOther);
   /** Ends all cuts. */
   Awaitable<void> Heal();
 
-  /** Reads a JSON or text page of an admin port; empty if it fails. */
+  /** Reads a page of an admin port; returns an empty string on failure. */
   Awaitable<std::string> ReadAdmin(std::string aName, std::string aTarget);
 
-  /** Asks all to stop; kills those that have not after aTimeout, and gives
-   * how many that were. */
+  /** Sends SIGTERM to all processes, kills those that still run after aTimeout,
+   * and returns how many were killed. */
   Awaitable<std::size_t> StopAll(Duration aTimeout);
 
-  /** Processes that ended unasked, or in disorder when they were asked to stop:
-   * name and how. */
+  /** Describes the processes that exited without a signal of ours, or with an
+   * error after SIGTERM. */
   std::vector<std::string> Crashes();
 
 private:
--- a/lab/Flow.cpp
+++ b/lab/Flow.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::size_t kMaxDatagram = 65536;
 constexpr auto kFirstRepeat = std::chrono::milliseconds(250);
-/** Silence after which a missing part of an answer is asked for. */
+/** A missing part of an answer is requested after this long without a part. */
 constexpr auto kPartRepeat = std::chrono::milliseconds(30);
 
 std::string_view View(boost::beast::string_view aText)
@@ -39,7 +39,7 @@
   return parser.release();
 }
 
-/** How long a refusal says to stay away; none if it does not say. */
+/** Returns the Retry-After of a refusal, if it has one. */
 std::optional<Duration> ReadRetryAfter(const HttpResponse& aResponse)
 {
   auto text = View(aResponse["Retry-After-Ms"]);
@@ -71,7 +71,7 @@
   Duration mRepeat{};
   Time mNextRepeat;
   Reassembly mParts;
-  /** Waits out a Retry-After; no attempt is on its way. */
+  /** Waiting for the Retry-After to pass; no attempt is in flight. */
   bool mResting = false;
 };
 
@@ -105,8 +105,8 @@
   mRecord->mFlows.push_back(record);
 }
 
-/** A process may be down while its port is promised to it; a flow that took
- * the port meanwhile would keep it from coming back. */
+/** Guards against: a flow binds a port reserved for a process that is down, and
+ * the process can't start again. */
 void Flow::Bind(const std::function<bool(std::uint16_t)>& aTaken)
 {
   Udp::endpoint any(asio::ip::address_v4::loopback(), 0);
@@ -226,8 +226,8 @@
   ++mRecord->mRetries["no-answer"];
   Send(*aPending);
   aPending->mRepeat *= 2;
-  // The last repeat falls into the grace: an answer that the fabric lost just
-  // before the deadline is not the balancer's loss.
+  // One retransmission after the deadline: an answer that the fabric dropped
+  // just before it must not count as lost by the balancers.
   auto last = aPending->mDeadline + mGrace / 2;
   auto next = now + aPending->mRepeat;
   Arm(aPending, now < last ? std::min(next, last) : next);
@@ -299,7 +299,7 @@
   }
 }
 
-/** True once the answer is whole; its body is then in aResponse. */
+/** Returns true if the answer is complete; aResponse then has its body. */
 bool Flow::TakePart(const std::shared_ptr<Pending>& aPending,
                     HttpResponse& aResponse)
 {
--- a/lab/Flow.h
+++ b/lab/Flow.h
@@ -15,29 +15,29 @@
 
 namespace heatherplank::lab {
 
-/** A caller's flow: one UDP socket towards one address of a service, on which
- * it sends requests, one or many at once (docs/CONTRACTS.md). It repeats what
- * got no answer, comes back after refusals, and checks each answer. Not thread
- * safe: belongs to an executor of one thread.
+/** A caller's flow: a UDP socket that sends requests, also concurrent ones, to
+ * one address of a service (docs/CONTRACTS.md). It retries requests without an
+ * answer and refused ones, and checks each answer. Not thread safe: used only
+ * on the thread of the executor.
  */
 class Flow : public std::enable_shared_from_this<Flow>
 {
 public:
-  /** Called with the record once the request has its last word. */
+  /** Called with the record once the request has its final outcome. */
   using Done = std::function<void(const RequestRecord&)>;
 
-  /** Precondition: aLoad and aRecord outlive it. aTaken says which ports are
-   * promised to processes; the flow binds none of them.
+  /** Precondition: aLoad and aRecord outlive it. aTaken returns whether a port
+   * is reserved for a process; the flow binds no such port.
    */
   static std::shared_ptr<Flow> Make(
     const boost::asio::any_io_executor& aExecutor, const Address& aService,
     const LoadSpec& aLoad, Duration aGrace,
     const std::function<bool(std::uint16_t)>& aTaken, CallerRecord* aRecord);
 
-  /** Sends a request; aKey is empty where it may be repeated. */
+  /** Sends a request; aKey is empty if it is idempotent. */
   void Submit(const std::string& aKey, Done aDone);
 
-  /** Requests that it was given so far. */
+  /** Number of requests submitted so far. */
   std::size_t Submitted() const { return mSubmitted; }
 
 private:
@@ -74,7 +74,7 @@
   Duration mGrace;
   CallerRecord* mRecord;
   std::size_t mNumber;
-  /** What all ids of this flow begin with. */
+  /** Prefix of all request ids of this flow. */
   std::string mPrefix;
   std::map<std::string, std::shared_ptr<Pending>, std::less<>> mPending;
   std::size_t mSubmitted = 0;
--- a/lab/Garbage.cpp
+++ b/lab/Garbage.cpp
@@ -32,15 +32,15 @@
 namespace {
 
 constexpr int kInputs = 10000;
-/** After these the process's buffers have grown to what they need. */
+/** Inputs after which the buffers of a process have their final size. */
 constexpr int kWarmUp = kInputs / 10;
-/** Allocators keep freed memory; a leak of 1 KB an input would be 9 MB a port.
- */
+/** Allowance for memory that allocators retain; a leak of 1 KB per input would
+ * be 9 MB per port. */
 constexpr long kAllowedGrowthKb = 4096;
 constexpr std::size_t kMaxInput = 300;
 constexpr std::size_t kOversized = 60000;
 
-/** A process under test and where it listens. */
+/** A process under test and its addresses. */
 struct Target
 {
   std::string mRole;
@@ -48,13 +48,13 @@
   Address mTunnel;
   Address mControl;
   Address mAdmin;
-  /** Further ports of the processes of opaque flows. */
+  /** Additional ports of processes of opaque flows. */
   std::vector<Address> mDatagramPorts;
   std::vector<Address> mListeners;
 };
 
-/** Pure garbage, or a message's header with garbage behind it, so that every
- * decoder is reached; now and then one that announces or brings too much. */
+/** Returns random bytes, or a valid message header followed by random bytes so
+ * that every decoder is reached; sometimes with an excessive length. */
 Bytes MakeInput(std::mt19937_64& aRandom)
 {
   Bytes body(aRandom() % kMaxInput);
@@ -202,7 +202,7 @@
   return target;
 }
 
-/** Throws inputs at all ports of a target. */
+/** Sends inputs to all ports of a target. */
 void ThrowAt(const Target& aTarget, std::mt19937_64& aRandom, int aCount)
 {
   ThrowAtTunnel(aTarget.mTunnel, aRandom, aCount);
--- a/lab/Load.cpp
+++ b/lab/Load.cpp
@@ -4,7 +4,7 @@
 
 using boost::system::error_code;
 
-/** A place for one open flow. */
+/** One of the concurrent flows; replaced by a new flow when it ends. */
 struct Load::Slot
 {
   explicit Slot(const boost::asio::any_io_executor& aExecutor)
@@ -65,7 +65,7 @@
   });
 }
 
-/** Puts one key on as many flows, next to each other, as it has copies. */
+/** Sends one key on as many adjacent flows as the load has copies. */
 void Load::Arrive()
 {
   std::uniform_int_distribution<std::size_t> pick(0, mSlots.size() - 1);
--- a/lab/Load.h
+++ b/lab/Load.h
@@ -11,22 +11,22 @@
 
 namespace heatherplank::lab {
 
-/** The callers of one LoadSpec: opens its flows and puts requests on them,
- * by rate or flow by flow. Not thread safe: belongs to an executor of one
- * thread.
+/** Simulates the callers of one LoadSpec: opens flows and sends requests on
+ * them, at a rate or one after another on each flow. Not thread safe: used only
+ * on the thread of the executor.
  */
 class Load
 {
 public:
   using Open = std::function<std::shared_ptr<Flow>(const LoadSpec&)>;
 
-  /** Precondition: aSpec outlives it. aOpen makes a new flow. */
+  /** Precondition: aSpec outlives it. aOpen opens a flow. */
   Load(const boost::asio::any_io_executor& aExecutor, const LoadSpec& aSpec,
        std::uint64_t aSeed, Open aOpen);
 
   ~Load();
 
-  /** Begins at once; sends no new request after Stop. */
+  /** Starts sending at once; no new request is sent after Stop. */
   void Start();
   void Stop();
 
@@ -38,7 +38,7 @@
   std::shared_ptr<Flow> FlowOf(Slot& aSlot);
   void Think(Slot& aSlot);
   std::string NextKey();
-  /** Up to a quarter more or less than a think time. */
+  /** Draws a think time, up to a quarter above or below the configured one. */
   Duration PickThink();
 
   boost::asio::any_io_executor mExecutor;
--- a/lab/Platform.cpp
+++ b/lab/Platform.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kMaxValue = 1000000;
 constexpr std::string_view kObjects = "/v1/objects";
 
-/** A target's path and query, percent-decoded. */
+/** The percent-decoded path and query of a request. */
 struct Target
 {
   std::string mPath;
--- a/lab/Platform.h
+++ b/lab/Platform.h
@@ -15,34 +15,34 @@
 
 namespace heatherplank::lab {
 
-/** Stand-in of the platform's object API (docs/CONTRACTS.md), in memory. Not
- * thread safe: belongs to an executor of one thread.
+/** Simulates the platform's object API (docs/CONTRACTS.md) in memory. Not
+ * thread safe: used only on the thread of the executor.
  */
 class Platform
 {
 public:
-  /** Listens at a free loopback port. */
+  /** Listens on a free loopback port. */
   static Result<std::unique_ptr<Platform>> Make(
     const boost::asio::any_io_executor& aExecutor, const PlatformSpec& aSpec,
     std::uint64_t aSeed);
 
   ~Platform();
 
-  /** Where it listens. */
+  /** The address that it listens on. */
   Address Local() const { return mServer->Local(); }
 
-  /** An outage: every call, a waiting watch too, ends without an answer and
-   * without an effect. */
+  /** Starts or ends an outage: every call, also a pending watch, ends without
+   * an answer and without an effect. */
   void SetDown(bool aDown);
 
-  /** How long each answer takes from now on. */
+  /** Sets the delay of each answer. */
   void SetDelay(Duration aDelay) { mSpec.mDelay = aDelay; }
 
-  /** From now on this share of writes takes effect and is not answered. */
+  /** Sets the fraction of writes that take effect without an answer. */
   void LoseAnswers(double aShare) { mLostShare = aShare; }
 
-  /** Calls by kind: get, put, delete, watch, list, and conflict, limited,
-   * down, lost for how they ended. */
+  /** Number of calls by kind (get, put, delete, watch, list) and by result
+   * (conflict, limited, down, lost). */
   const std::map<std::string, std::uint64_t>& Calls() const { return mCalls; }
 
 private:
--- a/lab/Ports.h
+++ b/lab/Ports.h
@@ -10,10 +10,10 @@
 
 namespace heatherplank::lab {
 
-/** Loopback ports, free for TCP and UDP, that are promised to processes. Each
- * stays bound for TCP without listening: a process that allows the reuse of
- * its address can listen there at any time, and the kernel gives the port to
- * nobody else, also while that process is down. Not thread safe.
+/** Reserves loopback ports, for TCP and UDP, for processes. Each port stays
+ * bound for TCP without listening: a process that sets SO_REUSEADDR can listen
+ * on it at any time, and the kernel assigns it to no other socket while that
+ * process is down. Not thread safe.
  */
 class Ports
 {
@@ -23,11 +23,10 @@
   {
   }
 
-  /** Takes a free port. */
+  /** Reserves a free port. */
   Address Take();
 
-  /** True if a port is promised; a UDP socket of the lab must not stay on it.
-   */
+  /** True if a port is reserved; a UDP socket of the lab must not use it. */
   bool IsTaken(std::uint16_t aPort) const { return mTaken.contains(aPort); }
 
 private:
--- a/lab/Process.cpp
+++ b/lab/Process.cpp
@@ -13,21 +13,21 @@
 
 namespace {
 
-/** What the shell gives where a command can't be run. */
+/** Exit code of a child whose program can't be started, as in a shell. */
 constexpr int kNotRun = 127;
 
 [[noreturn]] void RunChild(const std::vector<std::string>& aArguments,
                            const std::string& aLog)
 {
-  // A lab that is killed by SIGKILL runs no destructor.
+  // If the lab is killed by SIGKILL, it runs no destructor.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   int log = open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   int null = open("/dev/null", O_RDONLY | O_CLOEXEC);
   dup2(null, STDIN_FILENO);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
-  // Sockets of the lab that a child held open would keep a dead stand-in's
-  // port and connections alive.
+  // An inherited socket would keep the port and connections of a simulated
+  // server open after the lab closed them.
   close_range(STDERR_FILENO + 1, ~0U, 0);
   std::vector<char*> arguments;
   arguments.reserve(aArguments.size() + 1);
--- a/lab/Process.h
+++ b/lab/Process.h
@@ -11,26 +11,26 @@
 
 namespace heatherplank::lab {
 
-/** A child process, which ends with this object, and with the lab even if
- * that is killed. Not thread safe.
+/** A child process. It is killed when this object is destroyed, and when the
+ * lab ends, even if the lab is killed. Not thread safe.
  */
 class Process
 {
 public:
-  /** Starts aArguments[0]; its outputs are appended to aLog. System if it
+  /** Starts aArguments[0] and appends its output to the file aLog. System if it
    * can't be started. */
   static Result<std::unique_ptr<Process>> Start(
     const std::vector<std::string>& aArguments, const std::string& aLog);
 
-  /** Kills it if it runs, and waits for its end. */
+  /** Kills the process if it runs, and waits for its end. */
   ~Process();
 
-  /** Sends a signal; nothing happens once it has ended. */
+  /** Sends a signal; no effect after the process has ended. */
   void Signal(int aNumber);
 
   pid_t Pid() const { return mPid; }
 
-  /** The wait status once it has ended; does not block. */
+  /** Returns the wait status if the process has ended; does not block. */
   std::optional<int> Poll();
 
 private:
--- a/lab/Record.h
+++ b/lab/Record.h
@@ -10,7 +10,7 @@
 
 namespace heatherplank::lab {
 
-/** The last word that a caller got on a request. */
+/** The final outcome of a request as reported to its caller. */
 enum class FinalAnswer : std::uint8_t
 {
   None,
@@ -19,7 +19,7 @@
   Unknown,
 };
 
-/** What a caller saw of one request, all its attempts together. */
+/** A request as observed by its caller, over all attempts. */
 struct RequestRecord
 {
   const LoadSpec* mLoad = nullptr;
@@ -33,42 +33,42 @@
   FinalAnswer mFinal = FinalAnswer::None;
   /** The refusal reason of the last answer that had one. */
   std::string mReason;
-  /** A 202 came: the request was taken in and waits. */
+  /** A 202 arrived: the request was accepted and is queued. */
   bool mAccepted = false;
   bool mWrongService = false;
   bool mWrongAnswer = false;
 };
 
-/** What a caller saw of one flow. */
+/** A flow as observed by its caller. */
 struct FlowRecord
 {
   const LoadSpec* mLoad = nullptr;
   std::string mPolicy;
   std::string mEpoch;
-  /** At least one request was run. */
+  /** At least one request was executed. */
   bool mEstablished = false;
   bool mBroken = false;
   /** Why, if it broke. */
   std::string mWhy;
 };
 
-/** What all callers saw. References stay valid while it grows. */
+/** The observations of all callers. References stay valid as it grows. */
 struct CallerRecord
 {
   std::deque<RequestRecord> mRequests;
   std::deque<FlowRecord> mFlows;
-  /** Answers by the reason of refusal. */
+  /** Number of refusals by reason. */
   std::map<std::string, std::uint64_t> mRefusals;
-  /** Further attempts by the reason: "no-answer" (same id again),
-   * "missing-range", or that of the refusal. */
+  /** Number of retries by reason: "no-answer" (with the same id),
+   * "missing-range", or the reason of the refusal. */
   std::map<std::string, std::uint64_t> mRetries;
-  /** Refusals that did not say when to come back. */
+  /** Refusals without a retry time. */
   std::uint64_t mNoRetryAfter = 0;
-  /** Answers to a request that this flow never sent. */
+  /** Answers to requests that the flow never sent. */
   std::uint64_t mForeignAnswers = 0;
   /** The policy in force now. */
   std::string mPolicy;
-  /** Requests without a last word yet. */
+  /** Requests without a final outcome yet. */
   std::size_t mOpen = 0;
 };
 
--- a/lab/Report.cpp
+++ b/lab/Report.cpp
@@ -91,7 +91,7 @@
   };
 }
 
-/** Max over mean, less 1; hosts that ran nothing count. */
+/** Computes max / mean - 1 over all hosts, including idle ones. */
 json::object DescribeImbalance(const Evidence& aEvidence,
                                const HostCounts& aCounts)
 {
@@ -159,8 +159,8 @@
   return out;
 }
 
-/** Executions by a host of one service of a request that callers sent to
- * another: a request id begins with the service's name. */
+/** Counts executions by a host of another service than the caller addressed: a
+ * request id begins with the service's name. */
 std::uint64_t CountMisdelivered(const ExecutionLog& aExecutions)
 {
   return static_cast<std::uint64_t>(
@@ -202,7 +202,7 @@
   return ToObject(counts);
 }
 
-/** The value of a dotted key; 0 if there is none. */
+/** Returns the value of a dotted key, or 0. */
 double Lookup(const json::object& aReport, std::string_view aKey)
 {
   const json::object* at = &aReport;
--- a/lab/Report.h
+++ b/lab/Report.h
@@ -13,30 +13,30 @@
 
 namespace heatherplank::lab {
 
-/** What a report is made of. */
+/** The observations that a report is computed from. */
 struct Evidence
 {
   const Scenario* mScenario = nullptr;
   const CallerRecord* mCallers = nullptr;
   const ExecutionLog* mExecutions = nullptr;
-  /** Service to hosts that were there, untouched by faults, throughout. */
+  /** By service: the hosts that ran throughout without a fault. */
   std::map<std::string, std::set<std::string>> mSteadyHosts;
-  /** Since when which policy was in force, in order. */
+  /** The policies in force, each with the time since when, in order. */
   std::vector<std::pair<Time, std::string>> mPolicies;
 };
 
-/** Compares what callers saw with what backend servers ran; docs/LAB.md
- * defines each key. Every loss is a count of that comparison. Thread safe.
+/** Compares the observations of callers with the executions of backend servers.
+ * docs/LAB.md defines each key. Thread safe.
  */
 boost::json::object MakeReport(const Evidence& aEvidence);
 
-/** The expectations that the report does not meet, one line each; a key that
- * the report does not have counts as 0. Thread safe.
+/** Returns a line for each expectation that the report does not meet; a key
+ * missing from the report counts as 0. Thread safe.
  */
 std::vector<std::string> CheckExpectations(const Scenario& aScenario,
                                            const boost::json::object& aReport);
 
-/** The report for people, a few lines. Thread safe. */
+/** Returns a summary of the report in a few lines. Thread safe. */
 std::string DescribeReport(const boost::json::object& aReport);
 
 } // namespace heatherplank::lab
--- a/lab/Run.cpp
+++ b/lab/Run.cpp
@@ -25,7 +25,7 @@
 constexpr auto kStopTimeout = std::chrono::milliseconds(1500);
 constexpr auto kPollTime = std::chrono::milliseconds(20);
 
-/** A folder that goes away with this object, unless it is kept. */
+/** A folder that is removed with this object, unless it is to be kept. */
 class TemporaryFolder
 {
 public:
@@ -57,7 +57,7 @@
   bool mKeep;
 };
 
-/** One play of a scenario, from start to report. */
+/** Runs a scenario once, from start to report. */
 class Play
 {
 public:
@@ -179,7 +179,7 @@
   --mFaultsLeft;
 }
 
-/** Lets the load run for its time, and on until the last fault is played. */
+/** Waits for the duration of the load and for the end of the last fault. */
 Awaitable<void> Play::RunOut()
 {
   co_await Sleep(mWorld->mScenario.mDuration);
--- a/lab/Run.h
+++ b/lab/Run.h
@@ -10,13 +10,13 @@
 
 namespace heatherplank::lab {
 
-/** How the lab is called. */
+/** Command line options of the lab. */
 struct RunOptions
 {
   std::string mScenario;
   /** Path of the heatherplank binary. */
   std::string mBin;
-  /** Leaves the folder with settings and logs behind. */
+  /** Keeps the folder with settings and logs. */
   bool mKeep = false;
 };
 
@@ -30,10 +30,10 @@
   Interrupted = 130,
 };
 
-/** Plays a scenario: starts everything, plays load and faults, prints the
- * report with the JSON object as the last line of standard output, and ends
- * all that it started, also when it is interrupted. Call it from the main
- * thread, once.
+/** Runs a scenario: starts the processes, generates load and faults, prints the
+ * report with a JSON object as the last line of standard output, and ends all
+ * processes that it started, also when interrupted. Call it once, from the main
+ * thread.
  */
 RunResult RunScenario(const RunOptions& aOptions);
 
--- a/lab/Scenario.cpp
+++ b/lab/Scenario.cpp
@@ -145,8 +145,8 @@
   });
 }
 
-/** Takes a member out of an object: its keys are names, which no reader of
- * known keys can check. Empty if it is not there. */
+/** Removes a member from an object and returns it, or an empty object. Its keys
+ * are names, which JsonReader would report as unknown. */
 json::object TakeMap(json::object& aFrom, std::string_view aKey)
 {
   json::object map;
@@ -157,7 +157,7 @@
   return map;
 }
 
-/** Runs aEach(name, reader) over the objects in a map. */
+/** Calls aEach(name, reader) for each object in a map. */
 template<typename Each>
 void ReadMap(const json::object& aMap, const std::string& aPath,
              JsonFaults& aFaults, const Each& aEach)
@@ -177,7 +177,7 @@
   }
 }
 
-/** The changes that each fault lays over the configuration, in order. */
+/** Removes and returns the configuration changes of each fault, in order. */
 std::vector<json::object> TakeChanges(json::object& aFrom)
 {
   std::vector<json::object> changes;
--- a/lab/Scenario.h
+++ b/lab/Scenario.h
@@ -13,7 +13,7 @@
 
 namespace heatherplank::lab {
 
-/** One kind of request and how many of them come; see docs/LAB.md. */
+/** A kind of request and its rate; see docs/LAB.md. */
 struct LoadSpec
 {
   std::string mService;
@@ -21,41 +21,41 @@
   std::string mClass;
   std::string mMethod = "GET";
   std::string mPath = "/";
-  /** Requests a second, whatever the answers; 0: each flow sends its next
+  /** Requests a second, independent of answers; 0: each flow sends its next
    * request mThink after the answer. */
   double mRate = 0;
-  /** Flows open at once. */
+  /** Number of concurrent flows. */
   std::size_t mFlows = 1;
-  /** A flow ends after so many and another opens; 0: it never ends. */
+  /** Requests after which a flow is replaced by a new one; 0: never. */
   std::size_t mRequestsPerFlow = 0;
   Duration mThink = std::chrono::milliseconds(100);
-  /** Size of the answer's body asked for. */
+  /** Requested size of the answer's body. */
   std::size_t mAnswerBytes = 200;
   /** Size of the request's body. */
   std::size_t mBodyBytes = 0;
   Duration mTimeout = std::chrono::milliseconds(2000);
   /** Each request carries an Idempotency-Key of its own. */
   bool mKey = false;
-  /** Each key is sent on so many flows at once. */
+  /** Number of flows on which each key is sent concurrently. */
   std::size_t mCopies = 1;
-  /** Attempts, the first included, while the answer is "not-run". */
+  /** Maximum number of attempts while the answer is "not-run". */
   std::size_t mTries = 4;
 };
 
-/** What the fabric does to datagrams, each way. */
+/** Impairments of datagrams by the fabric, in each direction. */
 struct FabricSpec
 {
   Duration mDelay = std::chrono::milliseconds(1);
-  /** Share of datagrams that are lost. */
+  /** Fraction of datagrams that are dropped. */
   double mLoss = 0;
-  /** Share that come mReorderDelay later than the rest. */
+  /** Fraction of datagrams that are delayed by mReorderDelay. */
   double mReorder = 0;
   Duration mReorderDelay = std::chrono::milliseconds(5);
-  /** How long packets still go to a balancer that is gone. */
+  /** How long packets are still sent to a balancer that has ended. */
   Duration mNotice = std::chrono::milliseconds(200);
 };
 
-/** Service time of the paths that begin with a prefix. */
+/** Service time of requests whose path begins with a prefix. */
 struct ServiceTime
 {
   std::string mPrefix;
@@ -64,19 +64,19 @@
   double mSpread = 0.2;
 };
 
-/** How backend servers behave. */
+/** Behaviour of backend servers. */
 struct BackendSpec
 {
   std::size_t mSlots = 2;
-  /** Requests beyond the slots that wait; more are shed with 503. */
+  /** Requests queued beyond the slots; further ones are answered with 503. */
   std::size_t mQueue = 8;
   std::vector<ServiceTime> mTimes;
-  /** Service times are mColdFactor longer for so long after a start. */
+  /** How long after a start service times are multiplied by mColdFactor. */
   Duration mCold{};
   double mColdFactor = 4;
-  /** The health and load endpoints tell what was so long ago. */
+  /** Age of the state that the health and load endpoints report. */
   Duration mHintLag{};
-  /** The endpoints always say "serving" and "busy": 0. */
+  /** The endpoints always report "serving" and "busy": 0. */
   bool mLies = false;
 };
 
@@ -88,7 +88,7 @@
   Duration mDelay = std::chrono::milliseconds(2);
 };
 
-/** A fault or an operator's deed at a moment of the run. */
+/** A fault or an operator's action at a given time of the run. */
 struct FaultSpec
 {
   Duration mAt{};
@@ -96,15 +96,15 @@
   std::string mTarget;
   /** The other side of a cut. */
   std::string mFrom;
-  /** A target that ends in "*" means each in turn, so long apart. */
+  /** Interval between the matches of a target that ends in "*". */
   Duration mStep = std::chrono::milliseconds(500);
-  /** Meaning by mDo: delay in ms, or share of answers lost. */
+  /** By mDo: a delay in ms, or the fraction of answers lost. */
   double mValue = 0;
-  /** JSON pointer to value, laid over the base configuration by "apply". */
+  /** Values by JSON pointer that "apply" sets in the base configuration. */
   boost::json::object mSet;
 };
 
-/** A bound on a key of the report. */
+/** A bound on the value of a key in the report. */
 struct Expectation
 {
   std::string mKey;
@@ -120,33 +120,33 @@
   std::string mBase;
   std::size_t mSeed = 1;
   Duration mDuration = std::chrono::seconds(5);
-  /** Extra time for the last answers. */
+  /** Time to wait for the last answers. */
   Duration mGrace = std::chrono::milliseconds(1000);
   /** Data centres of balancer-1, balancer-2, ... */
   std::vector<std::string> mBalancers;
-  /** Names of processes that only a "start" starts. */
+  /** Names of processes that are started only by a fault "start". */
   std::vector<std::string> mSpare;
-  /** Service to hosts kept of the base; all where absent. */
+  /** Number of hosts of the base used for each service; all if absent. */
   std::map<std::string, std::size_t> mHosts;
-  /** Age from which agents confirm keys; their default where absent. */
+  /** Age from which agents confirm keys; their default if absent. */
   std::optional<Duration> mConfirmAfter;
   std::vector<LoadSpec> mLoad;
   FabricSpec mFabric;
   BackendSpec mBackend;
-  /** Host to its own behaviour, in place of mBackend. */
+  /** Behaviour of single hosts, instead of mBackend. */
   std::map<std::string, BackendSpec> mBackends;
   PlatformSpec mPlatform;
   std::vector<FaultSpec> mFaults;
   std::vector<Expectation> mExpect;
 };
 
-/** Reads a JSON file that may hold comments; InvalidInput names the file.
+/** Reads a JSON file that may contain comments; InvalidInput names the file.
  * Thread safe.
  */
 Result<boost::json::value> ReadJsonFile(const std::string& aPath);
 
-/** Reads a scenario; an unknown key or a wrong type is InvalidInput, so that
- * no expectation is lost to a typing error. Thread safe.
+/** Reads a scenario. An unknown key or a wrong type is InvalidInput: an
+ * expectation with a misspelled key would never fail. Thread safe.
  */
 Result<Scenario> ReadScenario(const std::string& aPath);
 
--- a/lab/World.h
+++ b/lab/World.h
@@ -16,15 +16,15 @@
 
 namespace heatherplank::lab {
 
-/** All that a scenario needs around its callers: the stand-ins, the processes
- * and the configuration. Not thread safe: belongs to an executor of one
- * thread.
+/** The environment of a scenario's callers: the simulated platform, fabric and
+ * backend servers, the real processes and the configuration. Not thread safe:
+ * used only on the thread of the executor.
  */
 struct World
 {
   Scenario mScenario;
   boost::asio::any_io_executor mExecutor;
-  /** For settings, logs and configurations. */
+  /** Folder for settings, logs and configurations. */
   std::string mFolder;
   std::string mBin;
   std::unique_ptr<Platform> mPlatform;
@@ -33,32 +33,33 @@
   std::map<std::string, std::unique_ptr<Backend>> mBackends;
   ExecutionLog mExecutions;
   CallerRecord mCallers;
-  /** The base configuration with the run's addresses and hosts. */
+  /** The base configuration, with the addresses and hosts of this run. */
   boost::json::value mConfiguration;
-  /** Service to its address towards callers. */
+  /** The address of each service for callers. */
   std::map<std::string, Address> mServices;
-  /** Since when which policy was in force. */
+  /** The policies in force, each with the time since when. */
   std::vector<std::pair<Time, std::string>> mPolicies;
-  /** Commands by how they ended: "apply.ok", "apply.conflict", ... */
+  /** Number of commands by result: "apply.ok", "apply.conflict", ... */
   std::map<std::string, std::uint64_t> mCommands;
   std::size_t mFiles = 0;
 
-  /** Makes stand-ins and places by the scenario; nothing is started yet.
-   * InvalidInput or System if that can't be. */
+  /** Creates everything that the scenario names, without starting a process.
+   * InvalidInput if the scenario is inconsistent, System if a port or file
+   * can't be opened. */
   Result<void> Prepare();
 
-  /** Has the operator apply a configuration and gives the exit code: the
-   * run's own, or if aSet is not empty the one in force (by "get") with the
-   * members at its JSON pointers replaced. */
+  /** Applies a configuration by the command line and returns the exit code. It
+   * is mConfiguration or, if aSet is not empty, the one in force with the
+   * values at the JSON pointers in aSet replaced. */
   Awaitable<int> Apply(boost::json::object aSet);
 
-  /** Has the operator put a policy in force; gives the exit code. */
+  /** Puts a policy in force by the command line; returns the exit code. */
   Awaitable<int> SetPolicy(std::string aName);
 
-  /** Runs heatherplank with these arguments, as an operator would. */
+  /** Runs the heatherplank command line with these arguments. */
   Awaitable<int> Command(std::string aName,
                          std::vector<std::string> aArguments);
-  /** Notes that a policy is in force from now on. */
+  /** Records that a policy is in force from now on. */
   void NotePolicy(const std::string& aName);
 
 private:
--- a/lab/flows/FlowExperiment.h
+++ b/lab/flows/FlowExperiment.h
@@ -13,15 +13,16 @@
 struct FlowLoad
 {
   std::string mName;
-  /** Times the deployment's ordinary rates. */
+  /** Factor on the ordinary rates of the deployment. */
   double mFactor = 1;
-  /** Hosts that work mSlowness times as long, unknown to anybody. */
+  /** Number of hosts whose requests take mSlowness times as long; no process is
+   * notified of it. */
   std::size_t mSlowHosts = 0;
   double mSlowness = 1;
 };
 
-/** A deployment's hosts and traffic, and the loads to compare placements under.
- */
+/** A deployment's hosts and traffic, and the loads under which placements are
+ * compared. */
 struct FlowExperiment
 {
   std::string mTitle;
@@ -33,7 +34,7 @@
   std::vector<FlowLoad> mLoads;
 };
 
-/** What one placement gave under one load. */
+/** The result of one placement under one load. */
 struct FlowResult
 {
   FlowPlacement mPlacement;
@@ -43,21 +44,21 @@
   double mLost = 0;
 };
 
-/** Reads JSON with comments; InvalidInput that lists every fault with its
- * remedy. aName stands in messages. */
+/** Parses JSON with comments. InvalidInput lists every error with its remedy;
+ * aName appears in the messages. */
 Result<FlowExperiment> ParseFlowExperiment(std::string_view aText,
                                            const std::string& aName);
 
-/** Plays one load with every placement, each from the same seed. */
+/** Simulates one load with every placement, each from the same seed. */
 std::vector<FlowResult> PlayFlowLoad(const FlowExperiment& aExperiment,
                                      const FlowLoad& aLoad);
 
-/** The results as a Markdown table, one row a placement and class. */
+/** Returns the results as a Markdown table, a row per placement and class. */
 std::string FlowTable(const FlowExperiment& aExperiment,
                       std::span<const FlowResult> aResults);
 
-/** Plays the file's experiment, prints its tables and draws its last load into
- * aSvg if that is not empty. */
+/** Runs the experiment in a file, prints its tables and plots its last load to
+ * the file aSvg if that is not empty. */
 Result<void> RunFlowExperiment(const std::string& aFile,
                                const std::string& aSvg);
 
--- a/lab/flows/FlowFarm.cpp
+++ b/lab/flows/FlowFarm.cpp
@@ -14,10 +14,10 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-/** Sigma of the work's lognormal law: some requests take three times the mean.
- */
+/** Sigma of the lognormal processing times: some requests take three times the
+ * mean. */
 constexpr double kSpread = 0.5;
-/** How often hosts report their load where reports are used. */
+/** Interval of load reports, for placements that use them. */
 constexpr double kReportEveryMs = 200;
 
 Duration InDuration(double aMs)
--- a/lab/flows/FlowFarm.h
+++ b/lab/flows/FlowFarm.h
@@ -12,25 +12,25 @@
 
 namespace heatherplank::lab {
 
-/** A kind of request, each on a flow of its own. */
+/** A kind of request; each request has its own flow. */
 struct FlowClass
 {
   std::string mName;
   double mPerSecond = 0;
-  /** Mean work at a host; drawn from a lognormal law of sigma 0.5. */
+  /** Mean processing time at a host; lognormal with sigma 0.5. */
   double mWorkMs = 15;
-  /** Answered later than this, it is late. */
+  /** An answer after this time is late. */
   double mTargetMs = 100;
   Importance mImportance = Importance::Normal;
 };
 
-/** How the host of a new flow is picked. */
+/** The algorithm that selects the host of a new flow. */
 enum class FlowPlacement : std::uint8_t
 {
-  /** As the product does: agents decide along the flow's ranks. */
+  /** The product's: agents decide in the order of the flow's ranks. */
   Walk,
-  /** The one with less load, of the flow's first two ranks, by reports that
-   * hosts send now and then; queues as they come. */
+  /** The less loaded of the flow's first two ranks, by periodic load reports of
+   * the hosts; unlimited queues. */
   TwoChoices,
   /** The flow's first rank, whatever its load. */
   FirstRank,
@@ -41,7 +41,7 @@
 
 std::string_view ToString(FlowPlacement aPlacement);
 
-/** What became of the requests of one class. */
+/** The results of the requests of one class. */
 struct FlowTally
 {
   int mAsked = 0;
@@ -57,57 +57,57 @@
   double Quantile(double aQuantile) const;
 };
 
-/** Hosts of opaque flows under a Poisson load, on a clock of its own: an
- * emulator of the users' deployments for comparing placements. Not thread safe.
+/** Simulates hosts of opaque flows under a Poisson load on a simulated clock,
+ * to compare placements. Not thread safe.
  */
 class FlowFarm
 {
 public:
   struct Machine
   {
-    /** When each slot is free, ms. */
+    /** The time at which each slot becomes free, ms. */
     std::vector<double> mSlots;
     std::vector<double> mEnds;
     double mSlowness = 1;
-    /** Requests that it last reported. */
+    /** The number of requests in its last load report. */
     std::uint32_t mReported = 0;
-    /** Work that it was given, ms. */
+    /** Total processing time assigned to it, ms. */
     double mWork = 0;
-    /** As its agent learns it. */
+    /** The service time as observed by its agent. */
     ServiceTime mServiceTime;
   };
 
-  /** Handshakes and the way to the host and back, of each request's target. */
+  /** Part of each request's latency target that the network takes. */
   static constexpr double kNetworkMs = 12;
 
   FlowFarm(std::size_t aHosts, unsigned aSeed, std::uint32_t aSlots = 2);
 
-  /** Goes on where the last play ended. */
+  /** Continues from the end of the previous call. */
   void Play(std::span<const FlowClass> aClasses, double aSeconds,
             FlowPlacement aPlacement);
 
-  /** The host that takes a flow along these candidates, or null if refused.
+  /** Returns the candidate that accepts a flow, or null if all refuse.
    * aReturnsLater: see FlowOffer. */
   Machine* Walk(std::span<const std::size_t> aCandidates,
                 const FlowClass& aClass, bool aReturnsLater = false);
-  /** Gives a host work; when its answer comes, ms from now. */
+  /** Assigns work to a host; returns the time until its answer, ms. */
   double Run(Machine& aHost, double aWork);
 
-  /** Moves the clock. */
+  /** Advances the simulated clock. */
   void Advance(double aMs) { mNow += aMs; }
 
-  /** Hosts in the order of a flow's ranks. */
+  /** Returns the hosts in the order of a flow's ranks. */
   std::vector<std::size_t> Ranks(std::uint64_t aFlow, std::size_t aHosts) const;
 
-  /** Share of the flows so far that a balancer without memory sends to another
-   * host than their own after the last host left. */
+  /** Fraction of all flows that a balancer without state would send to another
+   * host than theirs after the last host left. */
   double LostAfterOneLeft(FlowPlacement aPlacement) const;
 
-  /** The busiest host's work over the mean. */
+  /** The busiest host's work, divided by the mean. */
   double Imbalance() const;
 
   std::vector<Machine> mHosts;
-  /** By class, in the order of the last play. */
+  /** By class, in the order of the last call of Play. */
   std::vector<FlowTally> mTallies;
   std::mt19937_64 mRandom;
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -46,7 +46,7 @@
   return !aOut.mBin.empty();
 }
 
-/** Plays one seed of the soak of opaque flows. */
+/** Runs one seed of the soak of opaque flows. */
 int Soak(int aCount, char** aArguments)
 {
   SoakOptions options;
@@ -76,7 +76,7 @@
       return static_cast<int>(RunResult::Usage);
     }
   }
-  // One machine's last address byte holds either kind.
+  // The last byte of a loopback address numbers balancers and hosts.
   bool fits = options.mBalancers >= 1 && options.mBalancers <= 49 &&
               options.mHosts >= 3 && options.mHosts <= 190 &&
               options.mSeconds >= 1;
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -248,7 +248,6 @@
   }
 }
 
-/** Moves an entry to the lists that match its record. */
 /** Moves an entry to the lists of its state. Also restarts its monitoring,
  * counts a departure or death, and sets its slow-start step. */
 void MemberTable::UpdateLists(MemberEntry& aEntry, Time aNow)
--- a/src/passthrough/PassthroughSettings.h
+++ b/src/passthrough/PassthroughSettings.h
@@ -54,8 +54,8 @@
   double mLinkMbps = 1000;
   /** Time within which changed routes must be in force on all balancers, ms. */
   std::uint32_t mRoutesInForceWithinMs = 3000;
-  /** The same for drains, ms. */
-  std::uint32_t mDrainsInForceWithinMs = 3000;
+  /** The same for drains, ms; if not set, the value of the routes. */
+  std::uint32_t mDrainsInForceWithinMs = mRoutesInForceWithinMs;
 };
 
 /** The agent beside a host of opaque flows. */
