The directory has a few entries a data centre, and is read by few who start

Change: the first four balancers of each data centre by a hash of their names have an entry (HasDirectoryEntry), and a balancer that finds nobody; the first reading comes after 250 to 500 ms, spread by the process's seed. A fleet that starts has its seeds by then; one without any finds others a quarter of a second later.

Ruled out: readings of a part of the agents only, since each needs an answer of its own.

Tests: FewBalancersOfEachDataCentreHaveAnEntry (takes over from those that left), ABalancerWithoutAnEntryWritesOneIfItHasNoPeers, FirstReadsAreSpreadAndWaitForTheSeeds.

--- a/src/passthrough/BalancerDirectory.cpp
+++ b/src/passthrough/BalancerDirectory.cpp
@@ -64,23 +64,23 @@
   return mOptions.mKind + "/" + NameOf(*mOptions.mSelf);
 }
 
-void BalancerDirectory::OnTick(bool aHasNoPeers, std::uint64_t aStoreEra,
-                               Time aNow)
+void BalancerDirectory::OnTick(const Situation& aSituation, Time aNow)
 {
-  RegisterIfDue(aStoreEra, aNow);
-  if (!aHasNoPeers) {
+  RegisterIfDue(aSituation, aNow);
+  if (!aSituation.mHasNoPeers) {
     mListBackoff.Reset();
   } else if (!mListing && aNow >= mNextListAt) {
     ListEntries(aNow);
   }
 }
 
-void BalancerDirectory::RegisterIfDue(std::uint64_t aStoreEra, Time aNow)
+void BalancerDirectory::RegisterIfDue(const Situation& aSituation, Time aNow)
 {
-  if (!mOptions.mSelf || mRegistering || mLeft) {
+  bool wanted = aSituation.mHasEntry || aSituation.mHasNoPeers;
+  if (!mOptions.mSelf || !wanted || mRegistering || mLeft) {
     return;
   }
-  if (mRegisteredEra && *mRegisteredEra < aStoreEra) {
+  if (mRegisteredEra && *mRegisteredEra < aSituation.mStoreEra) {
     std::uniform_int_distribution<Duration::rep> delay(0,
                                                        kRestoreSpread.count());
     mNextRegisterAt = aNow + Duration(delay(mRandom));
--- a/src/passthrough/BalancerDirectory.h
+++ b/src/passthrough/BalancerDirectory.h
@@ -21,9 +21,10 @@
  *
  * Guards against: the seeds in the settings were replaced or are cut off when a
  * process starts. A balancer would route to no host, and the host of an agent
- * would get no flow, until an operator edits the settings. Each balancer writes
- * its address as the name of an object, once at its start and again after the
- * store was restored from a copy, which may lack the entry. A process without
+ * would get no flow, until an operator edits the settings. Some balancers
+ * (HasDirectoryEntry) write their address as the name of an object, once and
+ * again after the store was restored from a copy, which may lack the entry. So
+ * does a balancer that finds no peers: nobody would find it. A process without
  * peers lists the entries, with backoff, and uses them as additional seeds. An
  * entry may be stale or written by others: it costs some datagrams, and nothing
  * is trusted because of it.
@@ -58,10 +59,20 @@
                                                  Options aOptions,
                                                  OnFound aOnFound);
 
-  /** Call several times a second. aHasNoPeers: no message of another process
-   * of this system arrived for a while. aStoreEra: the newest known era of the
-   * store (StoreVersion); an entry written in an earlier one may be gone. */
-  void OnTick(bool aHasNoPeers, std::uint64_t aStoreEra, Time aNow);
+  /** The situation of this process. */
+  struct Situation
+  {
+    /** No message of another process of this system arrived for a while. */
+    bool mHasNoPeers = false;
+    /** This balancer is one of those with an entry. */
+    bool mHasEntry = false;
+    /** The newest known era of the store (StoreVersion); an entry written in an
+     * earlier one may be gone. */
+    std::uint64_t mStoreEra = 0;
+  };
+
+  /** Call several times a second. */
+  void OnTick(const Situation& aSituation, Time aNow);
 
   /** Call at a planned stop: deletes the entry of this balancer. */
   void Leave();
@@ -75,7 +86,7 @@
   BalancerDirectory(ObjectStore& aStore, Options aOptions, OnFound aOnFound);
 
   std::string SelfKey() const;
-  void RegisterIfDue(std::uint64_t aStoreEra, Time aNow);
+  void RegisterIfDue(const Situation& aSituation, Time aNow);
   void Register(Time aNow);
   void ListEntries(Time aNow);
   void OnListed(const std::vector<ObjectName>& aNames);
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -6,6 +6,7 @@
 #include "src/balancer/MemberPlane.h"
 #include "src/base/Log.h"
 #include "src/passthrough/BalancersInView.h"
+#include "src/passthrough/DirectorySelection.h"
 #include "src/passthrough/FlowBalancerOptions.h"
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/InventoryExchange.h"
@@ -30,10 +31,8 @@
  * packets would be lost, whereas a ready balancer can refuse them at once. */
 constexpr auto kHostWaitTimeout = std::chrono::milliseconds(3000);
 
-/** Seeds answer heartbeats within milliseconds, and a balancer that starts
- * repeats its heartbeats every 50 ms. A balancer that knows no other process
- * after this time reads the directory. */
-constexpr auto kNoPeersTimeout = std::chrono::milliseconds(120);
+/** How long a balancer that starts may not know the others yet. */
+constexpr auto kPeerDiscoveryTime = std::chrono::milliseconds(1000);
 /** Routes are read again after a process stall of at least this length. A
  * shorter one leaves the connection of the watch alive, and a slow VM would
  * query the store again and again. */
@@ -79,6 +78,7 @@
                 } })
     , mRetryTimer(mProcess.mRuntime.Executor())
     , mStartedAt(mClock.Now())
+    , mFirstDirectoryReadAfter(FirstDirectoryReadAfter(mSelf.mIncarnation))
   {
   }
 
@@ -97,6 +97,7 @@
   ProcessStallWatch mStallWatch;
   std::shared_ptr<DatagramSocket> mIngress;
   const Time mStartedAt;
+  const Duration mFirstDirectoryReadAfter;
   IsolationWatch mIsolation;
   bool mIsolated = false;
   BalancersInView mBalancers;
@@ -216,9 +217,15 @@
 
   void UpdateDirectory(Time aNow)
   {
-    bool hasNoPeers = mMembers.Balancers().empty() && mMembers.Size() == 0;
-    mProcess.UpdateDirectory(hasNoPeers && aNow - mStartedAt > kNoPeersTimeout,
-                             mRoutes.StoreEra(), aNow);
+    Duration age = aNow - mStartedAt;
+    auto balancers = mMembers.Balancers();
+    bool hasNoPeers = balancers.empty() && mMembers.Size() == 0;
+    mProcess.UpdateDirectory(
+      { .mHasNoPeers = hasNoPeers && age > mFirstDirectoryReadAfter,
+        .mHasEntry =
+          age > kPeerDiscoveryTime && HasDirectoryEntry(mSelf, balancers),
+        .mStoreEra = mRoutes.StoreEra() },
+      aNow);
   }
 
   void EverySecond()
--- a/src/passthrough/PassthroughProcess.cpp
+++ b/src/passthrough/PassthroughProcess.cpp
@@ -92,11 +92,11 @@
     .Set(static_cast<double>(DroppedLogLines()));
 }
 
-void PassthroughProcess::UpdateDirectory(bool aHasNoPeers,
-                                         std::uint64_t aStoreEra, Time aNow)
+void PassthroughProcess::UpdateDirectory(
+  const BalancerDirectory::Situation& aSituation, Time aNow)
 {
   if (!mSettings.mDirectory.empty()) {
-    mDirectory->OnTick(aHasNoPeers, aStoreEra, aNow);
+    mDirectory->OnTick(aSituation, aNow);
   }
 }
 
--- a/src/passthrough/PassthroughProcess.h
+++ b/src/passthrough/PassthroughProcess.h
@@ -77,10 +77,10 @@
   /** Call it about once a second. */
   void EverySecond();
 
-  /** Searches the directory for balancers if aHasNoPeers: no other process has
-   * responded for a while. Writes this balancer's entry again if aStoreEra, the
-   * store's era, is a later one. Call it several times a second. */
-  void UpdateDirectory(bool aHasNoPeers, std::uint64_t aStoreEra, Time aNow);
+  /** Looks for balancers in the directory, and maintains the entry of this
+   * process, as its situation requires. Call it several times a second. */
+  void UpdateDirectory(const BalancerDirectory::Situation& aSituation,
+                       Time aNow);
 
   /** The seeds of the settings in force. */
   const std::vector<Address>& Seeds() const { return mSeeds; }
--- a/tests/BalancerDirectoryTest.cpp
+++ b/tests/BalancerDirectoryTest.cpp
@@ -1,6 +1,7 @@
 #include "src/passthrough/BalancerDirectory.h"
 
 #include "src/net/Endpoint.h"
+#include "src/passthrough/DirectorySelection.h"
 #include "tests/FakeObjectStore.h"
 
 #include <CppUTest/TestHarness.h>
@@ -8,6 +9,20 @@
 using namespace heatherplank;
 using namespace std::chrono_literals;
 
+namespace {
+
+using Situation = BalancerDirectory::Situation;
+
+constexpr Situation kAlone{ .mHasNoPeers = true };
+constexpr Situation kWithPeers{};
+
+Situation WithEntry(std::uint64_t aStoreEra = 0)
+{
+  return { .mHasEntry = true, .mStoreEra = aStoreEra };
+}
+
+} // namespace
+
 TEST_GROUP(BalancerDirectory)
 {
   ManualClock mClock;
@@ -40,11 +55,11 @@
 TEST(BalancerDirectory, ProcessWithoutPeersFindsRegisteredBalancers)
 {
   auto balancer = Make(mOther);
-  balancer->OnTick(false, 0, mClock.Now());
+  balancer->OnTick(WithEntry(), mClock.Now());
   auto agent = Make(std::nullopt);
-  agent->OnTick(false, 0, mClock.Now());
+  agent->OnTick(kWithPeers, mClock.Now());
   CHECK_TRUE(mFound.empty());
-  agent->OnTick(true, 0, mClock.Now());
+  agent->OnTick(kAlone, mClock.Now());
   CHECK_EQUAL(1, mFound.size());
   CHECK_TRUE(mFound[0] == mOther);
 }
@@ -56,7 +71,7 @@
   mStore.mEra = 1;
   auto balancer = Make(mSelf);
   for (int i = 0; i < 100; ++i) {
-    balancer->OnTick(false, 1, mClock.Now());
+    balancer->OnTick(WithEntry(1), mClock.Now());
     mClock.Advance(100ms);
   }
   CHECK_EQUAL(1, mStore.mCalls);
@@ -64,12 +79,12 @@
   mStore.mEra = 2;
   Time restoredAt = mClock.Now();
   while (mStore.mObjects.empty() && mClock.Now() - restoredAt < 10s) {
-    balancer->OnTick(false, 2, mClock.Now());
+    balancer->OnTick(WithEntry(2), mClock.Now());
     mClock.Advance(50ms);
   }
   CHECK_TRUE(mClock.Now() - restoredAt <= 2s);
   for (int i = 0; i < 100; ++i) {
-    balancer->OnTick(false, 2, mClock.Now());
+    balancer->OnTick(WithEntry(2), mClock.Now());
     mClock.Advance(100ms);
   }
   CHECK_EQUAL(2, mStore.mCalls);
@@ -86,14 +101,14 @@
     self.mPort = i;
     balancers.push_back(BalancerDirectory::Make(
       mStore, { "b", self, i }, [](const std::vector<Address>&) {}));
-    balancers.back()->OnTick(false, 0, mClock.Now());
+    balancers.back()->OnTick(WithEntry(), mClock.Now());
   }
   mStore.mEra = 1;
   int most = 0;
   for (int tick = 0; tick < 40; ++tick) {
     int before = mStore.mCalls;
     for (auto& it : balancers) {
-      it->OnTick(false, 1, mClock.Now());
+      it->OnTick(WithEntry(1), mClock.Now());
     }
     most = std::max(most, mStore.mCalls - before);
     mClock.Advance(50ms);
@@ -113,7 +128,7 @@
   };
   auto balancer = Make(mSelf);
   for (int i = 0; i < 100; ++i) {
-    balancer->OnTick(false, 0, mClock.Now());
+    balancer->OnTick(WithEntry(), mClock.Now());
     mClock.Advance(100ms);
   }
   CHECK_EQUAL(1, mStore.mObjects.size());
@@ -126,7 +141,7 @@
 {
   auto agent = Make(std::nullopt);
   for (int i = 0; i < 600; ++i) {
-    agent->OnTick(true, 0, mClock.Now());
+    agent->OnTick(kAlone, mClock.Now());
     mClock.Advance(100ms);
   }
   CHECK_TRUE(mStore.mCalls < 40);
@@ -138,6 +153,54 @@
   mStore.mObjects["b/garbage"] = { "b/garbage", "?", { 1 } };
   mStore.mObjects["b/" + BalancerDirectory::NameOf(mSelf)] = { "", "", { 2 } };
   auto balancer = Make(mSelf);
-  balancer->OnTick(true, 0, mClock.Now());
+  balancer->OnTick(kAlone, mClock.Now());
   CHECK_TRUE(mFound.empty());
 }
+
+// Guards against a fleet that writes as many entries as it has balancers: few
+// of each data centre suffice, and another takes over from one that left.
+TEST(BalancerDirectory, FewBalancersOfEachDataCentreHaveAnEntry)
+{
+  std::vector<Member> balancers;
+  for (int i = 0; i < 300; ++i) {
+    Member it;
+    it.mHost = MakeHostId("balancer-" + std::to_string(i));
+    it.mDataCentre = MakeDataCentreId("dc-" + std::to_string(i % 5));
+    balancers.push_back(it);
+  }
+  auto entries = [](const std::vector<Member>& aBalancers) {
+    return std::ranges::count_if(aBalancers, [&](const Member& aIt) {
+      return HasDirectoryEntry(aIt, aBalancers);
+    });
+  };
+  CHECK_EQUAL(5 * kDirectoryEntriesPerDataCentre, entries(balancers));
+  std::erase_if(balancers, [&, all = balancers](const Member& aIt) {
+    return HasDirectoryEntry(aIt, all);
+  });
+  CHECK_EQUAL(5 * kDirectoryEntriesPerDataCentre, entries(balancers));
+  balancers.resize(2);
+  CHECK_EQUAL(2, entries(balancers));
+}
+
+TEST(BalancerDirectory, ABalancerWithoutAnEntryWritesOneIfItHasNoPeers)
+{
+  auto balancer = Make(mSelf);
+  balancer->OnTick(kWithPeers, mClock.Now());
+  CHECK_EQUAL(0, mStore.mCalls);
+  balancer->OnTick(kAlone, mClock.Now());
+  CHECK_EQUAL(1, mStore.mObjects.size());
+}
+
+// Guards against all processes of a fleet that read the directory at the moment
+// of their common start.
+TEST(BalancerDirectory, FirstReadsAreSpreadAndWaitForTheSeeds)
+{
+  Duration shortest = 10s;
+  Duration longest = 0s;
+  for (std::uint64_t seed = 1; seed <= 700; ++seed) {
+    shortest = std::min(shortest, FirstDirectoryReadAfter(seed));
+    longest = std::max(longest, FirstDirectoryReadAfter(seed));
+  }
+  CHECK_TRUE(shortest >= 250ms && longest <= 500ms);
+  CHECK_TRUE(longest - shortest >= 200ms);
+}
