Membership: digests every 0.1 s while they find differences; seeds keep learning

Cause (simulation, 300 balancers and 700 agents started at once): with digests every 0.25 s a balancer knew 228 of 700 hosts after 1 s, 431 after 1.5 s; in those seconds the fabric moves nearly all flows, and each moved flow is searched for by such a view (486 requests without a word at the fleet's return). Seeds that had spent their bytes took no digests, so they learnt nothing, and answered requests that were seconds old.

Change: 0.1 s; a digest is always read, only the reply needs bytes; requests older than 0.8 s are dropped.

--- a/src/membership/BalancerBootstrap.cpp
+++ b/src/membership/BalancerBootstrap.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-void BalancerMembership::On(const MemberSnapshotRequest& aRequest, Time)
+void BalancerMembership::On(const MemberSnapshotRequest& aRequest, Time aNow)
 {
   if (mSnapshotRequests.size() < kMaxSnapshotRequests) {
-    mSnapshotRequests.push_back(aRequest);
+    mSnapshotRequests.push_back({ aRequest, aNow });
   }
 }
 
@@ -57,16 +57,18 @@
   }
 }
 
-/** Answers requests within the byte budget. What a balancer sends while it is
+/** Answers requests within the byte budget. Older ones are dropped: their
+ * senders have turned to other peers, and the answers would spend the budget of
+ * those that wait. What a balancer sends while it is
  * still starting is marked as partial: two new balancers would take each
  * other's views for complete ones. */
 void BalancerMembership::ServeSnapshots(Time aNow)
 {
   while (!mSnapshotRequests.empty() && mSnapshotBudget.Available(aNow) > 0) {
-    MemberSnapshotRequest request = mSnapshotRequests.front();
+    auto [request, receivedAt] = mSnapshotRequests.front();
     mSnapshotRequests.pop_front();
     const Member* peer = FindBalancer(request.mFrom);
-    if (peer == nullptr) {
+    if (peer == nullptr || aNow - receivedAt >= mOptions.mChunkTimeout) {
       continue;
     }
     MemberSnapshot chunk =
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -66,7 +66,7 @@
    * when a digest finds a difference and doubles when it finds none, so tables
    * converge in a number of rounds logarithmic in the size of the fleet. */
   Duration mDigestInterval = std::chrono::seconds(10);
-  Duration mMinDigestInterval = std::chrono::milliseconds(250);
+  Duration mMinDigestInterval = std::chrono::milliseconds(100);
   /** Maximum number of ranges requested after a digest. */
   std::size_t mMaxRepairRanges = 8;
   /** Maximum number of records in a snapshot chunk. */
@@ -135,6 +135,12 @@
     Time mLastHeartbeatAt{};
   };
 
+  struct QueuedRequest
+  {
+    MemberSnapshotRequest mRequest;
+    Time mReceivedAt{};
+  };
+
   void On(const Heartbeat& aHeartbeat, Time aNow);
   void On(const MemberDelta& aDelta, Time aNow);
   void On(const MemberDigest& aDigest, Time aNow);
@@ -180,7 +186,7 @@
   ByteBudget mBudget;
   ByteBudget mSnapshotBudget;
   std::map<HostId, Agent> mAgents;
-  std::deque<MemberSnapshotRequest> mSnapshotRequests;
+  std::deque<QueuedRequest> mSnapshotRequests;
   std::vector<SendMembership> mActions;
   std::uint32_t mHeartbeatNumber = 0;
   Time mHeartbeatAt{};
--- a/src/membership/BalancerRepair.cpp
+++ b/src/membership/BalancerRepair.cpp
@@ -156,7 +156,7 @@
 void BalancerMembership::On(const MemberDigest& aDigest, Time aNow)
 {
   const Member* peer = FindBalancer(aDigest.mFrom);
-  if (peer == nullptr || mSnapshotBudget.Available(aNow) == 0) {
+  if (peer == nullptr) {
     return;
   }
   MemberTable& table = TableOf(aDigest.mTable);
@@ -171,7 +171,7 @@
       Send(peer->mControl, it);
     }
   }
-  if (!aDigest.mIsReply) {
+  if (!aDigest.mIsReply && mSnapshotBudget.Available(aNow) > 0) {
     MemberDigest reply = table.Digest();
     reply.mFrom = mSelf.mHost;
     reply.mIsReply = true;
