The directory is read early again; up to eight seeds a heartbeat

The seeds may be the last to be back, and each agent that waits for them is a host without flows. The earlier limit of three seeds a heartbeat made it worse: three of all that were found, instead of any that is up.

Change: 40 ms and 120 ms again, eight seeds a heartbeat; seeds that are found again are not taken twice. The few entries a data centre stay.

--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -39,7 +39,7 @@
   Duration mAssignmentTimeout = std::chrono::milliseconds(1500);
   /** Maximum number of seeds that one heartbeat is sent to before any balancer
    * is known. Heartbeats of a whole fleet that starts would overload them. */
-  std::size_t mMaxSeedsPerHeartbeat = 3;
+  std::size_t mMaxSeedsPerHeartbeat = 8;
   /** False if Peers is not used: balancers then send no members of the service,
    * and agents are spared the processing of each change. */
   bool mWantsPeers = true;
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -43,7 +43,7 @@
    * get it from each other. */
   std::size_t mIntroductions = 8;
   /** Maximum number of seeds outside the view that one heartbeat is sent to. */
-  std::size_t mMaxSeedsPerHeartbeat = 3;
+  std::size_t mMaxSeedsPerHeartbeat = 8;
   /** Control addresses of the first balancers to contact, from the settings. */
   std::vector<Address> mSeeds;
   Duration mHeartbeatInterval = std::chrono::milliseconds(500);
--- a/src/passthrough/DirectorySelection.h
+++ b/src/passthrough/DirectorySelection.h
@@ -1,31 +1,15 @@
 #pragma once
 
 #include <algorithm>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <span>
 
-#include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Member.h"
 #include "include/heatherplank/Types.h"
 
 namespace heatherplank {
 
-/** How long a process that starts waits for an answer of the balancers in its
- * settings (seeds) before it reads the directory. After a power loss the seeds
- * may be the last to be back, within some 300 ms; if each of a large fleet read
- * the directory sooner, the store would be called as often as the fleet has
- * processes. aSeed spreads the reads. Thread safe. */
-inline Duration FirstDirectoryReadAfter(std::uint64_t aSeed)
-{
-  constexpr Duration kShortest = std::chrono::milliseconds(250);
-  constexpr Duration kSpread = std::chrono::milliseconds(250);
-  return kShortest +
-         kSpread / 256 *
-           static_cast<Duration::rep>(MixHash(aSeed, kShortest.count()) % 256);
-}
-
 /** Number of balancers in each data centre that have a directory entry. */
 constexpr std::size_t kDirectoryEntriesPerDataCentre = 4;
 
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -7,7 +7,6 @@
 #include "src/agent/MemberFeed.h"
 #include "src/base/Log.h"
 #include "src/net/HttpServer.h"
-#include "src/passthrough/DirectorySelection.h"
 #include "src/passthrough/HeartbeatRule.h"
 #include "src/passthrough/HostFlows.h"
 #include "src/passthrough/PassthroughProcess.h"
@@ -26,6 +25,10 @@
 /** An agent reads the directory if no balancer confirmed a heartbeat for this
  * long. Balancers reply within milliseconds, and one heartbeat may be lost. */
 constexpr auto kUnconfirmedTimeout = std::chrono::milliseconds(2000);
+/** kUnconfirmedTimeout for an agent that no balancer has confirmed yet. Short:
+ * after a power loss the balancers named in its settings (seeds) may start
+ * last, while others are up and have no hosts. */
+constexpr auto kInitialUnconfirmedTimeout = std::chrono::milliseconds(40);
 /** How long an agent keeps forwarding after it announced its stop, so that its
  * host can finish open flows. */
 constexpr auto kStopDelay = std::chrono::milliseconds(4000);
@@ -107,7 +110,6 @@
                MakeMembershipOptions(aSettings.mSeeds))
     , mFlows(MakeFlowOptions(aSettings, mSelf), aAdapter.Packets(), *this,
              mClock.Now())
-    , mFirstDirectoryReadAfter(FirstDirectoryReadAfter(mSelf.mIncarnation))
   {
   }
 
@@ -125,7 +127,6 @@
   std::shared_ptr<DatagramSocket> mOutbox;
   /** State last announced to the balancers. */
   std::optional<HostState> mAnnouncedState;
-  const Duration mFirstDirectoryReadAfter;
   Time mFirstAnnouncedAt{};
   bool mStopping = false;
 
@@ -194,8 +195,9 @@
   void CheckDirectory(Time aNow)
   {
     Time since = std::max(mFirstAnnouncedAt, mMembers.ConfirmedAt());
-    Duration after = mMembers.ConfirmedAt() == Time{} ? mFirstDirectoryReadAfter
-                                                      : kUnconfirmedTimeout;
+    Duration after = mMembers.ConfirmedAt() == Time{}
+                       ? kInitialUnconfirmedTimeout
+                       : kUnconfirmedTimeout;
     bool hasNoPeers = mAnnouncedState && aNow - since > after;
     mProcess.UpdateDirectory({ .mHasNoPeers = hasNoPeers }, aNow);
   }
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -31,6 +31,10 @@
  * packets would be lost, whereas a ready balancer can refuse them at once. */
 constexpr auto kHostWaitTimeout = std::chrono::milliseconds(3000);
 
+/** Seeds answer heartbeats within milliseconds, and a balancer that starts
+ * repeats its heartbeats every 50 ms. A balancer that knows no other process
+ * after this time reads the directory. */
+constexpr auto kNoPeersTimeout = std::chrono::milliseconds(120);
 /** How long a balancer that starts may not know the others yet. */
 constexpr auto kPeerDiscoveryTime = std::chrono::milliseconds(1000);
 /** Routes are read again after a process stall of at least this length. A
@@ -78,7 +82,6 @@
                 } })
     , mRetryTimer(mProcess.mRuntime.Executor())
     , mStartedAt(mClock.Now())
-    , mFirstDirectoryReadAfter(FirstDirectoryReadAfter(mSelf.mIncarnation))
   {
   }
 
@@ -97,7 +100,6 @@
   ProcessStallWatch mStallWatch;
   std::shared_ptr<DatagramSocket> mIngress;
   const Time mStartedAt;
-  const Duration mFirstDirectoryReadAfter;
   IsolationWatch mIsolation;
   bool mIsolated = false;
   BalancersInView mBalancers;
@@ -221,7 +223,7 @@
     auto balancers = mMembers.Balancers();
     bool hasNoPeers = balancers.empty() && mMembers.Size() == 0;
     mProcess.UpdateDirectory(
-      { .mHasNoPeers = hasNoPeers && age > mFirstDirectoryReadAfter,
+      { .mHasNoPeers = hasNoPeers && age > kNoPeersTimeout,
         .mHasEntry =
           age > kPeerDiscoveryTime && HasDirectoryEntry(mSelf, balancers),
         .mStoreEra = mRoutes.StoreEra() },
--- a/src/passthrough/PassthroughProcess.cpp
+++ b/src/passthrough/PassthroughProcess.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/PassthroughProcess.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/base/Log.h"
@@ -24,7 +25,11 @@
       *mStore,
       { aParts.mSettings.mDirectory, aParts.mRegisteredAddress, aParts.mSeed },
       [this](std::vector<Address> aFound) {
-        aFound.insert(aFound.end(), mSeeds.begin(), mSeeds.end());
+        for (const Address& it : mSeeds) {
+          if (std::ranges::count(aFound, it) == 0) {
+            aFound.push_back(it);
+          }
+        }
         mOnSeeds(std::move(aFound));
       }))
   , mAdmin(mMetrics, std::move(aParts.mReady))
