Membership: a difference that repair does not remove costs no frequent digests

Cause (by reading): tables that differ for good, as by an inventory that refuses a member at one of them, would be compared ten times a second, some 14 KB/s a balancer and 1.4 KB for each range that is sent again.

Change: after 50 digests in a row that found a difference (5 s; a whole fleet's start needs 2 s) the interval is 10 s until one finds none. Test: ALastingDifferenceDoesNotKeepDigestsFrequent, 600 digests a minute without the limit, 50 to 60 with it.

--- a/src/membership/BalancerBootstrap.cpp
+++ b/src/membership/BalancerBootstrap.cpp
@@ -59,9 +59,9 @@
 
 /** Answers requests within the byte budget. Older ones are dropped: their
  * senders have turned to other peers, and the answers would spend the budget of
- * those that wait. What a balancer sends while it is
- * still starting is marked as partial: two new balancers would take each
- * other's views for complete ones. */
+ * those that wait. What a balancer sends while it is still starting is marked
+ * as partial: two new balancers would take each other's views for complete
+ * ones. */
 void BalancerMembership::ServeSnapshots(Time aNow)
 {
   while (!mSnapshotRequests.empty() && mSnapshotBudget.Available(aNow) > 0) {
--- a/src/membership/BalancerMembership.h
+++ b/src/membership/BalancerMembership.h
@@ -67,6 +67,9 @@
    * converge in a number of rounds logarithmic in the size of the fleet. */
   Duration mDigestInterval = std::chrono::seconds(10);
   Duration mMinDigestInterval = std::chrono::milliseconds(100);
+  /** Digests in a row that find a difference before the interval is the longest
+   * again: the difference is one that repair does not remove. */
+  std::uint32_t mMaxRepairRounds = 50;
   /** Maximum number of ranges requested after a digest. */
   std::size_t mMaxRepairRanges = 8;
   /** Maximum number of records in a snapshot chunk. */
@@ -194,6 +197,7 @@
   Time mFlushAt{};
   Time mDigestAt{};
   Duration mDigestInterval;
+  std::uint32_t mRepairRounds = 0;
   /** When ranges were last requested from a peer, by table. */
   std::array<Time, 2> mRepairRequestedAt{};
   /** True if every balancer monitors every host. */
--- a/src/membership/BalancerRepair.cpp
+++ b/src/membership/BalancerRepair.cpp
@@ -182,9 +182,14 @@
 
 void BalancerMembership::AdaptDigestInterval(bool aFoundDifference, Time aNow)
 {
-  mDigestInterval = aFoundDifference
-                      ? mOptions.mMinDigestInterval
-                      : std::min(2 * mDigestInterval, mOptions.mDigestInterval);
+  mRepairRounds = aFoundDifference ? mRepairRounds + 1 : 0;
+  if (mRepairRounds > mOptions.mMaxRepairRounds) {
+    mDigestInterval = mOptions.mDigestInterval;
+  } else if (aFoundDifference) {
+    mDigestInterval = mOptions.mMinDigestInterval;
+  } else {
+    mDigestInterval = std::min(2 * mDigestInterval, mOptions.mDigestInterval);
+  }
   mDigestAt = std::min(mDigestAt, aNow + mDigestInterval);
 }
 
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -198,3 +198,40 @@
     CHECK_TRUE(std::ranges::all_of(received, [](int n) { return n == 1; }));
   }
 }
+
+// Guards against digests ten times a second for good, where two balancers
+// differ in a way that repair does not remove.
+TEST(Membership, ALastingDifferenceDoesNotKeepDigestsFrequent)
+{
+  MembershipFleet::AllowAll allowAll;
+  Time now = Time{} + 1h;
+  Member self;
+  self.mHost = MakeHostId("balancer-0");
+  self.mControl = MembershipFleet::AddressOf(0);
+  BalancerMembership balancer(self, allowAll, {}, 1, now);
+  Heartbeat peer;
+  peer.mTable = MemberTableId::Balancers;
+  peer.mRecord.mMember.mHost = MakeHostId("balancer-1");
+  peer.mRecord.mMember.mService = BalancerService();
+  peer.mRecord.mMember.mControl = MembershipFleet::AddressOf(1);
+  MemberDigest differing;
+  differing.mFrom = peer.mRecord.mMember.mHost;
+  differing.mIsReply = true;
+  differing.mHashes = { 7 };
+  int digests = 0;
+  for (int i = 0; i < 6000; ++i) {
+    now += 10ms;
+    ++peer.mRecord.mHeartbeatNumber;
+    balancer.OnMessage(peer, now);
+    balancer.OnTick(now);
+    for (const SendMembership& it : balancer.TakeActions()) {
+      const auto* digest = std::get_if<MemberDigest>(&it.mMessage);
+      if (digest != nullptr && digest->mTable == MemberTableId::Hosts) {
+        ++digests;
+        balancer.OnMessage(differing, now);
+      }
+    }
+  }
+  // 50 fast rounds, then six a minute.
+  CHECK_TRUE(digests >= 50 && digests <= 60);
+}
