--- a/src/membership/BalancerBootstrap.cpp
+++ b/src/membership/BalancerBootstrap.cpp
@@ -48,7 +48,7 @@
       continue;
     }
     if (auto record = mBalancers.Find(it.mHost, aNow)) {
-      delta.mRecords.push_back(std::move(*record));
+      delta.mRecords.push_back(*record);
     }
   }
   if (!delta.mRecords.empty()) {
--- a/src/membership/MonitorAssignment.cpp
+++ b/src/membership/MonitorAssignment.cpp
@@ -31,7 +31,7 @@
   }
   for (const Member& it : chosen) {
     if (auto record = aTable.Find(it.mHost, aNow)) {
-      out.mRecords.push_back(std::move(*record));
+      out.mRecords.push_back(*record);
     }
   }
   return out;
--- a/tests/ConfigWorld.cpp
+++ b/tests/ConfigWorld.cpp
@@ -230,7 +230,8 @@
 Object ConfigWorld::HeadObject() const
 {
   return { std::string(config_keys::kHead),
-           mPlatformStale ? mPreviousHeadText : mHeadText, mObjectVersion };
+           mPlatformStale ? mPreviousHeadText : mHeadText,
+           { mObjectVersion } };
 }
 
 bool ConfigWorld::ReachesPlatform(const Node& aNode) const
@@ -271,7 +272,7 @@
     Result<Object> result = Fail(ErrorKind::Unavailable, "down", "");
     auto it = mParts.find(aAction.mKey);
     if (ReachesPlatform(aNode) && it != mParts.end()) {
-      result = Object{ it->first, it->second, 1 };
+      result = Object{ it->first, it->second, { 1 } };
     }
     balancer->OnFetched(aAction.mHash, std::move(result), mNow);
     balancer->Tick(mNow);
--- a/tests/MonitorAssignmentTest.cpp
+++ b/tests/MonitorAssignmentTest.cpp
@@ -13,6 +13,8 @@
 constexpr int kDataCentres = 5;
 constexpr int kSeeds = 3;
 constexpr std::size_t kMonitors = 3;
+/** Lists that the seeds sent while they knew no more than a small fleet. */
+constexpr std::size_t kMaxHeldByAgent = std::size_t{ kSeeds } * 24;
 
 BalancerMembershipOptions MakeOptions(std::size_t aMaxBalancersAllMonitor = 24)
 {
@@ -103,8 +105,7 @@
     fleet.mBalancers.at(0)->Balancers().View(BalancerService());
   CHECK_EQUAL(150, balancers->mMembers.size());
   for (const auto& [index, agent] : fleet.mAgents) {
-    // Lists that the seeds sent while they knew no more than a small fleet.
-    CHECK_TRUE(agent->Balancers()->mMembers.size() <= kSeeds * 24);
+    CHECK_TRUE(agent->Balancers()->mMembers.size() <= kMaxHeldByAgent);
     auto expected =
       ChooseMonitors(agent->Self().mHost, agent->Self().mDataCentre,
                      balancers->mMembers, kMonitors);
--- a/tests/ShardWriterTest.cpp
+++ b/tests/ShardWriterTest.cpp
@@ -45,7 +45,8 @@
         settled =
           aWriter.OnGet(Fail(ErrorKind::NotFound, "", ""), mClock.Now());
       } else {
-        settled = aWriter.OnGet(Object{ "", mValue, mVersion }, mClock.Now());
+        settled =
+          aWriter.OnGet(Object{ "", mValue, { mVersion } }, mClock.Now());
       }
       out.insert(out.end(), settled.begin(), settled.end());
     }
--- a/tests/StatusTest.cpp
+++ b/tests/StatusTest.cpp
@@ -117,7 +117,7 @@
   aggregator.OnWritten(StoreVersion{ 1 });
   aggregator.OnReport(MakeReport("b2", 1), 5000000);
   aggregator.Tick(mNow + 10s);
-  write = aggregator.OnRead(Object{ "", write.mValue, 1 }, 5000000).value();
+  write = aggregator.OnRead(Object{ "", write.mValue, { 1 } }, 5000000).value();
   auto status = ParseStatus(write.mValue).value();
   LONGS_EQUAL(1, status.mProcesses.size());
   LONGS_EQUAL(2, status.mFigures["random"].mFlowsOpened);
