--- /dev/null
+++ b/src/passthrough/LocationMessages.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "include/heatherplank/Types.h"
+
+namespace heatherplank {
+
+/** Which host holds a flow, as written to the keepers of the flow's record. */
+struct FlowRecord
+{
+  /** HashFlow of the flow. */
+  std::uint64_t mFlowHash = 0;
+  HostId mHost;
+
+  bool operator==(const FlowRecord&) const = default;
+};
+
+/** A balancer's records for one keeper, a balancer of its data centre. */
+struct FlowRecords
+{
+  /** With headers, 64 records fit the smallest common MTU. */
+  static constexpr std::size_t kMaxRecords = 64;
+
+  std::vector<FlowRecord> mRecords;
+};
+
+/** A flow whose host is queried. */
+struct QueriedFlow
+{
+  FlowKey mFlow;
+  /** The acknowledgement number of the caller's packet, if it has one. It shows
+   * at which host the caller opened the flow. */
+  std::optional<std::uint32_t> mAcknowledged;
+
+  bool operator==(const QueriedFlow&) const = default;
+};
+
+/** Asks which host holds some flows. Sent by a balancer to an agent, which asks
+ * the agents in mHosts in turn. */
+struct FlowQuery
+{
+  /** With the hosts of one data centre of a few dozen, fits the smallest common
+   * MTU. */
+  static constexpr std::size_t kMaxFlows = 16;
+  static constexpr std::size_t kMaxHosts = 64;
+
+  /** Chosen by the sender; identifies the query in replies. */
+  std::uint32_t mRound = 0;
+  /** Where replies go. */
+  Address mAsker;
+  /** Tunnel addresses of the other agents to be asked. Empty: the receiver
+   * replies for its own host only. */
+  std::vector<Address> mHosts;
+  std::vector<QueriedFlow> mFlows;
+};
+
+/** Whether a host holds a flow. */
+enum class FlowOutcome : std::uint8_t
+{
+  /** The host does not hold the flow, and will not before an opening packet
+   * reaches it. */
+  NotHeld = 0,
+  Held = 1,
+  /** The agent can't tell, for example because it restarted under a running
+   * host. */
+  Unknown = 2,
+  Last = Unknown,
+};
+
+struct FlowAnswer
+{
+  /** Index in FlowQuery::mFlows. */
+  std::uint8_t mFlowIndex = 0;
+  FlowOutcome mOutcome = FlowOutcome::Unknown;
+  /** The host that holds the flow; none unless the outcome is Held. */
+  HostId mHost;
+
+  bool operator==(const FlowAnswer&) const = default;
+};
+
+/** The reply to a FlowQuery. */
+struct FlowQueryReply
+{
+  std::uint32_t mRound = 0;
+  /** The host of the replying agent. */
+  HostId mFrom;
+  /** False if another reply to the same round follows: a flow that was found is
+   * reported at once. */
+  bool mIsFinal = true;
+  /** In a final reply, one answer for each queried flow. */
+  std::vector<FlowAnswer> mAnswers;
+  /** In a final reply, tunnel addresses of the agents that did not reply in
+   * time or answered Unknown for one of the flows. */
+  std::vector<Address> mUndecided;
+};
+
+} // namespace heatherplank
--- a/src/passthrough/SteerMessages.h
+++ b/src/passthrough/SteerMessages.h
@@ -19,12 +19,19 @@
   Deliver = 1,
   /** Deliver the packet if the host holds the flow, else forward it. */
   Search = 2,
-  /** An agent sends a Deliver back to the balancer: its host does not hold the
-   * flow. */
+  /** Sent back to mIngress, by an agent whose host does not hold the flow or by
+   * a keeper that has no record of it. */
   NotHere = 3,
   /** A Search that the receiver splits into concurrent SearchPaths. */
   FanOut = 4,
-  Last = FanOut,
+  /** A balancer asks the receiver, a balancer that keeps the flow's record, to
+   * forward the packet to the flow's host. mCandidates are the other keepers.
+   */
+  Locate = 5,
+  /** Deliver, from a keeper: the agent always reports the flow's host to
+   * mIngress, which does not know it. */
+  Located = 6,
+  Last = Located,
 };
 
 /** A packet of an opaque flow, forwarded between balancers and agents. */
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -43,6 +43,9 @@
   InventoryNotice = 52,
   InventoryDocument = 53,
   DrainNotice = 54,
+  FlowRecords = 55,
+  FlowQuery = 56,
+  FlowQueryReply = 57,
 };
 
 using Bytes = std::vector<std::uint8_t>;
