Meter bytes between processes by cause and boundary

Cause: nothing told what crosses between data centres, or why; only the total of a machine was known.

Change: TrafficMeter counts the bytes and messages that a process of the pass-through path sends to others, by cause (message kind, or purpose of a steered packet) and by boundary (own data centre, another one, unknown), which DataCentreLookup finds by the receiver's IP address. On the path of a packet: one hash look-up and one array index, no allocation.

Agents know the data centres of balancers only, so packets between agents count as unknown.

--- a/src/agent/MemberFeed.cpp
+++ b/src/agent/MemberFeed.cpp
@@ -190,4 +190,10 @@
   return mMembership.Balancers()->mMembers;
 }
 
+std::vector<Member> MemberFeed::KnownBalancers() const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.KnownBalancers();
+}
+
 } // namespace heatherplank
--- a/src/agent/MemberFeed.h
+++ b/src/agent/MemberFeed.h
@@ -77,6 +77,9 @@
   /** The balancers that are believed to be alive. */
   std::vector<Member> Balancers() const;
 
+  /** Balancers, or those of an assignment where a list of all is not held. */
+  std::vector<Member> KnownBalancers() const;
+
 private:
   struct ServiceCheck;
 
--- a/src/membership/AgentMembership.cpp
+++ b/src/membership/AgentMembership.cpp
@@ -194,6 +194,18 @@
   return pick < known ? view->mMembers[pick].mControl : mSeeds[pick - known];
 }
 
+std::vector<Member> AgentMembership::KnownBalancers() const
+{
+  if (!mAssignment) {
+    return Balancers()->mMembers;
+  }
+  std::vector<Member> out;
+  for (const MemberRecord& it : mAssignment->mRecords) {
+    out.push_back(it.mMember);
+  }
+  return out;
+}
+
 std::vector<Address> AgentMembership::Monitors() const
 {
   if (mAssignment) {
--- a/src/passthrough/BalancersInView.h
+++ b/src/passthrough/BalancersInView.h
@@ -14,7 +14,8 @@
 class BalancersInView
 {
 public:
-  void Set(std::span<const Member> aBalancers)
+  /** Returns true if the balancers have changed. */
+  bool Set(std::span<const Member> aBalancers)
   {
     std::set<Address> present;
     for (const Member& it : aBalancers) {
@@ -31,7 +32,9 @@
                  { { "address", it.ToString() } });
       }
     }
+    bool changed = present != mAddresses;
     mAddresses = std::move(present);
+    return changed;
   }
 
   bool Contains(const Address& aTunnel) const
--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -128,6 +128,8 @@
   /** State last announced to the balancers. */
   std::optional<HostState> mAnnouncedState;
   Time mFirstAnnouncedAt{};
+  /** The balancers known to mProcess.mTraffic. */
+  std::vector<Member> mBalancers;
   bool mStopping = false;
 
   Result<void> CheckReady()
@@ -165,6 +167,7 @@
 
   void Start()
   {
+    mProcess.mTraffic.SetMembers(mSelf.mService, std::span(&mSelf, 1));
     mProcess.mTunnel->Start(
       [this](ByteView aDatagram, const Address&) { OnDatagram(aDatagram); });
     mOutbox->Start([this](ByteView aDatagram, const Address&) {
@@ -204,6 +207,11 @@
 
   void EverySecond()
   {
+    auto balancers = mMembers.KnownBalancers();
+    if (balancers != mBalancers) {
+      mProcess.mTraffic.SetMembers(BalancerService(), balancers);
+      mBalancers = std::move(balancers);
+    }
     mProcess.EverySecond();
     auto& metrics = mProcess.mMetrics;
     Time now = mClock.Now();
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -64,6 +64,7 @@
     , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages,
                  [this](auto aViews, auto aServices) {
                    mSteering.SetViews(aViews, aServices);
+                   mProcess.mTraffic.SetViews(aViews, aServices);
                  } },
                mSelf, MakeMembershipOptions(aSettings))
     , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
@@ -165,7 +166,10 @@
   void Tick()
   {
     Time now = CheckForStall();
-    mBalancers.Set(mMembers.Balancers());
+    auto balancers = mMembers.Balancers();
+    if (mBalancers.Set(balancers)) {
+      mProcess.mTraffic.SetMembers(BalancerService(), balancers);
+    }
     EvaluateIsolation(now);
     UpdateDirectory(now);
     mMembers.Tick();
--- a/src/passthrough/PassthroughProcess.cpp
+++ b/src/passthrough/PassthroughProcess.cpp
@@ -3,17 +3,21 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/json.hpp>
+
 #include "src/base/Log.h"
 #include "src/wire/PassthroughCodec.h"
 
 namespace heatherplank {
 
 PassthroughProcess::PassthroughProcess(Parts aParts)
-  : mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts },
+  : mTraffic(mMetrics, MakeDataCentreId(aParts.mSettings.mDataCentre),
+             mClock.Now())
+  , mLinks({ mRuntime.Executor(), mClock, mMetrics, mCuts, &mTraffic },
            { aParts.mSelf, aParts.mSettings.mControl },
            [onFrame = std::move(aParts.mOnFrame)](
              const Hello&, const Frame& aFrame) { onFrame(aFrame); })
-  , mMessages(mLinks)
+  , mMessages(mLinks, &mTraffic)
   , mStore(aParts.mAdapter.MakeStore(mRuntime.Executor(),
                                      aParts.mSettings.mPlatform))
   , mMalformed(
@@ -49,6 +53,11 @@
   if (!listening) {
     return listening;
   }
+  mAdmin.Mount("/status", [this](const HttpRequest& aRequest,
+                                 const HttpServer::Respond& aRespond) {
+    aRespond(
+      MakeResponse(aRequest, http::status::ok, "application/json", Status()));
+  });
   if (mSettings.mFaultInjection) {
     mAdmin.MountFaults(mCuts);
   }
@@ -69,18 +78,28 @@
   return *frame;
 }
 
+void PassthroughProcess::SendDatagram(const Address& aTo, MessageKind aKind,
+                                      ByteView aPayload)
+{
+  Bytes datagram = EncodeDatagram(aKind, aPayload);
+  if (mTunnel->Send(datagram, aTo)) {
+    mTraffic.OnSent(aTo, aKind, datagram.size());
+  }
+}
+
 void PassthroughProcess::Steer(const Address& aTo, const SteeredPacket& aPacket)
 {
-  mTunnel->Send(
-    EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)), aTo);
+  Bytes datagram =
+    EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket));
+  if (mTunnel->Send(datagram, aTo)) {
+    mTraffic.OnSteered(aTo, aPacket.mPurpose, datagram.size());
+  }
 }
 
 void PassthroughProcess::Report(const Address& aBalancer,
                                 const PlacementReport& aReport)
 {
-  mTunnel->Send(
-    EncodeDatagram(MessageKind::PlacementReport, EncodePayload(aReport)),
-    aBalancer);
+  SendDatagram(aBalancer, MessageKind::PlacementReport, EncodePayload(aReport));
 }
 
 void PassthroughProcess::ToCaller(const Address& aCaller, ByteView aPacket)
@@ -95,6 +114,15 @@
   mLinks.Tick();
   mMetrics.GetGauge("log_lines_dropped")
     .Set(static_cast<double>(DroppedLogLines()));
+  mTraffic.EverySecond(mClock.Now());
+}
+
+std::string PassthroughProcess::Status() const
+{
+  return boost::json::serialize(
+    boost::json::object{ { "name", mSettings.mName },
+                         { "data_centre", mSettings.mDataCentre },
+                         { "traffic", mTraffic.Status(mClock.Now()) } });
 }
 
 void PassthroughProcess::UpdateDirectory(
--- a/src/passthrough/PassthroughProcess.h
+++ b/src/passthrough/PassthroughProcess.h
@@ -12,6 +12,7 @@
 #include "src/net/DatagramSocket.h"
 #include "src/passthrough/BalancerDirectory.h"
 #include "src/passthrough/PassthroughSettings.h"
+#include "src/passthrough/PassthroughTraffic.h"
 #include "src/passthrough/PlatformAdapter.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/process/AdminServer.h"
@@ -57,6 +58,8 @@
   std::optional<Frame> DecodeEnvelope(ByteView aDatagram);
   void CountMalformed() { mMalformed.Add(); }
 
+  /** Sends a message as one datagram, whatever its size. */
+  void SendDatagram(const Address& aTo, MessageKind aKind, ByteView aPayload);
   void Steer(const Address& aTo, const SteeredPacket& aPacket);
   void Report(const Address& aBalancer, const PlacementReport& aReport);
   /** Sends to a caller; its port is replaced if the settings name another. */
@@ -102,6 +105,7 @@
 
   SteadyClock mClock;
   MetricsRegistry mMetrics;
+  PassthroughTraffic mTraffic;
   CutList mCuts;
   ProcessRuntime mRuntime;
   ControlLinks mLinks;
@@ -110,6 +114,7 @@
   std::unique_ptr<ObjectStore> mStore;
 
 private:
+  std::string Status() const;
   void ReplaceSeeds(const std::vector<Address>& aSeeds);
   void LogRefusedSettings(const Error& aWhy);
 
--- a/src/process/ControlLinks.cpp
+++ b/src/process/ControlLinks.cpp
@@ -61,14 +61,17 @@
 void ControlLinks::OnConnected(const Address& aTo,
                                const ControlConnection::Ptr& aConnection)
 {
-  aConnection->Send(MessageKind::Hello, EncodeHello(mSelf));
+  Bytes hello = EncodeHello(mSelf);
+  aConnection->Send(MessageKind::Hello, hello);
   std::lock_guard lock(mLock);
+  NotifySent(aTo, MessageKind::Hello, hello.size());
   auto it = mLinks.find(aTo);
   if (it == mLinks.end()) {
     return;
   }
   for (const auto& [kind, payload] : it->second.mQueue) {
     aConnection->Send(kind, payload);
+    NotifySent(aTo, kind, payload.size());
   }
   it->second.mQueue.clear();
 }
@@ -84,6 +87,7 @@
   link.mLastUsedAt = mParts.mClock.Now();
   // Messages must not overtake those queued for the connection.
   if (link.mQueue.empty() && link.mClient->Send(aKind, aPayload)) {
+    NotifySent(aTo, aKind, aPayload.size());
     return;
   }
   if (link.mQueue.size() >= kMaxQueuedMessages || mParts.mCuts.IsCut(aTo)) {
@@ -160,6 +164,14 @@
   mParts.mMetrics.GetCounter("messages_refused_total", label).Add();
 }
 
+void ControlLinks::NotifySent(const Address& aTo, MessageKind aKind,
+                              std::size_t aPayload)
+{
+  if (mParts.mObserver != nullptr) {
+    mParts.mObserver->OnSent(aTo, aKind, kFrameHeaderSize + aPayload);
+  }
+}
+
 std::uint64_t ControlLinks::BytesSent() const
 {
   std::lock_guard lock(mLock);
--- a/src/process/ControlLinks.h
+++ b/src/process/ControlLinks.h
@@ -12,6 +12,7 @@
 #include "include/heatherplank/Error.h"
 #include "src/net/ControlConnection.h"
 #include "src/process/MessageSender.h"
+#include "src/process/SendObserver.h"
 #include "src/wire/HelloCodec.h"
 
 namespace heatherplank {
@@ -40,6 +41,8 @@
     MetricsRegistry& mMetrics;
     /** Must outlive the ControlLinks. */
     const CutList& mCuts;
+    /** May be null; otherwise it must outlive the ControlLinks. */
+    SendObserver* mObserver = nullptr;
   };
 
   ControlLinks(Parts aParts, const Hello& aSelf, OnFrame aOnFrame);
@@ -80,6 +83,7 @@
   void OnServerClosed(const ControlConnection::Ptr& aConnection,
                       const Error& aReason);
   void CountRejected(const char* aReason);
+  void NotifySent(const Address& aTo, MessageKind aKind, std::size_t aPayload);
 
   Parts mParts;
   const Hello mSelf;
--- a/src/process/DatagramMessages.h
+++ b/src/process/DatagramMessages.h
@@ -4,6 +4,7 @@
 
 #include "src/net/DatagramSocket.h"
 #include "src/process/MessageSender.h"
+#include "src/process/SendObserver.h"
 
 namespace heatherplank {
 
@@ -21,9 +22,12 @@
   /** With headers, fits the smallest common MTU. */
   static constexpr std::size_t kMaxPayload = 1200;
 
-  /** aLarge sends the larger messages and must outlive this object. */
-  explicit DatagramMessages(MessageSender& aLarge)
+  /** aLarge sends the larger messages. aObserver, which may be null, is told of
+   * the datagrams. Both must outlive this object. */
+  explicit DatagramMessages(MessageSender& aLarge,
+                            SendObserver* aObserver = nullptr)
     : mLarge(aLarge)
+    , mObserver(aObserver)
   {
   }
 
@@ -39,11 +43,15 @@
       mLarge.Send(aTo, aKind, aPayload);
       return;
     }
-    mSocket->Send(EncodeDatagram(aKind, aPayload), aTo);
+    Bytes datagram = EncodeDatagram(aKind, aPayload);
+    if (mSocket->Send(datagram, aTo) && mObserver != nullptr) {
+      mObserver->OnSent(aTo, aKind, datagram.size());
+    }
   }
 
 private:
   MessageSender& mLarge;
+  SendObserver* mObserver;
   std::shared_ptr<DatagramSocket> mSocket;
 };
 
--- a/tests/AgentMembershipTest.cpp
+++ b/tests/AgentMembershipTest.cpp
@@ -118,6 +118,7 @@
   heartbeats.clear();
   TakeHeartbeats(heartbeats);
   CHECK_EQUAL(1, std::ranges::count(heartbeats, record.mMember.mControl));
+  CHECK_EQUAL(1, mAgent->KnownBalancers().size());
   mAgent->OnMessage(delta, mNow);
   heartbeats.clear();
   TakeHeartbeats(heartbeats);
--- a/tests/MonitorAssignmentTest.cpp
+++ b/tests/MonitorAssignmentTest.cpp
@@ -106,6 +106,8 @@
   CHECK_EQUAL(150, balancers->mMembers.size());
   for (const auto& [index, agent] : fleet.mAgents) {
     CHECK_TRUE(agent->Balancers()->mMembers.size() <= kMaxHeldByAgent);
+    CHECK_EQUAL(kMonitors + MonitorAssignment::kSpares,
+                agent->KnownBalancers().size());
     auto expected =
       ChooseMonitors(agent->Self().mHost, agent->Self().mDataCentre,
                      balancers->mMembers, kMonitors);
