Soak: long flows under balancer restarts, a route that leaves a service, power loss

Cause: the soak's flows carry one request and end, its routes name one service, and hosts crash one at a time. So it does not show flows that move to a balancer without a hint after their route has left their service, nor callers of flows that no host holds any more.

A route split over two services leaves one of them; all processes and hosts lose power. Checks: a request on a flow with a living host is answered within 2 s; flows lost with their hosts are reset within 3 s after all processes are back (--resets only).

Both are expected of the present search (docs/design/flow-location.md).

Runs without the new options draw the same faults from the same seeds as before.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <unistd.h>
 
@@ -21,6 +22,7 @@
   "       lab garbage --bin PATH/heatherplank\n"
   "       lab soak --bin PATH/heatherplank [--seed N] [--seconds S]\n"
   "           [--balancers B] [--hosts H] [--wide] [--restore]\n"
+  "           [--long] [--leave] [--power] [--resets]\n"
   "Plays a scenario with real processes, throws garbage at their ports, or\n"
   "compares placements of opaque flows on a deployment's load\n"
   "(docs/LAB.md). Exit codes: 0 all\n"
@@ -46,22 +48,44 @@
   return !aOut.mBin.empty();
 }
 
+/** Turns on a fault or check of the soak. Returns false if there is none of
+ * this name. */
+bool TurnOn(std::string_view aSwitch, SoakOptions& aOut)
+{
+  static constexpr std::pair<std::string_view, bool SoakOptions::*>
+    kSwitches[] = {
+      { "--wide", &SoakOptions::mWide },
+      { "--restore", &SoakOptions::mRestoresStore },
+      { "--long", &SoakOptions::mLongFlows },
+      { "--leave", &SoakOptions::mRouteLeavesService },
+      { "--power", &SoakOptions::mLosesPower },
+      { "--resets", &SoakOptions::mChecksResets },
+    };
+  for (const auto& [name, option] : kSwitches) {
+    if (name == aSwitch) {
+      aOut.*option = true;
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Runs one seed of the soak of opaque flows. */
 int Soak(int aCount, char** aArguments)
 {
   SoakOptions options;
   for (int i = 2; i < aCount; i += 2) {
     std::string_view argument = aArguments[i];
-    bool isSwitch = argument == "--wide" || argument == "--restore";
-    if (!isSwitch && i + 1 == aCount) {
+    if (TurnOn(argument, options)) {
+      --i;
+      continue;
+    }
+    if (i + 1 == aCount) {
       std::cerr << kUsage;
       return static_cast<int>(RunResult::Usage);
     }
     const char* value = aArguments[i + 1];
-    if (isSwitch) {
-      (argument == "--wide" ? options.mWide : options.mRestoresStore) = true;
-      --i;
-    } else if (argument == "--bin") {
+    if (argument == "--bin") {
       options.mBin = value;
     } else if (argument == "--seed") {
       options.mSeed = std::strtoull(value, nullptr, 10);
@@ -80,8 +104,12 @@
   bool fits = options.mBalancers >= 1 && options.mBalancers <= 49 &&
               options.mHosts >= 3 && options.mHosts <= 190 &&
               options.mSeconds >= 1;
-  if (options.mBin.empty() || !fits) {
-    std::cerr << kUsage << "--balancers 1 to 49, --hosts 3 to 190\n";
+  bool needsLong = options.mRouteLeavesService || options.mLosesPower;
+  bool complete = (options.mLongFlows || !needsLong) &&
+                  (options.mLosesPower || !options.mChecksResets);
+  if (options.mBin.empty() || !fits || !complete) {
+    std::cerr << kUsage << "--balancers 1 to 49, --hosts 3 to 190, --leave and "
+              << "--power with --long, --resets with --power\n";
     return static_cast<int>(RunResult::Usage);
   }
   options.mFolder = "/tmp/heatherplank-soak-" + std::to_string(getpid()) + "-" +
--- a/lab/soak/FlowCallers.cpp
+++ b/lab/soak/FlowCallers.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak/FlowCallers.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "lab/soak/PacketMaker.h"
 
@@ -16,18 +17,19 @@
 constexpr auto kFirstRetryDelay = milliseconds(200);
 constexpr Duration kMaxRetryDelay = milliseconds(1600);
 constexpr int kMaxTries = 5;
-constexpr std::uint32_t kFirstSequence = 1;
-constexpr std::uint8_t kRequestBytes = 5;
+constexpr auto kMinPause = milliseconds(200);
+constexpr auto kMaxPause = milliseconds(1200);
 
 } // namespace
 
 FlowCallers::FlowCallers(const boost::asio::any_io_executor& aExecutor,
-                         const Address& aAddress, FabricSender aSendToFabric,
-                         OnReset aOnReset)
+                         const Address& aAddress, std::uint64_t aSeed,
+                         FabricSender aSendToFabric, OnReset aOnReset)
   : mExecutor(aExecutor)
   , mAddress(aAddress)
   , mSendToFabric(std::move(aSendToFabric))
   , mOnReset(std::move(aOnReset))
+  , mRandom(aSeed)
 {
 }
 
@@ -61,12 +63,13 @@
     });
 }
 
-FlowKey FlowCallers::OpenFlow(const Address& aService)
+FlowKey FlowCallers::OpenFlow(const Address& aService, bool aIsLong)
 {
   FlowKey flow{ mAddress, aService };
   flow.mCaller.mPort = mNextPort++;
   Call& call = mCalls[flow];
   call.mFlow = flow;
+  call.mIsLong = aIsLong;
   call.mStartTime = std::chrono::steady_clock::now();
   SendOpening(flow, 0);
   int copy = 1;
@@ -93,25 +96,38 @@
                                   static_cast<std::uint32_t>(aCopy), 0));
 }
 
-void FlowCallers::SendRequestWithRetries(const FlowKey& aFlow, int aTriesLeft,
+void FlowCallers::StartRequest(Call& aCall)
+{
+  aCall.mRequestAnswered = false;
+  aCall.mRequestTime = std::chrono::steady_clock::now();
+  int tries = aCall.mIsLong ? std::numeric_limits<int>::max() : kMaxTries;
+  SendRequestWithRetries(aCall.mFlow, aCall.mRequest, tries, kFirstRetryDelay);
+}
+
+void FlowCallers::SendRequestWithRetries(const FlowKey& aFlow,
+                                         std::uint32_t aRequest, int aTriesLeft,
                                          Duration aRetryDelay)
 {
   const Call& call = mCalls[aFlow];
-  if (call.mAnswered || call.mEnded || aTriesLeft == 0) {
+  if (call.mRequestAnswered || call.mRequest != aRequest || call.mEnded ||
+      aTriesLeft == 0) {
     return;
   }
   SendRequest(aFlow);
-  RunAfter(aRetryDelay, [this, aFlow, aTriesLeft, aRetryDelay] {
-    SendRequestWithRetries(aFlow, aTriesLeft - 1,
+  RunAfter(aRetryDelay, [this, aFlow, aRequest, aTriesLeft, aRetryDelay] {
+    SendRequestWithRetries(aFlow, aRequest, aTriesLeft - 1,
                            std::min(2 * aRetryDelay, kMaxRetryDelay));
   });
 }
 
 void FlowCallers::SendRequest(const FlowKey& aFlow)
 {
-  mSendToFabric(aFlow,
-                MakePacket(aFlow.mCaller, aFlow.mService, kAck, kFirstSequence,
-                           mCalls[aFlow].mHostSequence + 1, kRequestBytes));
+  const Call& call = mCalls[aFlow];
+  mSendToFabric(
+    aFlow, MakePacket(aFlow.mCaller, aFlow.mService, kAck,
+                      kFirstSequence + call.mRequest * kRequestBytes,
+                      call.mHostSequence + 1 + call.mRequest * kAnswerBytes,
+                      kRequestBytes));
 }
 
 void FlowCallers::HandleDatagram(ByteView aDatagram)
@@ -129,11 +145,31 @@
   } else if (packet->mSyn && !call.mAccepted) {
     call.mAccepted = true;
     call.mHostSequence = packet->mSequence;
-    SendRequestWithRetries(call.mFlow, kMaxTries, kFirstRetryDelay);
-  } else if (packet->mDataLength > 0 && !call.mAnswered) {
-    call.mAnswered = true;
-    ++mAnswered;
+    StartRequest(call);
+  } else if (packet->mDataLength > 0 && !call.mRequestAnswered &&
+             packet->mSequence ==
+               call.mHostSequence + 1 + call.mRequest * kAnswerBytes) {
+    HandleAnswer(call);
+  }
+}
+
+void FlowCallers::HandleAnswer(Call& aCall)
+{
+  mAnswered += aCall.mAnswered ? 0 : 1;
+  aCall.mAnswered = aCall.mRequestAnswered = true;
+  if (!aCall.mIsLong) {
+    return;
   }
+  auto pause =
+    kMinPause + milliseconds(mRandom() % static_cast<std::uint64_t>(
+                                           (kMaxPause - kMinPause).count()));
+  RunAfter(pause, [this, &aCall] {
+    if (!aCall.mEnded) {
+      ++mRequests;
+      ++aCall.mRequest;
+      StartRequest(aCall);
+    }
+  });
 }
 
 } // namespace heatherplank::lab
--- a/lab/soak/FlowHost.cpp
+++ b/lab/soak/FlowHost.cpp
@@ -114,23 +114,25 @@
   it->second.mOpen = true;
   mReceived.insert(key);
   if (packet->mDataLength > 0) {
-    SendResponse(key, it->second.mSequence);
+    SendResponse(key, packet->mAcknowledged, packet->mSequence + kRequestBytes);
   }
 }
 
-void FlowHost::SendResponse(const FlowKey& aFlow, std::uint32_t aSequence)
+void FlowHost::SendResponse(const FlowKey& aFlow, std::uint32_t aSequence,
+                            std::uint32_t aAcknowledged)
 {
   auto work = std::chrono::milliseconds(
     kMinWorkMs + static_cast<int>(mRandom() % (kMaxWorkMs - kMinWorkMs)));
   auto timer = std::make_shared<boost::asio::steady_timer>(mExecutor, work);
-  timer->async_wait([this, timer, aFlow, aSequence, incarnation = mIncarnation](
-                      boost::system::error_code aEc) {
-    if (!aEc && mAlive && mIncarnation == incarnation) {
-      mSocket->Send(
-        MakePacket(aFlow.mService, aFlow.mCaller, kAck, aSequence + 1, 6, 10),
-        mSettings.mOutbox);
-    }
-  });
+  timer->async_wait(
+    [this, timer, aFlow, aSequence, aAcknowledged,
+     incarnation = mIncarnation](boost::system::error_code aEc) {
+      if (!aEc && mAlive && mIncarnation == incarnation) {
+        mSocket->Send(MakePacket(aFlow.mService, aFlow.mCaller, kAck, aSequence,
+                                 aAcknowledged, kAnswerBytes),
+                      mSettings.mOutbox);
+      }
+    });
 }
 
 void FlowHost::Announce()
--- a/lab/soak/FlowHost.h
+++ b/lab/soak/FlowHost.h
@@ -86,7 +86,9 @@
   };
 
   void HandleDatagram(ByteView aDatagram);
-  void SendResponse(const FlowKey& aFlow, std::uint32_t aSequence);
+  /** Answers a request: the answer starts at what the request acknowledges. */
+  void SendResponse(const FlowKey& aFlow, std::uint32_t aSequence,
+                    std::uint32_t aAcknowledged);
   void Announce();
   void ScheduleAnnouncement();
 
--- a/lab/soak/FlowSoak.h
+++ b/lab/soak/FlowSoak.h
@@ -20,6 +20,16 @@
   bool mWide = false;
   /** Adds a restore of the store from a copy. Off by default, as mWide. */
   bool mRestoresStore = false;
+  /** Adds flows that stay open for many requests, and draws from the faults
+   * that leave hosts and agents running: balancers restarted in turn, added,
+   * killed. With mWide, from all faults. Off by default, as mWide. */
+  bool mLongFlows = false;
+  /** A route leaves one of its two services. Needs mLongFlows. */
+  bool mRouteLeavesService = false;
+  /** All processes and hosts lose power once. Needs mLongFlows. */
+  bool mLosesPower = false;
+  /** Checks that flows lost with their hosts are reset. Needs mLosesPower. */
+  bool mChecksResets = false;
   /** Folder for logs and settings files; removed unless the run fails. */
   std::string mFolder;
 };
--- a/lab/soak/PacketMaker.h
+++ b/lab/soak/PacketMaker.h
@@ -12,6 +12,12 @@
 constexpr std::uint8_t kFin = 16;
 constexpr std::uint8_t kBounced = 32;
 
+/** Sequence number of a caller's first request on a flow. */
+constexpr std::uint32_t kFirstSequence = 1;
+/** Data of each request and of each answer. */
+constexpr std::uint8_t kRequestBytes = 5;
+constexpr std::uint8_t kAnswerBytes = 10;
+
 /** Makes a packet as an endpoint of a flow sends it, with aData filler bytes.
  * Thread safe. */
 inline Bytes MakePacket(const Address& aFrom, const Address& aTo,
--- a/lab/soak/SoakChecks.cpp
+++ b/lab/soak/SoakChecks.cpp
@@ -15,6 +15,16 @@
   }
 }
 
+bool Soak::MayServe(const Address& aRoute, const std::string& aService) const
+{
+  if (aRoute != RouteAddress(kSplitRoute)) {
+    return aService == (aRoute == RouteAddress(2) ? "two" : "one");
+  }
+  auto now = std::chrono::steady_clock::now();
+  return aService == "one" || !mServiceLeftAt ||
+         now < *mServiceLeftAt + kRoutesTimeout;
+}
+
 void Soak::OnReset(const FlowCallers::Call& aCall)
 {
   for (const auto& it : mAgents) {
@@ -38,8 +48,7 @@
   if (!packet->mSyn || aAgent.mHost->HasFlow(flow)) {
     return;
   }
-  const char* service = flow.mService == RouteAddress(2) ? "two" : "one";
-  if (aAgent.mHost->Service() != service) {
+  if (!MayServe(flow.mService, aAgent.mHost->Service())) {
     RecordViolation("a host of another service received " + flow.ToString());
   }
   auto acknowledged = aAgent.mHost->DrainAcknowledgedAt();
@@ -160,6 +169,12 @@
                      { "store_calls", mStore.Calls() },
                      { "faults", std::move(faults) },
                      { "violations", std::move(violations) } };
+  if (mOptions.mLongFlows) {
+    line["requests_on_open_flows"] = mCallers.RequestsOnOpenFlows();
+    line["late_requests"] = mLate + mLateAtLeftService;
+    line["flows_lost"] = mLostFlows.size();
+    line["flows_lost_reset"] = mLostFlowsReset;
+  }
   std::printf("%s\n", json::serialize(line).c_str());
   std::fflush(stdout);
 }
--- a/lab/soak/SoakFaults.cpp
+++ b/lab/soak/SoakFaults.cpp
@@ -9,10 +9,9 @@
 
 void Soak::PlanFaults()
 {
-  using Fault = void (Soak::*)();
   static constexpr std::pair<const char*, Fault> kFaults[] = {
     { "balancer_kill", &Soak::KillBalancer },
-    { "balancer_stop", &Soak::StopBalancer },
+    { "balancer_stop", &Soak::StopAnyBalancer },
     { "balancer_freeze", &Soak::FreezeBalancer },
     { "agent_kill", &Soak::KillAgent },
     { "agent_stop", &Soak::StopAgent },
@@ -28,13 +27,14 @@
   };
   constexpr std::size_t kWideFaults = 3;
   std::size_t kinds = std::size(kFaults) - (mOptions.mWide ? 0 : kWideFaults);
-  auto n = 3 + static_cast<int>(mRandom() % 6);
+  bool drawsAny = !mOptions.mLongFlows || mOptions.mWide;
+  auto n = drawsAny ? 3 + static_cast<int>(mRandom() % 6) : 0;
   for (int i = 0; i < n; ++i) {
     const auto& [name, fault] = kFaults[mRandom() % kinds];
-    mPlannedFaults.emplace_back(name);
-    auto at = milliseconds(
-      mRandom() % (800 * static_cast<std::uint64_t>(mOptions.mSeconds)));
-    RunAfter(at, [this, fault = fault] { (this->*fault)(); });
+    PlanFault(name, fault);
+  }
+  if (mOptions.mLongFlows) {
+    PlanLongFlowFaults();
   }
   if (mOptions.mRestoresStore) {
     mPlannedFaults.emplace_back("store_restored");
@@ -42,20 +42,32 @@
   }
 }
 
+void Soak::PlanFault(const char* aName, Fault aFault)
+{
+  mPlannedFaults.emplace_back(aName);
+  auto at = milliseconds(mRandom() %
+                         (800 * static_cast<std::uint64_t>(mOptions.mSeconds)));
+  RunAfter(at, [this, aFault] {
+    if (std::chrono::steady_clock::now() >= mNoFaultsBefore) {
+      (this->*aFault)();
+    }
+  });
+}
+
 void Soak::KillBalancer()
 {
   Balancer& it = AnyBalancer();
   it.mProcess.reset();
-  RunAfter(RandomFaultDuration(), [this, &it] { StartBalancer(it); });
+  RestartAfter(RandomFaultDuration(), [this, &it] { StartBalancer(it); });
 }
 
-void Soak::StopBalancer()
+void Soak::StopBalancer(Balancer& aBalancer)
 {
-  Balancer& it = AnyBalancer();
-  if (it.mProcess) {
-    it.mProcess->Signal(SIGTERM);
+  if (aBalancer.mProcess) {
+    aBalancer.mProcess->Signal(SIGTERM);
   }
-  RunAfter(milliseconds(2500), [this, &it] { StartBalancer(it); });
+  RestartAfter(milliseconds(2500),
+               [this, &aBalancer] { StartBalancer(aBalancer); });
 }
 
 void Soak::FreezeBalancer()
@@ -81,7 +93,7 @@
 {
   Agent& it = AnyAgent();
   it.mProcess.reset();
-  RunAfter(RandomFaultDuration() / 2, [this, &it] { StartAgent(it); });
+  RestartAfter(RandomFaultDuration() / 2, [this, &it] { StartAgent(it); });
 }
 
 void Soak::StopAgent()
@@ -90,14 +102,14 @@
   if (it.mProcess) {
     it.mProcess->Signal(SIGTERM);
   }
-  RunAfter(milliseconds(4300), [this, &it] { StartAgent(it); });
+  RestartAfter(milliseconds(4300), [this, &it] { StartAgent(it); });
 }
 
 void Soak::CrashHost()
 {
   Agent& it = AnyAgent();
   it.mHost->Crash();
-  RunAfter(RandomFaultDuration(), [&it] {
+  RestartAfter(RandomFaultDuration(), [&it] {
     if (!it.mHost->IsAlive()) {
       it.mHost->Start();
     }
@@ -228,6 +240,7 @@
 
 void Soak::EndFaults()
 {
+  mNoFaultsBefore = Time::max();
   mFabricImpaired = false;
   mStore.SetFaults({});
   for (auto& it : mBalancers) {
--- a/lab/soak/SoakWorld.cpp
+++ b/lab/soak/SoakWorld.cpp
@@ -28,6 +28,9 @@
   mTrafficOn = false;
   mContext.run_for(seconds(2));
   CheckCallsAnswered();
+  if (!mOptions.mWide) {
+    CheckNoRequestWasLate();
+  }
   Print();
   return mViolations.empty();
 }
@@ -55,6 +58,9 @@
                        { "TargetLatencyMs", 200 },
                        { "Service", service } });
   }
+  if (mOptions.mRouteLeavesService) {
+    routes.push_back(MakeSplitRoute());
+  }
   mRoutes = { { "Version", ++mVersion }, { "Routes", routes } };
   mStore.Write("config", "main", mRoutes);
 }
@@ -238,10 +244,22 @@
     });
 }
 
+void Soak::RestartAfter(Duration aDelay, std::function<void()> aStart)
+{
+  RunAfter(aDelay, [this, losses = mPowerLosses, start = std::move(aStart)] {
+    if (losses == mPowerLosses) {
+      start();
+    }
+  });
+}
+
 void Soak::StartTraffic()
 {
   mTrafficOn = true;
   OpenNextFlow();
+  if (mOptions.mLongFlows) {
+    WatchAnswers();
+  }
 }
 
 void Soak::OpenNextFlow()
@@ -250,6 +268,12 @@
     return;
   }
   mCallers.OpenFlow(RouteAddress(mRandom() % 4 == 0 ? 2 : 1));
+  if (mOptions.mLongFlows && mRandom() % kFlowsPerLongFlow == 0) {
+    bool split = mOptions.mRouteLeavesService && mRandom() % 2 == 0;
+    mCallers.OpenFlow(
+      RouteAddress(split ? kSplitRoute : 1 + static_cast<int>(mRandom() % 2)),
+      true);
+  }
   std::exponential_distribution<double> gap(kFlowsPerSecond);
   RunAfter(
     std::chrono::microseconds(static_cast<std::int64_t>(gap(mRandom) * 1e6)),
--- a/lab/soak/SoakWorld.h
+++ b/lab/soak/SoakWorld.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -34,6 +35,8 @@
 inline constexpr std::uint16_t kAgentApiPort = 7705;
 /** New flows per second of all callers together. */
 inline constexpr int kFlowsPerSecond = 120;
+/** With --long, a long flow is opened for every so many other flows. */
+inline constexpr int kFlowsPerLongFlow = 8;
 /** How often the fabric probes each balancer's readiness. A balancer that fails
  * kMaxReadyMisses probes in a row receives no packets. */
 inline constexpr auto kReadyInterval = milliseconds(500);
@@ -47,6 +50,17 @@
 inline constexpr auto kStartDuration = seconds(4);
 /** Time between the end of the faults and the checks. */
 inline constexpr auto kSettleDuration = seconds(4);
+/** A request on an open flow is answered within this time while its host lives
+ * and a balancer is ready. The fabric needs up to 1 s to notice a killed
+ * balancer; the caller's retry at 1.4 s is past that. */
+inline constexpr auto kAnswerBound = seconds(2);
+/** The processes start within this time of each other after a power loss. */
+inline constexpr auto kReturnSpread = milliseconds(500);
+/** A flow lost with its host is reset within this time after all processes
+ * have returned. */
+inline constexpr auto kResetBound = seconds(3);
+/** The route that leaves service two with --leave. */
+inline constexpr int kSplitRoute = 5;
 
 /** One soak run. Everything but the processes under test runs on one thread. */
 class Soak
@@ -59,7 +73,7 @@
     , mSubnet("127." + std::to_string(16 + aOptions.mSeed / 200 % 200) + "." +
               std::to_string(aOptions.mSeed % 200) + ".")
     , mCallers(
-        mContext.get_executor(), AddressOf(250, kCallerPort),
+        mContext.get_executor(), AddressOf(250, kCallerPort), aOptions.mSeed,
         [this](const FlowKey& aFlow, const Bytes& aPacket) {
           SendToBalancer(aFlow, aPacket);
         },
@@ -95,8 +109,13 @@
 
   Address RouteAddress(int aIndex) const;
 
+  /** With --leave, the split route is added to aRoutes. */
   void WriteRoutes(std::initializer_list<std::pair<int, const char*>> aRoutes);
 
+  /** A route with equal shares of both services until LeaveService, of service
+   * one afterwards. */
+  json::object MakeSplitRoute() const;
+
   bool Build();
 
   /** Whether the result has a value; prints the error otherwise. */
@@ -127,10 +146,17 @@
 
   void RunAfter(Duration aDelay, std::function<void()> aTask);
 
+  /** Runs aStart later, unless a power loss comes in between: the return of
+   * power starts everything. */
+  void RestartAfter(Duration aDelay, std::function<void()> aStart);
+
   void StartTraffic();
 
   void OpenNextFlow();
 
+  /** Whether a new flow to an address may reach a host of the service. */
+  bool MayServe(const Address& aRoute, const std::string& aService) const;
+
   // Checks of what callers and hosts observe.
 
   void RecordViolation(const std::string& aMessage);
@@ -139,9 +165,28 @@
 
   void OnHostPacket(Agent& aAgent, ByteView aPacket);
 
+  /** The host that holds a flow open, or null. */
+  const FlowHost* HostOf(const FlowKey& aFlow) const;
+
+  /** Repeats CheckAnswers while there is traffic. */
+  void WatchAnswers();
+
+  /** Requests on long flows with a living host are answered within
+   * kAnswerBound. */
+  void CheckAnswers();
+  /** Not with --wide: agents and hosts that stand still delay answers. */
+  void CheckNoRequestWasLate();
+
+  /** Counts the flows lost with their hosts that were not reset. */
+  void CheckLostFlowsAreReset();
+
   // Faults, which may overlap.
 
+  using Fault = void (Soak::*)();
+
   void PlanFaults();
+  void PlanLongFlowFaults();
+  void PlanFault(const char* aName, Fault aFault);
 
   Balancer& AnyBalancer() { return *mBalancers[mRandom() % mBalancers.size()]; }
   Agent& AnyAgent() { return *mAgents[mRandom() % mAgents.size()]; }
@@ -152,7 +197,10 @@
 
   void KillBalancer();
 
-  void StopBalancer();
+  void StopAnyBalancer() { StopBalancer(AnyBalancer()); }
+  void StopBalancer(Balancer& aBalancer);
+  void RestartBalancersInTurn();
+  void AddBalancer();
 
   void FreezeBalancer();
 
@@ -175,6 +223,13 @@
   void ImpairStoreLink();
   void RestoreStore();
 
+  /** The split route leaves service two. */
+  void LeaveService();
+
+  /** Kills all processes and hosts at once. All return within kReturnSpread of
+   * each other, without further faults until kResetBound has passed. */
+  void LosePower();
+
   void Reload();
 
   /** Cuts the links between a balancer and every second agent. */
@@ -233,6 +288,21 @@
   std::uint64_t mVersion = 0;
   bool mTrafficOn = false;
   bool mFabricImpaired = false;
+  /** Faults that are due before are left out. */
+  Time mNoFaultsBefore{};
+  int mPowerLosses = 0;
+  /** Long flows that were open at a power loss. */
+  std::set<FlowKey> mLostFlows;
+  std::size_t mLostFlowsReset = 0;
+  /** When the split route left service two. */
+  std::optional<Time> mServiceLeftAt;
+  /** When the fabric last had no ready balancer. */
+  Time mLastUnreachableAt{};
+  /** By long flow: the last request that was not answered in time, plus 1. */
+  std::map<FlowKey, std::uint32_t> mLateRequests;
+  int mLate = 0;
+  /** Late requests on flows at a service that their route has left. */
+  int mLateAtLeftService = 0;
 };
 
 } // namespace heatherplank::lab
