Lab: requests on open flows at 0.8, 1.2 and 2.0 times the slots

Cause: lab flows plays flows of one request each, so an order of requests on open flows can't be compared with the hosts' own first come first served.

Change: a table after the placements: flows with a request a second, each at its host (2 slots, 8 places, 503 beyond), on a simulated clock. RequestDelivery is where another order takes the place of immediate delivery.

--- a/lab/flows/FlowExperiment.cpp
+++ b/lab/flows/FlowExperiment.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <fstream>
 
+#include "lab/flows/OpenFlows.h"
 #include "src/base/BarChart.h"
 #include "src/settings/JsonReader.h"
 
@@ -177,6 +178,13 @@
                 FlowTable(*experiment, results).c_str());
     drawn = Draw(it, results);
   }
+  OpenFlowLoad open;
+  open.mHosts = experiment->mHosts;
+  open.mSlots = experiment->mSlots;
+  open.mSeconds = experiment->mSeconds;
+  open.mSeed = experiment->mSeed;
+  std::printf("\n### requests on open flows\n\n%s",
+              OpenFlowTable(open).c_str());
   if (aSvg.empty()) {
     return {};
   }
