FlowSearches: lookups with two stages

Records on balancers need a stage before the search of the hosts. A lookup now begins in Stage::Locating and moves to Stage::Searching once, by FlowSteering::StartSearch. The first packet waits with the others, since a query by key does not carry it. TakeUnlocated() returns lookups whose replicas did not answer within 20 ms. Lookups beyond 4,096 displace unanswered ones.

--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -313,12 +313,13 @@
     return aReport.has_value();
   }
 
-  bool Handle(Result<SteeredPacket> aSteered)
+  bool Handle(const Result<SteeredPacket>& aSteered)
   {
     if (!aSteered || aSteered->mPurpose != SteerPurpose::NotHere) {
       return false;
     }
-    mSteering.OnReturned(std::move(*aSteered), mClock.Now());
+    mSteering.OnReturned(*aSteered, mClock.Now());
+    ArmRetry();
     return true;
   }
 
--- a/src/passthrough/FlowSearches.cpp
+++ b/src/passthrough/FlowSearches.cpp
@@ -1,64 +1,153 @@
 #include "src/passthrough/FlowSearches.h"
 
-#include <utility>
-
 namespace heatherplank {
 
-FlowSearches::Decision FlowSearches::OnPacket(const FlowKey& aFlow,
-                                              const SteeredPacket& aPacket,
-                                              Time aNow)
+FlowSearches::Lookup* FlowSearches::Begin(const FlowKey& aFlow,
+                                          const SteeredPacket& aPacket,
+                                          Time aNow)
 {
   if (aNow - mLastExpiryAt >= kRetentionDuration) {
-    RemoveExpired(aNow);
+    RemoveOlderThan(kRetentionDuration, aNow);
   }
-  auto it = mSearches.find(aFlow);
-  if (it == mSearches.end()) {
-    if (mSearches.size() < kMaxFlows) {
-      mSearches.emplace(aFlow, Search{ aNow, 1, {} });
+  auto it = mLookups.find(aFlow);
+  bool isRepeated = it != mLookups.end();
+  if (!isRepeated) {
+    if (mLookups.size() >= kMaxFlows &&
+        aNow - mLastExpiryAt >= kAnswerTimeout) {
+      RemoveOlderThan(kAnswerTimeout, aNow);
+    }
+    if (mLookups.size() >= kMaxFlows) {
+      return nullptr;
     }
-    return { true, 0 };
+    it = mLookups.try_emplace(aFlow).first;
+  }
+  Lookup& lookup = it->second;
+  DropHeld(lookup);
+  lookup.mStartedAt = aNow;
+  lookup.mStage = Stage::Locating;
+  lookup.mEarlier += isRepeated ? 1 : 0;
+  lookup.mFirst = aPacket;
+  mByStart.emplace_back(aNow, aFlow);
+  return &lookup;
+}
+
+bool FlowSearches::OnPacket(const FlowKey& aFlow, const SteeredPacket& aPacket,
+                            Time aNow)
+{
+  auto it = mLookups.find(aFlow);
+  bool isRunning =
+    it != mLookups.end() && aNow - it->second.mStartedAt < kAnswerTimeout;
+  if (!isRunning) {
+    return Begin(aFlow, aPacket, aNow) != nullptr;
   }
-  Search& search = it->second;
-  if (aNow - search.mStartedAt >= kAnswerTimeout) {
-    DropHeld(search);
-    search.mStartedAt = aNow;
-    return { true, search.mAttempts++ };
+  Hold(it->second, aPacket);
+  return false;
+}
+
+bool FlowSearches::OnReturned(const FlowKey& aFlow,
+                              const SteeredPacket& aPacket, Time aNow)
+{
+  const SteeredPacket* first = First(aFlow);
+  if (first != nullptr && first->mPacket == aPacket.mPacket) {
+    return false;
   }
-  if (search.mHeld.size() < kMaxHeldPerFlow && mHeldTotal < kMaxHeldTotal) {
-    search.mHeld.push_back(aPacket);
-    ++mHeldTotal;
+  return OnPacket(aFlow, aPacket, aNow);
+}
+
+bool FlowSearches::BeginSearch(const FlowKey& aFlow)
+{
+  auto it = mLookups.find(aFlow);
+  if (it == mLookups.end() || it->second.mStage != Stage::Locating) {
+    return false;
+  }
+  it->second.mStage = Stage::Searching;
+  return true;
+}
+
+const SteeredPacket* FlowSearches::First(const FlowKey& aFlow) const
+{
+  auto it = mLookups.find(aFlow);
+  return it == mLookups.end() || !it->second.mFirst ? nullptr
+                                                    : &*it->second.mFirst;
+}
+
+SteeredPacket FlowSearches::TakeFirst(const FlowKey& aFlow)
+{
+  return *std::exchange(mLookups.at(aFlow).mFirst, std::nullopt);
+}
+
+std::uint32_t FlowSearches::EarlierLookups(const FlowKey& aFlow) const
+{
+  auto it = mLookups.find(aFlow);
+  return it == mLookups.end() ? 0 : it->second.mEarlier;
+}
+
+std::vector<FlowKey> FlowSearches::TakeUnlocated(Time aNow)
+{
+  std::vector<FlowKey> out;
+  while (!mByStart.empty() && aNow - mByStart.front().first >= kLocateTimeout) {
+    auto [startedAt, flow] = mByStart.front();
+    mByStart.pop_front();
+    auto it = mLookups.find(flow);
+    if (it != mLookups.end() && it->second.mStage == Stage::Locating &&
+        it->second.mStartedAt == startedAt) {
+      out.push_back(flow);
+    }
   }
-  return { false, search.mAttempts };
+  return out;
+}
+
+std::optional<Time> FlowSearches::NextAt() const
+{
+  if (mByStart.empty()) {
+    return std::nullopt;
+  }
+  return mByStart.front().first + kLocateTimeout;
 }
 
 std::vector<SteeredPacket> FlowSearches::TakeFound(const FlowKey& aFlow)
 {
-  auto it = mSearches.find(aFlow);
-  if (it == mSearches.end()) {
+  auto it = mLookups.find(aFlow);
+  if (it == mLookups.end()) {
     return {};
   }
-  std::vector<SteeredPacket> out = std::move(it->second.mHeld);
+  Lookup& lookup = it->second;
+  std::vector<SteeredPacket> out = std::move(lookup.mHeld);
   mHeldTotal -= out.size();
-  mSearches.erase(it);
+  if (lookup.mStage == Stage::Searching && lookup.mFirst) {
+    out.insert(out.begin(), std::move(*lookup.mFirst));
+  }
+  mLookups.erase(it);
   return out;
 }
 
-void FlowSearches::DropHeld(Search& aSearch)
+void FlowSearches::Hold(Lookup& aLookup, const SteeredPacket& aPacket)
+{
+  bool fits =
+    aLookup.mHeld.size() + 1 < kMaxHeldPerFlow && mHeldTotal < kMaxHeldTotal;
+  if (fits) {
+    aLookup.mHeld.push_back(aPacket);
+    ++mHeldTotal;
+  }
+}
+
+void FlowSearches::DropHeld(Lookup& aLookup)
 {
-  mHeldTotal -= aSearch.mHeld.size();
-  aSearch.mHeld.clear();
+  mHeldTotal -= aLookup.mHeld.size();
+  aLookup.mHeld.clear();
+  aLookup.mFirst.reset();
 }
 
-void FlowSearches::RemoveExpired(Time aNow)
+void FlowSearches::RemoveOlderThan(Duration aAge, Time aNow)
 {
   mLastExpiryAt = aNow;
-  for (auto it = mSearches.begin(); it != mSearches.end();) {
-    if (aNow - it->second.mStartedAt < kRetentionDuration) {
+  for (auto it = mLookups.begin(); it != mLookups.end();) {
+    if (aNow - it->second.mStartedAt < aAge) {
       ++it;
       continue;
     }
     DropHeld(it->second);
-    it = mSearches.erase(it);
+    it = mLookups.erase(it);
   }
 }
 
--- a/src/passthrough/FlowSearches.h
+++ b/src/passthrough/FlowSearches.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
@@ -10,8 +13,10 @@
 
 namespace heatherplank {
 
-/** Tracks a balancer's pending searches for flows whose host is unknown, and
- * holds the packets that wait for a search to end.
+/** Tracks a balancer's pending lookups of flows whose host is unknown, and
+ * holds their packets, including the first one, until the host is known. A
+ * lookup first asks the record replicas of the flow (Stage::Locating), and then
+ * the hosts (Stage::Searching).
  *
  * Guards against: the fabric starts to send the packets of an upload to another
  * balancer, and the sixteen in flight arrive there at once. If each packet
@@ -20,58 +25,98 @@
  * searches for the copies would keep the link full. At balancers with thin
  * links, a third of the opening packets were not answered within 30 ms and
  * nearly half of the uploads were late, long before any fault. So only one
- * search per flow runs at a time. Packets that arrive meanwhile wait a few
+ * lookup per flow runs at a time. Packets that arrive meanwhile wait a few
  * milliseconds for its result and go straight to the host.
  *
  * No I/O or clock access; not thread safe. */
 class FlowSearches
 {
 public:
-  /** A search takes a few milliseconds. After this timeout it has failed: the
+  /** A replica answers within a few milliseconds. After this timeout the hosts
+   * are searched without it. */
+  static constexpr Duration kLocateTimeout = std::chrono::milliseconds(20);
+  /** A lookup takes a few milliseconds. After this timeout it has failed: the
    * packets that wait for it are dropped as if lost in the network, and the
-   * next packet starts another search. Callers repeat a packet after 200 ms. */
+   * next packet starts another lookup. Callers repeat a packet after 200 ms. */
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(60);
-  /** How long a search is remembered. Further searches for the flow within this
+  /** How long a lookup is remembered. Further searches for the flow within this
    * time begin at other hosts. A caller's repeats arrive within 1.6 s. */
   static constexpr Duration kRetentionDuration = std::chrono::seconds(2);
   /** Maximum number of packets held per flow: twice the number that a caller
    * has in flight. */
   static constexpr std::size_t kMaxHeldPerFlow = 32;
-  /** Maximum number of packets held for all flows together: some 2 MB. */
+  /** Maximum number of packets held for all flows together, without the first
+   * packet of each: some 2 MB. */
   static constexpr std::size_t kMaxHeldTotal = 1024;
-  /** Maximum number of flows remembered. Each packet of a flow beyond this
-   * limit is searched for. */
+  /** Maximum number of lookups remembered, each with its first packet: some 6
+   * MB. Packets of further flows are dropped as if lost in the network. */
   static constexpr std::size_t kMaxFlows = 4096;
 
-  /** What to do with a packet of a flow without a known host. */
-  struct Decision
+  enum class Stage : std::uint8_t
   {
-    /** Search for the flow with this packet. If false, the packet is held or
-     * was dropped. */
-    bool mSearch = false;
-    /** Number of recent searches for the flow, without this one. */
-    std::uint32_t mEarlierSearches = 0;
+    /** The first packet was sent to the record replicas, if there are any. */
+    Locating,
+    /** The hosts are searched. */
+    Searching,
   };
 
-  Decision OnPacket(const FlowKey& aFlow, const SteeredPacket& aPacket,
-                    Time aNow);
+  /** A packet of a flow without a known host has arrived. Returns whether it
+   * begins a lookup, in Stage::Locating. If not, the packet is held or was
+   * dropped. */
+  bool OnPacket(const FlowKey& aFlow, const SteeredPacket& aPacket, Time aNow);
 
-  /** Ends the search for a flow whose host is now known. Returns the held
-   * packets in order. */
+  /** A replica or agent has returned a packet. Like OnPacket; a returned copy
+   * of the lookup's first packet is not held again. */
+  bool OnReturned(const FlowKey& aFlow, const SteeredPacket& aPacket,
+                  Time aNow);
+
+  /** Moves a lookup from Stage::Locating to Stage::Searching. Returns false if
+   * there is none in Stage::Locating: each lookup is searched for once. */
+  bool BeginSearch(const FlowKey& aFlow);
+
+  /** The first packet of the lookup, or null. Valid until the next call. */
+  const SteeredPacket* First(const FlowKey& aFlow) const;
+
+  /** Removes the first packet of the lookup, because it is sent with the
+   * search. Precondition: First(aFlow) is not null. */
+  SteeredPacket TakeFirst(const FlowKey& aFlow);
+
+  /** Number of recent lookups of the flow before the present one. */
+  std::uint32_t EarlierLookups(const FlowKey& aFlow) const;
+
+  /** Returns the flows whose replicas did not answer within kLocateTimeout.
+   * They stay in Stage::Locating until BeginSearch(). */
+  std::vector<FlowKey> TakeUnlocated(Time aNow);
+
+  /** When to call TakeUnlocated() next, if nothing happens before. */
+  std::optional<Time> NextAt() const;
+
+  /** Ends the lookup of a flow whose host is now known. Returns the packets to
+   * be delivered, in order: the held ones, without the first packet in
+   * Stage::Locating, which the replica has forwarded. */
   std::vector<SteeredPacket> TakeFound(const FlowKey& aFlow);
 
 private:
-  struct Search
+  struct Lookup
   {
     Time mStartedAt;
-    std::uint32_t mAttempts = 0;
+    Stage mStage = Stage::Locating;
+    std::uint32_t mEarlier = 0;
+    std::optional<SteeredPacket> mFirst;
     std::vector<SteeredPacket> mHeld;
   };
 
-  void DropHeld(Search& aSearch);
-  void RemoveExpired(Time aNow);
+  /** Returns null if there is no room. */
+  Lookup* Begin(const FlowKey& aFlow, const SteeredPacket& aPacket, Time aNow);
+  void Hold(Lookup& aLookup, const SteeredPacket& aPacket);
+  void DropHeld(Lookup& aLookup);
+  void RemoveOlderThan(Duration aAge, Time aNow);
 
-  std::unordered_map<FlowKey, Search> mSearches;
+  std::unordered_map<FlowKey, Lookup> mLookups;
+  /** Lookups in the order of their start. Entries of lookups that have left
+   * Stage::Locating are skipped. */
+  std::deque<std::pair<Time, FlowKey>> mByStart;
+  /** Packets in all Lookup::mHeld. */
   std::size_t mHeldTotal = 0;
   Time mLastExpiryAt{};
 };
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -294,6 +294,16 @@
     Offer(it.mFlow, std::move(it.mSteered), std::move(it.mCandidates),
           PlacementWatch::Copy::Later, aNow, it.mRepeatedOffers);
   }
+  for (const FlowKey& it : mSearches.TakeUnlocated(aNow)) {
+    StartSearch(it, aNow);
+  }
+}
+
+std::optional<Time> FlowSteering::NextAt() const
+{
+  auto offer = mWatch.NextAt();
+  auto locate = mSearches.NextAt();
+  return offer && locate ? std::min(offer, locate) : (offer ? offer : locate);
 }
 
 void FlowSteering::Forward(const FlowPacket& aPacket, ByteView aDatagram,
@@ -313,9 +323,12 @@
     Increment(SteerEvent::DroppedNoRoute);
     return;
   }
-  SearchAll(flow, *route,
-            MakeSteered(route, {}, SteerPurpose::Search, aDatagram), hash,
-            aNow);
+  if (!mSearches.OnPacket(
+        flow, MakeSteered(route, {}, SteerPurpose::Search, aDatagram), aNow)) {
+    Increment(SteerEvent::HeldForSearch);
+    return;
+  }
+  StartSearch(flow, aNow);
 }
 
 void FlowSteering::OnReport(const PlacementReport& aReport, Time aNow)
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -75,7 +75,7 @@
   void OnPacket(ByteView aDatagram, Time aNow);
 
   /** An agent sent the packet back: its host does not hold the flow. */
-  void OnReturned(SteeredPacket aSteered, Time aNow);
+  void OnReturned(const SteeredPacket& aSteered, Time aNow);
 
   void OnReport(const PlacementReport& aReport, Time aNow);
 
@@ -100,7 +100,7 @@
 
   /** Call at NextAt() or later. */
   void OnTick(Time aNow);
-  std::optional<Time> NextAt() const { return mWatch.NextAt(); }
+  std::optional<Time> NextAt() const;
 
   const FlowInventoryPtr& Inventory() const { return mInventory; }
 
@@ -118,8 +118,7 @@
     const std::unordered_map<HostId, Member>& aBefore) const;
   void Open(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
-  void SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
-                 SteeredPacket aSteered, std::uint64_t aHash, Time aNow);
+  void StartSearch(const FlowKey& aFlow, Time aNow);
   void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
               std::uint32_t aEarlierSearches, Time aNow);
   void DeliverFound(const PlacementReport& aReport);
--- a/src/passthrough/FlowSteeringSearch.cpp
+++ b/src/passthrough/FlowSteeringSearch.cpp
@@ -21,20 +21,28 @@
 
 } // namespace
 
-/** Searches each service of the route: its weights may have changed since the
- * flow was opened. */
-void FlowSteering::SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
-                             SteeredPacket aSteered, std::uint64_t aHash,
-                             Time aNow)
+/** Starts the second stage of the flow's lookup, once per lookup: searches each
+ * service of the route, whose weights may have changed since the flow was
+ * opened. */
+void FlowSteering::StartSearch(const FlowKey& aFlow, Time aNow)
 {
-  auto decision = mSearches.OnPacket(aFlow, aSteered, aNow);
-  if (!decision.mSearch) {
-    Increment(SteerEvent::HeldForSearch);
+  if (!mSearches.BeginSearch(aFlow)) {
     return;
   }
-  for (const RouteShare& it : aRoute.mShares) {
-    aSteered.mService = it.mService;
-    Search(aFlow, aSteered, aHash, decision.mEarlierSearches, aNow);
+  std::uint32_t earlier = mSearches.EarlierLookups(aFlow);
+  SteeredPacket first = mSearches.TakeFirst(aFlow);
+  std::uint64_t hash = HashFlow(aFlow);
+  // An agent may send back a packet of this balancer's earlier incarnation
+  // before this incarnation has routes.
+  const FlowRoute* route =
+    mInventory ? mInventory->Find(aFlow.mService) : nullptr;
+  if (route == nullptr) {
+    Search(aFlow, std::move(first), hash, earlier, aNow);
+    return;
+  }
+  for (const RouteShare& it : route->mShares) {
+    first.mService = it.mService;
+    Search(aFlow, first, hash, earlier, aNow);
   }
 }
 
@@ -87,7 +95,7 @@
   }
 }
 
-void FlowSteering::OnReturned(SteeredPacket aSteered, Time aNow)
+void FlowSteering::OnReturned(const SteeredPacket& aSteered, Time aNow)
 {
   auto packet = mFormat.Parse(aSteered.mPacket);
   if (!packet) {
@@ -97,17 +105,9 @@
   Increment(SteerEvent::HintWrong);
   FlowKey flow = packet->FlowFromCaller();
   LogFlow("hint_wrong", { { "flow", flow.ToString() } });
-  std::uint64_t hash = HashFlow(flow);
-  mHints.Erase(hash);
-  // An agent may send back a packet of this balancer's earlier incarnation
-  // before this incarnation has routes.
-  const FlowRoute* route =
-    mInventory ? mInventory->Find(flow.mService) : nullptr;
-  if (route != nullptr) {
-    SearchAll(flow, *route, std::move(aSteered), hash, aNow);
-  } else {
-    Search(flow, std::move(aSteered), hash, 0, aNow);
-  }
+  mHints.Erase(HashFlow(flow));
+  mSearches.OnReturned(flow, aSteered, aNow);
+  StartSearch(flow, aNow);
 }
 
 } // namespace heatherplank
