Record replicas: the host of a moved flow is found by one Locate

A balancer that receives a packet of an open flow without a hint searched all hosts of its route. It now asks the flow's record replica, one of the two balancers of the data centre with the highest rendezvous score, which forwards the packet to the host. The search follows when no replica has a record or none answers within 20 ms.

The retry timer of a balancer is set earlier when a lookup begins while an offer's timeout is pending.

--- a/bench/PassthroughBench.cpp
+++ b/bench/PassthroughBench.cpp
@@ -18,6 +18,7 @@
     mBytes += EncodePayload(aPacket).size();
   }
   void ToCaller(const Address&, ByteView) override {}
+  void SendRecords(const Address&, const FlowRecords&) override {}
   void Placed(Duration) override {}
   std::uint64_t mBytes = 0;
 };
@@ -39,7 +40,8 @@
 struct Fixture
 {
   explicit Fixture(std::int64_t aHosts)
-    : mSteering({ kBalancer, MakeDataCentreId("z0"), 65536 }, mPackets, mOut)
+    : mSteering({ kBalancer, MakeDataCentreId("z0"), 65536, MakeHostId("b") },
+                mPackets, mOut)
   {
     auto inventory = std::make_shared<FlowInventory>();
     inventory->mVersion = 1;
--- a/bench/RelayBench.cpp
+++ b/bench/RelayBench.cpp
@@ -168,7 +168,8 @@
 public:
   explicit BalancerRelay(const Address& aTo)
     : LoopRelay(aTo)
-    , mSteering({ aTo, MakeDataCentreId("z0"), 65536 }, mPackets, *this)
+    , mSteering({ aTo, MakeDataCentreId("z0"), 65536, MakeHostId("b") },
+                mPackets, *this)
   {
     auto inventory = std::make_shared<FlowInventory>();
     inventory->mVersion = 1;
@@ -202,6 +203,7 @@
       aAgent);
   }
   void ToCaller(const Address&, ByteView) override {}
+  void SendRecords(const Address&, const FlowRecords&) override {}
   void Placed(Duration) override {}
 
   SteadyClock mClock;
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -13,6 +13,7 @@
 #include "src/passthrough/IsolationWatch.h"
 #include "src/passthrough/PassthroughProcess.h"
 #include "src/process/ProcessStallWatch.h"
+#include "src/wire/LocationCodec.h"
 #include "src/wire/MembershipCodec.h"
 #include "src/wire/PassthroughCodec.h"
 
@@ -59,8 +60,9 @@
                  } })
     , mClock(mProcess.mClock)
     , mPlacementTime(mProcess.mMetrics.GetHistogram("placement_ms"))
-    , mSteering({ mSelf.mTunnel, mSelf.mDataCentre, aSettings.mMaxHints },
-                aAdapter.Packets(), *this)
+    , mSteering(
+        { mSelf.mTunnel, mSelf.mDataCentre, aSettings.mMaxHints, mSelf.mHost },
+        aAdapter.Packets(), *this)
     , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages,
                  [this](auto aViews, auto aServices) {
                    mSteering.SetViews(aViews, aServices);
@@ -165,7 +167,10 @@
   void Tick()
   {
     Time now = CheckForStall();
-    mBalancers.Set(mMembers.Balancers());
+    auto balancers = mMembers.Balancers();
+    mBalancers.Set(balancers);
+    mSteering.SetBalancers(balancers);
+    mSteering.SendRecords(now);
     EvaluateIsolation(now);
     UpdateDirectory(now);
     mMembers.Tick();
@@ -272,6 +277,9 @@
       case MessageKind::SteeredPacket:
         handled = Handle(DecodeSteeredPacket(aFrame.mPayload));
         break;
+      case MessageKind::FlowRecords:
+        handled = Handle(DecodeFlowRecords(aFrame.mPayload));
+        break;
       case MessageKind::InventoryNotice:
         handled = Handle(DecodeInventoryNotice(aFrame.mPayload));
         break;
@@ -313,9 +321,16 @@
     return aReport.has_value();
   }
 
-  bool Handle(const Result<SteeredPacket>& aSteered)
+  bool Handle(Result<SteeredPacket> aSteered)
   {
-    if (!aSteered || aSteered->mPurpose != SteerPurpose::NotHere) {
+    if (!aSteered) {
+      return false;
+    }
+    if (aSteered->mPurpose == SteerPurpose::Locate) {
+      mSteering.OnLocate(std::move(*aSteered));
+      return true;
+    }
+    if (aSteered->mPurpose != SteerPurpose::NotHere) {
       return false;
     }
     mSteering.OnReturned(*aSteered, mClock.Now());
@@ -323,6 +338,14 @@
     return true;
   }
 
+  bool Handle(const Result<FlowRecords>& aRecords)
+  {
+    if (aRecords) {
+      mSteering.OnRecords(*aRecords);
+    }
+    return aRecords.has_value();
+  }
+
   bool Handle(const Result<InventoryNotice>& aNotice)
   {
     if (aNotice) {
@@ -344,6 +367,14 @@
     mProcess.Steer(aAgent, aPacket);
   }
 
+  void SendRecords(const Address& aBalancer,
+                   const FlowRecords& aRecords) override
+  {
+    mProcess.mTunnel->Send(
+      EncodeDatagram(MessageKind::FlowRecords, EncodePayload(aRecords)),
+      aBalancer);
+  }
+
   void ToCaller(const Address& aCaller, ByteView aPacket) override
   {
     mProcess.ToCaller(aCaller, aPacket);
@@ -354,11 +385,11 @@
     mPlacementTime.Record(InMs(aElapsed));
   }
 
-  /** Sets the timer to the timeout of the oldest unanswered opening packet. */
+  /** Sets the timer to the next timeout of an opening packet or lookup. */
   void ArmRetry()
   {
     auto next = mSteering.NextAt();
-    if (!next || mRetryAt) {
+    if (!next || (mRetryAt && *mRetryAt <= *next)) {
       return;
     }
     mRetryAt = next;
--- a/src/passthrough/FlowSearches.cpp
+++ b/src/passthrough/FlowSearches.cpp
@@ -56,14 +56,19 @@
 
 bool FlowSearches::BeginSearch(const FlowKey& aFlow)
 {
-  auto it = mLookups.find(aFlow);
-  if (it == mLookups.end() || it->second.mStage != Stage::Locating) {
+  if (!IsLocating(aFlow)) {
     return false;
   }
-  it->second.mStage = Stage::Searching;
+  mLookups.at(aFlow).mStage = Stage::Searching;
   return true;
 }
 
+bool FlowSearches::IsLocating(const FlowKey& aFlow) const
+{
+  auto it = mLookups.find(aFlow);
+  return it != mLookups.end() && it->second.mStage == Stage::Locating;
+}
+
 const SteeredPacket* FlowSearches::First(const FlowKey& aFlow) const
 {
   auto it = mLookups.find(aFlow);
--- a/src/passthrough/FlowSearches.h
+++ b/src/passthrough/FlowSearches.h
@@ -74,6 +74,9 @@
    * there is none in Stage::Locating: each lookup is searched for once. */
   bool BeginSearch(const FlowKey& aFlow);
 
+  /** Whether the flow has a lookup in Stage::Locating. */
+  bool IsLocating(const FlowKey& aFlow) const;
+
   /** The first packet of the lookup, or null. Valid until the next call. */
   const SteeredPacket* First(const FlowKey& aFlow) const;
 
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -35,6 +35,15 @@
  * ms, when the hosts are available. */
 constexpr auto kHostDiscoveryDuration = std::chrono::milliseconds(2000);
 
+Member MakeSelf(const FlowSteering::Options& aOptions)
+{
+  Member out;
+  out.mHost = aOptions.mHost;
+  out.mDataCentre = aOptions.mDataCentre;
+  out.mTunnel = aOptions.mSelf;
+  return out;
+}
+
 } // namespace
 
 FlowSteering::FlowSteering(const Options& aOptions, const PacketFormat& aFormat,
@@ -44,6 +53,7 @@
   , mOutput(aOutput)
   , mViews(kScanLimit)
   , mHints(aOptions.mMaxHints)
+  , mLocations(MakeSelf(aOptions))
 {
 }
 
@@ -295,7 +305,7 @@
           PlacementWatch::Copy::Later, aNow, it.mRepeatedOffers);
   }
   for (const FlowKey& it : mSearches.TakeUnlocated(aNow)) {
-    StartSearch(it, aNow);
+    OnNotLocated(it, SteerEvent::LocateTimedOut, aNow);
   }
 }
 
@@ -311,6 +321,9 @@
 {
   FlowKey flow = aPacket.FlowFromCaller();
   std::uint64_t hash = HashFlow(flow);
+  if (aPacket.mFin || aPacket.mReset) {
+    mLocations.OnFlowEnded(hash);
+  }
   const FlowRoute* route = mInventory->Find(flow.mService);
   if (const Member* member = HintedMember(hash)) {
     Increment(SteerEvent::Hinted);
@@ -323,22 +336,29 @@
     Increment(SteerEvent::DroppedNoRoute);
     return;
   }
-  if (!mSearches.OnPacket(
-        flow, MakeSteered(route, {}, SteerPurpose::Search, aDatagram), aNow)) {
+  SteeredPacket steered =
+    MakeSteered(route, {}, SteerPurpose::Search, aDatagram);
+  if (!mSearches.OnPacket(flow, steered, aNow)) {
     Increment(SteerEvent::HeldForSearch);
     return;
   }
-  StartSearch(flow, aNow);
+  if (!Locate(flow, std::move(steered))) {
+    StartSearch(flow, aNow);
+  }
 }
 
 void FlowSteering::OnReport(const PlacementReport& aReport, Time aNow)
 {
   mWatch.ClearSuspicion(aReport.mHost);
   if (aReport.mOutcome == PlacementOutcome::Placed) {
-    if (auto sentAt = mWatch.End(aReport.mFlow)) {
+    auto sentAt = mWatch.End(aReport.mFlow);
+    if (sentAt) {
       mOutput.Placed(aNow - *sentAt);
     }
-    mHints.Put(HashFlow(aReport.mFlow), { aReport.mHost, 0 });
+    // A flow that was not offered here, and for which a replica was asked, has
+    // a record.
+    bool isLocated = !sentAt && mSearches.IsLocating(aReport.mFlow);
+    StoreHost(aReport, isLocated, aNow);
     DeliverFound(aReport);
     return;
   }
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -11,6 +11,7 @@
 #include "src/balancer/ServiceViews.h"
 #include "src/passthrough/CandidateOrder.h"
 #include "src/passthrough/FlowInventory.h"
+#include "src/passthrough/FlowLocations.h"
 #include "src/passthrough/FlowSearches.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/PlacementWatch.h"
@@ -29,6 +30,8 @@
   virtual void Steer(const Address& aAgent, const SteeredPacket& aPacket) = 0;
   /** Sends a packet to the caller at the address aCaller. */
   virtual void ToCaller(const Address& aCaller, ByteView aPacket) = 0;
+  virtual void SendRecords(const Address& aBalancer,
+                           const FlowRecords& aRecords) = 0;
   /** A host answered an opening packet. aElapsed: time since its last offer, or
    * since PlacementWatch restarted the timeout of the offer. */
   virtual void Placed(Duration aElapsed) = 0;
@@ -36,8 +39,8 @@
 
 /** Decides where a balancer forwards packets of opaque flows. All state is
  * soft: routes and members are supplied from outside, and the host of a
- * forgotten flow is found again by querying the hosts in the candidate order of
- * the flow.
+ * forgotten flow is found again by asking other balancers for its record (see
+ * FlowLocations), or by querying the hosts in the candidate order of the flow.
  *
  * The packets come from the fabric, the network that spreads callers' packets
  * over the balancers. It may send the packets of an open flow to another
@@ -54,6 +57,8 @@
     DataCentreId mDataCentre;
     /** Maximum number of flows whose host is cached. */
     std::size_t mMaxHints = 65536;
+    /** This balancer's id, by which it is selected as a record replica. */
+    HostId mHost;
   };
 
   /** aFormat and aOutput must outlive this object. */
@@ -74,7 +79,20 @@
   /** Handles a packet from a caller. */
   void OnPacket(ByteView aDatagram, Time aNow);
 
-  /** An agent sent the packet back: its host does not hold the flow. */
+  /** Sets the other balancers in view, of any data centre. */
+  void SetBalancers(std::span<const Member> aOthers);
+
+  /** Sends the records that are due. Call about every 50 ms. */
+  void SendRecords(Time aNow);
+
+  /** Another balancer sent records of flows' hosts. */
+  void OnRecords(const FlowRecords& aRecords);
+
+  /** Another balancer asks this one, as a record replica, for a flow's host. */
+  void OnLocate(SteeredPacket aSteered);
+
+  /** An agent sent the packet back because its host does not hold the flow, or
+   * a replica did because it has no record of the flow. */
   void OnReturned(const SteeredPacket& aSteered, Time aNow);
 
   void OnReport(const PlacementReport& aReport, Time aNow);
@@ -118,6 +136,9 @@
     const std::unordered_map<HostId, Member>& aBefore) const;
   void Open(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
+  bool Locate(const FlowKey& aFlow, SteeredPacket aSteered);
+  void OnNotLocated(const FlowKey& aFlow, SteerEvent aReason, Time aNow);
+  void StoreHost(const PlacementReport& aReport, bool aHasRecord, Time aNow);
   void StartSearch(const FlowKey& aFlow, Time aNow);
   void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
               std::uint32_t aEarlierSearches, Time aNow);
@@ -140,9 +161,9 @@
   {
     return mInventory ? mInventory->mVersion : 0;
   }
-  void Increment(SteerEvent aEvent)
+  void Increment(SteerEvent aEvent, std::uint64_t aCount = 1)
   {
-    ++mCounts[static_cast<std::size_t>(aEvent)];
+    mCounts[static_cast<std::size_t>(aEvent)] += aCount;
   }
 
   const Options mOptions;
@@ -156,6 +177,7 @@
   HintCache mHints;
   PlacementWatch mWatch;
   FlowSearches mSearches;
+  FlowLocations mLocations;
   /** Until this time after a start or stall, an opening packet may be a delayed
    * copy, and is treated as one. */
   Time mAssumeCopiesUntil{};
--- a/src/passthrough/FlowSteeringSearch.cpp
+++ b/src/passthrough/FlowSteeringSearch.cpp
@@ -102,11 +102,17 @@
     Increment(SteerEvent::Malformed);
     return;
   }
-  Increment(SteerEvent::HintWrong);
   FlowKey flow = packet->FlowFromCaller();
+  mSearches.OnReturned(flow, aSteered, aNow);
+  // Only an agent's host names a service. A replica without a record says
+  // nothing about a hint that this balancer has got meanwhile.
+  if (aSteered.mService.IsNone()) {
+    OnNotLocated(flow, SteerEvent::LocateFailed, aNow);
+    return;
+  }
+  Increment(SteerEvent::HintWrong);
   LogFlow("hint_wrong", { { "flow", flow.ToString() } });
   mHints.Erase(HashFlow(flow));
-  mSearches.OnReturned(flow, aSteered, aNow);
   StartSearch(flow, aNow);
 }
 
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -87,11 +87,12 @@
     mWork.End(aEntry.mFlow, aNow);
     flow.mFinished = true;
   }
-  if (aSteered.mPurpose == SteerPurpose::Search) {
-    // A balancer that searches does not know the flow's host, even if it was
-    // notified before: the report was lost, or the balancer has restarted. With
-    // no new report it would search for every packet of the flow and drop the
-    // packets that wait for the result.
+  if (aSteered.mPurpose == SteerPurpose::Search ||
+      aSteered.mPurpose == SteerPurpose::Located) {
+    // A balancer that searches or asks a replica does not know the flow's host,
+    // even if it was notified before: the report was lost, or the balancer has
+    // restarted. With no new report it would search for every packet of the
+    // flow and drop the packets that wait for the result.
     flow.mNotifiedBalancer = Address{};
   }
   ReportLocation(aEntry, aSteered.mIngress);
@@ -114,7 +115,8 @@
 
 void HostFlows::ForwardSearch(SteeredPacket& aSteered, const FlowKey& aFlow)
 {
-  if (aSteered.mPurpose == SteerPurpose::Deliver) {
+  if (aSteered.mPurpose == SteerPurpose::Deliver ||
+      aSteered.mPurpose == SteerPurpose::Located) {
     CountEvent(HostFlowEvent::NotHere);
     LogFlow("not_here", { { "flow", aFlow.ToString() } });
     aSteered.mPurpose = SteerPurpose::NotHere;
--- a/src/passthrough/LocationMessages.h
+++ b/src/passthrough/LocationMessages.h
@@ -9,7 +9,7 @@
 
 namespace heatherplank {
 
-/** Which host holds a flow, as written to the keepers of the flow's record. */
+/** Which host holds a flow, as written to the record replicas of the flow. */
 struct FlowRecord
 {
   /** HashFlow of the flow. */
@@ -19,7 +19,7 @@
   bool operator==(const FlowRecord&) const = default;
 };
 
-/** A balancer's records for one keeper, a balancer of its data centre. */
+/** A balancer's records for one replica, a balancer of its data centre. */
 struct FlowRecords
 {
   /** With headers, 64 records fit the smallest common MTU. */
--- a/src/passthrough/SteerEvent.cpp
+++ b/src/passthrough/SteerEvent.cpp
@@ -29,6 +29,22 @@
       return "dropped_no_route";
     case SteerEvent::DroppedNotReady:
       return "dropped_not_ready";
+    case SteerEvent::RecordsSent:
+      return "records_sent";
+    case SteerEvent::RecordsReceived:
+      return "records_received";
+    case SteerEvent::RecordsDropped:
+      return "records_dropped";
+    case SteerEvent::LocateSent:
+      return "locate_sent";
+    case SteerEvent::LocateAnswered:
+      return "locate_answered";
+    case SteerEvent::LocateForwarded:
+      return "locate_forwarded";
+    case SteerEvent::LocateFailed:
+      return "locate_failed";
+    case SteerEvent::LocateTimedOut:
+      return "locate_timed_out";
     case SteerEvent::Malformed:
       return "malformed";
   }
--- a/src/passthrough/SteerEvent.h
+++ b/src/passthrough/SteerEvent.h
@@ -20,6 +20,20 @@
   RefusedQuietly,
   DroppedNoRoute,
   DroppedNotReady,
+  /** Records, not messages. */
+  RecordsSent,
+  RecordsReceived,
+  /** Too many records were pending. */
+  RecordsDropped,
+  LocateSent,
+  /** As a replica, forwarded a packet to the flow's host. */
+  LocateAnswered,
+  /** As a replica without a record, forwarded a packet to the other replica or
+   * returned it to its sender. */
+  LocateForwarded,
+  /** A packet came back: no replica has a record of its flow. */
+  LocateFailed,
+  LocateTimedOut,
   Malformed,
   Last = Malformed,
 };
--- a/src/passthrough/SteerMessages.h
+++ b/src/passthrough/SteerMessages.h
@@ -20,16 +20,15 @@
   /** Deliver the packet if the host holds the flow, else forward it. */
   Search = 2,
   /** Sent back to mIngress, by an agent whose host does not hold the flow or by
-   * a keeper that has no record of it. */
+   * a record replica that has no record of it. */
   NotHere = 3,
   /** A Search that the receiver splits into concurrent SearchPaths. */
   FanOut = 4,
-  /** A balancer asks the receiver, a balancer that keeps the flow's record, to
-   * forward the packet to the flow's host. mCandidates are the other keepers.
-   */
+  /** A balancer asks the receiver, a record replica of the flow, to forward the
+   * packet to the flow's host. mCandidates are the other replicas. */
   Locate = 5,
-  /** Deliver, from a keeper: the agent always reports the flow's host to
-   * mIngress, which does not know it. */
+  /** Deliver, from a record replica: the agent always reports the flow's host
+   * to mIngress, which does not know it. */
   Located = 6,
   Last = Located,
 };
--- a/src/steer/HintCache.h
+++ b/src/steer/HintCache.h
@@ -27,6 +27,9 @@
 class HintCache
 {
 public:
+  /** Number of hints in a set. */
+  static constexpr std::size_t kWays = 4;
+
   /** aCapacity: flows, rounded up to a power of two; 24 bytes each. */
   explicit HintCache(std::size_t aCapacity);
 
@@ -42,12 +45,25 @@
   /** Number of evicted hints since the start. */
   std::uint64_t Evictions() const { return mEvictions; }
 
+  /** Number of sets, into which the hints are divided. */
+  std::size_t Sets() const { return mSets.size(); }
+
+  /** Calls aVisit(flow's hash, owner) for each hint of a set. Precondition:
+   * aSet is below Sets(). */
+  template<typename Visit>
+  void ForEachInSet(std::size_t aSet, Visit aVisit) const
+  {
+    for (const Entry& it : mSets[aSet]) {
+      if (!it.mOwner.mHost.IsNone()) {
+        aVisit(it.mFlowHash, it.mOwner);
+      }
+    }
+  }
+
   /** Bytes that the cache uses. */
   std::size_t MemoryUse() const { return mSets.capacity() * sizeof(Set); }
 
 private:
-  static constexpr std::size_t kWays = 4;
-
   struct Entry
   {
     std::uint64_t mFlowHash = 0;
--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -36,6 +36,7 @@
     {
       mToCaller.emplace_back(aPacket.begin(), aPacket.end());
     }
+    void SendRecords(const Address&, const FlowRecords&) override {}
     void Placed(Duration) override { ++mPlaced; }
   };
 
@@ -43,7 +44,7 @@
   PlatformPackets mPackets;
   Output mOut;
   FlowSteering mSteering{ { *ParseAddress("10.0.2.1:7000"),
-                            MakeDataCentreId("near"), 64 },
+                            MakeDataCentreId("near"), 64, MakeHostId("b") },
                           mPackets,
                           mOut };
   std::uint64_t mVersion = 0;
--- a/tests/HintCacheTest.cpp
+++ b/tests/HintCacheTest.cpp
@@ -1,5 +1,7 @@
 #include "src/steer/HintCache.h"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace heatherplank;
@@ -34,3 +36,23 @@
   CHECK_EQUAL(before, cache.MemoryUse());
   CHECK_TRUE(cache.Evictions() > 90000);
 }
+
+TEST(HintCache, EveryHintIsVisitedOnce)
+{
+  HintCache cache(1024);
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    cache.Put(MixHash(i, 77), { MakeHostId("b"), 1 });
+  }
+  cache.Erase(MixHash(5, 77));
+  std::set<std::uint64_t> visited;
+  std::size_t visits = 0;
+  for (std::size_t set = 0; set < cache.Sets(); ++set) {
+    cache.ForEachInSet(set, [&](std::uint64_t aHash, const OwnerHint& aOwner) {
+      CHECK_TRUE(aOwner.mHost == MakeHostId("b"));
+      visited.insert(aHash);
+      ++visits;
+    });
+  }
+  CHECK_EQUAL(99, visits);
+  CHECK_EQUAL(99, visited.size());
+}
--- a/tests/HostFlowsTest.cpp
+++ b/tests/HostFlowsTest.cpp
@@ -152,6 +152,30 @@
   CHECK(mOut.mSteered[0].second.mPurpose == SteerPurpose::NotHere);
 }
 
+// A record replica forwards a packet. Its sender does not know the flow's host
+// even if it was notified before: it has restarted since.
+TEST(HostFlows, LocatedPacketIsAlwaysReported)
+{
+  Announce();
+  Open();
+  mOut.mReports.clear();
+  Steer(SteerPurpose::Located, Packet(kAck, 12, 501, false, 10));
+  Steer(SteerPurpose::Located, Packet(kAck, 22, 501, false, 10));
+  CHECK_EQUAL(2, mOut.mReports.size());
+  CHECK(mOut.mReports[1].first == kBalancer);
+}
+
+// A replica's record is wrong. Its sender gets the packet back and searches.
+TEST(HostFlows, LocatedPacketOfAnUnknownFlowReturnsToItsSender)
+{
+  Announce();
+  Steer(SteerPurpose::Located, Packet(kAck, 2, 501, false, 10));
+  CHECK_EQUAL(1, mOut.mSteered.size());
+  CHECK(mOut.mSteered[0].first == kBalancer);
+  CHECK(mOut.mSteered[0].second.mPurpose == SteerPurpose::NotHere);
+  CHECK_EQUAL(1, mFlows->Count(HostFlowEvent::NotHere));
+}
+
 // A search found no host. The flow's host may be alive behind a network
 // partition, and a reset would break a flow that can still continue.
 TEST(HostFlows, UnsuccessfulSearchSendsNoReset)
--- a/tests/PassthroughExplorationTest.cpp
+++ b/tests/PassthroughExplorationTest.cpp
@@ -20,6 +20,7 @@
   std::vector<std::string> mViolations;
   std::uint64_t mOpened = 0;
   std::uint64_t mAnswered = 0;
+  std::uint64_t mLocated = 0;
 };
 
 /** Runs schedules on several threads; aStopAtFirst: until one fails. */
@@ -39,6 +40,7 @@
       std::lock_guard guard(lock);
       result.mOpened += static_cast<std::uint64_t>(world.Opened());
       result.mAnswered += static_cast<std::uint64_t>(world.Answered());
+      result.mLocated += world.Located();
       for (auto& it : violations) {
         if (!aStopAtFirst && result.mViolations.size() < 20) {
           std::printf("%s\n", it.c_str());
@@ -76,6 +78,8 @@
   CHECK_EQUAL(0, result.mViolations.size());
   CHECK_TRUE(result.mOpened > 8 * kSchedules);
   CHECK_TRUE(result.mAnswered > 8 * kSchedules);
+  // Most packets of the final check reach a balancer without a hint.
+  CHECK_TRUE(result.mLocated > kSchedules);
 }
 
 // Seeds that found a fault during development: a refusal of one copy of an
--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -28,6 +28,7 @@
     mBalancers.push_back(std::move(balancer));
     mBalancers.back()->Start();
   }
+  SendRecords();
 }
 
 PassthroughWorld::~PassthroughWorld() = default;
@@ -93,13 +94,24 @@
 void PassthroughWorld::SteerPacket(Balancer& aBalancer, const Bytes& aPacket)
 {
   aBalancer.mSteering->OnPacket(aPacket, mClock.Now());
-  if (auto next = aBalancer.mSteering->NextAt()) {
-    Schedule(*next - mClock.Now(), [this, &aBalancer] {
-      if (!aBalancer.mStalled) {
-        aBalancer.mSteering->OnTick(mClock.Now());
-      }
-    });
+  ScheduleTimeout(aBalancer);
+}
+
+/** Calls OnTick at each timeout of the balancer, until there are none or the
+ * balancer is stalled. */
+void PassthroughWorld::ScheduleTimeout(Balancer& aBalancer)
+{
+  auto next = aBalancer.mSteering->NextAt();
+  if (!next) {
+    return;
   }
+  Schedule(std::max(Duration::zero(), *next - mClock.Now()),
+           [this, &aBalancer] {
+             if (!aBalancer.mStalled) {
+               aBalancer.mSteering->OnTick(mClock.Now());
+               ScheduleTimeout(aBalancer);
+             }
+           });
 }
 
 void PassthroughWorld::ToAgent(const Address& aTo, const SteeredPacket& aPacket,
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -52,6 +52,8 @@
   /** Runs the schedule; returns the violations in chronological order. */
   std::vector<std::string> Run();
 
+  /** Packets that record replicas forwarded to hosts. */
+  std::uint64_t Located() const { return mLocated; }
   /** Flows that were opened. */
   int Opened() const { return mOpened; }
   /** Callers whose request was answered. */
@@ -74,6 +76,9 @@
   void SendHeartbeat(Agent& aAgent);
   void ScheduleViewUpdates();
   void UpdateViews(Balancer& aBalancer);
+  void ScheduleBalancerViews();
+  void UpdateBalancers(Balancer& aBalancer, const Balancer* aUnknown);
+  void SendRecords();
   void ScheduleFault();
   void KillBalancer();
   void StallBalancer();
@@ -89,6 +94,7 @@
 
   void OnCallerPacket(Bytes aPacket);
   void SteerPacket(Balancer& aBalancer, const Bytes& aPacket);
+  void ScheduleTimeout(Balancer& aBalancer);
   void ToAgent(const Address& aTo, const SteeredPacket& aPacket,
                const Agent* aFrom);
   void ToBalancer(const Address& aTo, std::function<void(Balancer&)> aAction);
@@ -121,6 +127,7 @@
   DataCentreDrains mDrains{ { 1 }, {} };
   std::optional<Time> mDrainedAt;
   bool mNetworkReliable = false;
+  std::uint64_t mLocated = 0;
   int mOpened = 0;
   int mAnswered = 0;
   std::vector<std::string> mViolations;
--- a/tests/PassthroughWorldHosts.cpp
+++ b/tests/PassthroughWorldHosts.cpp
@@ -86,6 +86,45 @@
   aBalancer.mSteering->SetViews(views, services);
 }
 
+/** Each balancer learns later which others there are, and at first may miss
+ * one, so that their views differ meanwhile. */
+void PassthroughWorld::ScheduleBalancerViews()
+{
+  for (auto& it : mBalancers) {
+    const Balancer* unknown =
+      RandomFraction() < 0.3 ? mBalancers[RandomBelow(mBalancers.size())].get()
+                             : nullptr;
+    Schedule(RandomDuration(0, 400), [this, &balancer = *it, unknown] {
+      UpdateBalancers(balancer, unknown);
+    });
+    Schedule(RandomDuration(400, 800),
+             [this, &balancer = *it] { UpdateBalancers(balancer, nullptr); });
+  }
+}
+
+void PassthroughWorld::UpdateBalancers(Balancer& aBalancer,
+                                       const Balancer* aUnknown)
+{
+  std::vector<Member> others;
+  for (const auto& it : mBalancers) {
+    if (it.get() != &aBalancer && it.get() != aUnknown) {
+      others.push_back(it->AsMember());
+    }
+  }
+  aBalancer.mSteering->SetBalancers(others);
+}
+
+/** Lets the balancers send their records, now and every 50 ms. */
+void PassthroughWorld::SendRecords()
+{
+  for (auto& it : mBalancers) {
+    if (!it->mStalled) {
+      it->mSteering->SendRecords(mClock.Now());
+    }
+  }
+  Schedule(50ms, [this] { SendRecords(); });
+}
+
 void PassthroughWorld::ToHost(Agent& aAgent, Bytes aPacket)
 {
   auto host = aAgent.mHost;
--- a/tests/PassthroughWorldParts.h
+++ b/tests/PassthroughWorldParts.h
@@ -76,6 +76,7 @@
   bool mStalled = false;
   std::vector<std::function<void()>> mDeferred;
   DataCentreDrains mDrains;
+  Incarnation mIncarnation = 0;
 
   /** Runs aAction now, or when the balancer resumes. */
   void RunOrDefer(std::function<void()> aAction)
@@ -94,6 +95,8 @@
     for (auto& it : std::exchange(mDeferred, {})) {
       it();
     }
+    mSteering->OnTick(mWorld->mClock.Now());
+    mWorld->ScheduleTimeout(*this);
   }
 
   void Start()
@@ -101,16 +104,46 @@
     mStalled = false;
     mDeferred.clear();
     mSteering = std::make_unique<FlowSteering>(
-      FlowSteering::Options{ mTunnel, MakeDataCentreId("z"), 64 },
+      FlowSteering::Options{ mTunnel, MakeDataCentreId("z"), 64, Host() },
       mWorld->mPackets, *this);
     mSteering->SetInventory(mWorld->mInventory);
     mSteering->SetDrains(mDrains);
     mWorld->UpdateViews(*this);
+    mIncarnation = ++mWorld->mVersion;
+    mWorld->ScheduleBalancerViews();
+  }
+
+  HostId Host() const { return MakeHostId(mTunnel.ToString()); }
+
+  Member AsMember() const
+  {
+    Member out;
+    out.mHost = Host();
+    out.mDataCentre = MakeDataCentreId("z");
+    out.mIncarnation = mIncarnation;
+    out.mTunnel = mTunnel;
+    return out;
   }
 
   void Steer(const Address& aAgent, const SteeredPacket& aPacket) override
   {
     mWorld->ToAgent(aAgent, aPacket, nullptr);
+    mWorld->mLocated += aPacket.mPurpose == SteerPurpose::Located ? 1 : 0;
+    if (aPacket.mPurpose == SteerPurpose::Locate) {
+      mWorld->ToBalancer(
+        aAgent, [aPacket](Balancer& aIt) { aIt.mSteering->OnLocate(aPacket); });
+    } else if (aPacket.mPurpose == SteerPurpose::NotHere) {
+      mWorld->ToBalancer(aAgent, [aPacket](Balancer& aIt) {
+        aIt.mSteering->OnReturned(aPacket, aIt.mWorld->mClock.Now());
+      });
+    }
+  }
+  void SendRecords(const Address& aBalancer,
+                   const FlowRecords& aRecords) override
+  {
+    mWorld->ToBalancer(aBalancer, [aRecords](Balancer& aIt) {
+      aIt.mSteering->OnRecords(aRecords);
+    });
   }
   void ToCaller(const Address& aCaller, ByteView aPacket) override
   {
