Records: ended flows are not moved, reused ports are recorded

A hint outlives its flow. After a change of balancers the hints of ended flows would have been sent too; a FIN or reset now marks them. A flow that is opened on a reused port at the host known from the earlier flow is recorded again. Records dropped at either limit are counted.

--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -302,7 +302,8 @@
       aFrame.mKind == MessageKind::SteeredPacket
         ? DecodeSteeredPacket(aFrame.mPayload)
         : Fail(ErrorKind::Malformed, "unexpected message kind", "");
-    if (!steered || steered->mPurpose == SteerPurpose::NotHere) {
+    if (!steered || steered->mPurpose == SteerPurpose::NotHere ||
+        steered->mPurpose == SteerPurpose::Locate) {
       mProcess.CountMalformed();
       return;
     }
--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -370,9 +370,8 @@
   void SendRecords(const Address& aBalancer,
                    const FlowRecords& aRecords) override
   {
-    mProcess.mTunnel->Send(
-      EncodeDatagram(MessageKind::FlowRecords, EncodePayload(aRecords)),
-      aBalancer);
+    mProcess.mMessages.Send(aBalancer, MessageKind::FlowRecords,
+                            EncodePayload(aRecords));
   }
 
   void ToCaller(const Address& aCaller, ByteView aPacket) override
--- a/src/passthrough/FlowLocations.cpp
+++ b/src/passthrough/FlowLocations.cpp
@@ -80,15 +80,15 @@
   return out;
 }
 
-bool FlowLocations::OnHostLearnt(const FlowRecord& aRecord, Time aNow)
+void FlowLocations::OnHostLearnt(const FlowRecord& aRecord, Time aNow)
 {
   if (mByDueAt.size() >= kMaxPending) {
-    return false;
+    ++mDropped;
+    return;
   }
   Time dueAt = aNow + kRecordDelay;
   mPending.insert_or_assign(aRecord.mFlowHash, Pending{ aRecord.mHost, dueAt });
   mByDueAt.emplace_back(dueAt, aRecord.mFlowHash);
-  return true;
 }
 
 std::vector<FlowLocations::Batch> FlowLocations::OnTick(const HintCache& aHints,
@@ -130,14 +130,24 @@
     FlowRecord record{ hash, it->second.mHost };
     mPending.erase(it);
     for (const RecordReplica* replica : mReplicas.Of(hash)) {
-      if (replica != nullptr && !IsSelf(*replica) && mDueTotal < kMaxPending) {
-        mOutboxes[replica->mHost].mDue.push_back(record);
-        ++mDueTotal;
+      if (replica != nullptr && !IsSelf(*replica)) {
+        QueueFor(*replica, record);
       }
     }
   }
 }
 
+void FlowLocations::QueueFor(const RecordReplica& aReplica,
+                             const FlowRecord& aRecord)
+{
+  if (mDueTotal >= kMaxPending) {
+    ++mDropped;
+    return;
+  }
+  mOutboxes[aReplica.mHost].mDue.push_back(aRecord);
+  ++mDueTotal;
+}
+
 std::size_t FlowLocations::SetsPerTick() const
 {
   std::size_t ranked = mBefore.All().size() + mReplicas.All().size();
@@ -153,7 +163,9 @@
        --left, ++mScannedSets) {
     aHints.ForEachInSet(mNextSet,
                         [this](std::uint64_t aHash, const OwnerHint& aOwner) {
-                          QueueMoved({ aHash, aOwner.mHost });
+                          if (aOwner.mIncarnation != kEndedFlow) {
+                            QueueMoved({ aHash, aOwner.mHost });
+                          }
                         });
     mNextSet = (mNextSet + 1) % aHints.Sets();
   }
--- a/src/passthrough/FlowLocations.h
+++ b/src/passthrough/FlowLocations.h
@@ -52,6 +52,10 @@
    * because of a change. Each sends its share, so that a balancer that joins
    * many others gets no more control traffic than one that joins two. */
   static constexpr std::size_t kMoveBytesPerReplica = 16384;
+  /** OwnerHint::mIncarnation of a flow that its caller has closed or reset. Its
+   * hint still serves late packets, but is not sent after a change of
+   * balancers. Hints of other flows have no incarnation. */
+  static constexpr Incarnation kEndedFlow = ~Incarnation{ 0 };
   static constexpr std::size_t kRecordBytes = 16;
   /** Size of a message of records without the records: the headers of the
    * network (28 bytes), of the datagram and of its payload. */
@@ -75,9 +79,8 @@
    * first. */
   std::vector<Address> ReplicasOf(std::uint64_t aFlowHash) const;
 
-  /** The host of a flow was learnt from its agent. Returns false if the record
-   * was dropped because too many are pending. */
-  bool OnHostLearnt(const FlowRecord& aRecord, Time aNow);
+  /** The host of a flow was learnt from its agent. */
+  void OnHostLearnt(const FlowRecord& aRecord, Time aNow);
 
   /** The caller has closed or reset the flow: a pending record is dropped. */
   void OnFlowEnded(std::uint64_t aFlowHash) { mPending.erase(aFlowHash); }
@@ -89,6 +92,9 @@
   /** Number of records that are held in memory. */
   std::size_t Size() const { return mPending.size() + mDueTotal + mMovedTotal; }
 
+  /** Number of records dropped because too many were waiting. */
+  std::uint64_t Dropped() const { return mDropped; }
+
   /** Whether the scan after the last change of balancers is still running. */
   bool IsScanning() const { return mIsScanning; }
 
@@ -114,6 +120,7 @@
     return aReplica.mHost == mSelf.mHost;
   }
   void QueueDue(Time aNow);
+  void QueueFor(const RecordReplica& aReplica, const FlowRecord& aRecord);
   void Scan(const HintCache& aHints);
   std::size_t SetsPerTick() const;
   void QueueMoved(const FlowRecord& aRecord);
@@ -132,6 +139,7 @@
   std::map<HostId, Outbox> mOutboxes;
   std::size_t mDueTotal = 0;
   std::size_t mMovedTotal = 0;
+  std::uint64_t mDropped = 0;
   bool mIsScanning = false;
   /** The next set of hints to be scanned, and how many have been. */
   std::size_t mNextSet = 0;
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -322,7 +322,7 @@
   FlowKey flow = aPacket.FlowFromCaller();
   std::uint64_t hash = HashFlow(flow);
   if (aPacket.mFin || aPacket.mReset) {
-    mLocations.OnFlowEnded(hash);
+    OnFlowEnded(hash);
   }
   const FlowRoute* route = mInventory->Find(flow.mService);
   if (const Member* member = HintedMember(hash)) {
@@ -355,10 +355,7 @@
     if (sentAt) {
       mOutput.Placed(aNow - *sentAt);
     }
-    // A flow that was not offered here, and for which a replica was asked, has
-    // a record.
-    bool isLocated = !sentAt && mSearches.IsLocating(aReport.mFlow);
-    StoreHost(aReport, isLocated, aNow);
+    StoreHost(aReport, sentAt.has_value(), aNow);
     DeliverFound(aReport);
     return;
   }
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -138,7 +138,8 @@
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   bool Locate(const FlowKey& aFlow, SteeredPacket aSteered);
   void OnNotLocated(const FlowKey& aFlow, SteerEvent aReason, Time aNow);
-  void StoreHost(const PlacementReport& aReport, bool aHasRecord, Time aNow);
+  void StoreHost(const PlacementReport& aReport, bool aIsOpened, Time aNow);
+  void OnFlowEnded(std::uint64_t aFlowHash);
   void StartSearch(const FlowKey& aFlow, Time aNow);
   void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
               std::uint32_t aEarlierSearches, Time aNow);
--- a/src/passthrough/FlowSteeringLocate.cpp
+++ b/src/passthrough/FlowSteeringLocate.cpp
@@ -18,6 +18,8 @@
     Increment(SteerEvent::RecordsSent, it.mRecords.mRecords.size());
     mOutput.SendRecords(it.mReplica, it.mRecords);
   }
+  mCounts[static_cast<std::size_t>(SteerEvent::RecordsDropped)] =
+    mLocations.Dropped();
 }
 
 void FlowSteering::OnRecords(const FlowRecords& aRecords)
@@ -28,17 +30,25 @@
   }
 }
 
-/** Stores the host of a flow, and writes its record if there may be none. */
-void FlowSteering::StoreHost(const PlacementReport& aReport, bool aHasRecord,
+/** Stores the host of a flow. Writes its record, unless the flow is an open one
+ * whose host was known or is reported because a replica was asked. */
+void FlowSteering::StoreHost(const PlacementReport& aReport, bool aIsOpened,
                              Time aNow)
 {
   std::uint64_t hash = HashFlow(aReport.mFlow);
   auto known = mHints.Find(hash);
   bool isKnown = known && known->mHost == aReport.mHost;
   mHints.Put(hash, { aReport.mHost, 0 });
-  if (!aHasRecord && !isKnown &&
-      !mLocations.OnHostLearnt({ hash, aReport.mHost }, aNow)) {
-    Increment(SteerEvent::RecordsDropped);
+  if (aIsOpened || !(isKnown || mSearches.IsLocating(aReport.mFlow))) {
+    mLocations.OnHostLearnt({ hash, aReport.mHost }, aNow);
+  }
+}
+
+void FlowSteering::OnFlowEnded(std::uint64_t aFlowHash)
+{
+  mLocations.OnFlowEnded(aFlowHash);
+  if (auto hint = mHints.Find(aFlowHash)) {
+    mHints.Put(aFlowHash, { hint->mHost, FlowLocations::kEndedFlow });
   }
 }
 
--- a/tests/FlowLocateTest.cpp
+++ b/tests/FlowLocateTest.cpp
@@ -131,6 +131,10 @@
   }
   fleet.Run(2s);
   CHECK_EQUAL(0, fleet.mRecordMessages);
+  fleet.AddBalancer();
+  fleet.UpdateViews();
+  fleet.Run(2s);
+  CHECK_EQUAL(0, fleet.mRecordMessages);
   CHECK_EQUAL(0, fleet.Count(SteerEvent::LocateSent));
 }
 
--- a/tests/FlowLocationsTest.cpp
+++ b/tests/FlowLocationsTest.cpp
@@ -69,11 +69,11 @@
     }
     return out;
   }
-  bool Learn(std::uint64_t aFlow)
+  void Learn(std::uint64_t aFlow)
   {
     mHints.Put(MixHash(aFlow, 7), { MakeHostId("h"), 0 });
-    return mLocations.OnHostLearnt({ MixHash(aFlow, 7), MakeHostId("h") },
-                                   mClock.Now());
+    mLocations.OnHostLearnt({ MixHash(aFlow, 7), MakeHostId("h") },
+                            mClock.Now());
   }
   /** Ends the scan that the first change of balancers starts. */
   void Settle(int aOthers)
@@ -196,6 +196,21 @@
   }
 }
 
+// Callers that send one request per flow leave many hints of ended flows. Their
+// records must not fill links when a balancer is added.
+TEST(FlowLocations, EndedFlowsAreNotMoved)
+{
+  Settle(2);
+  for (std::uint64_t flow = 0; flow < 3000; ++flow) {
+    mHints.Put(MixHash(flow, 7),
+               { MakeHostId("h"), FlowLocations::kEndedFlow });
+  }
+  mLocations.SetBalancers(Others(3));
+  Run(5s);
+  CHECK_FALSE(mLocations.IsScanning());
+  CHECK_EQUAL(0, mMessages);
+}
+
 // A balancer restarts so fast that it never leaves the view. It has lost its
 // records although the set of balancers is the same.
 TEST(FlowLocations, RestartedBalancerGetsItsRecords)
@@ -262,15 +277,16 @@
 TEST(FlowLocations, MemoryIsBounded)
 {
   Settle(2);
-  int dropped = 0;
   for (std::uint64_t flow = 0; flow < 100000; ++flow) {
-    dropped += Learn(flow) ? 0 : 1;
+    Learn(flow);
     CHECK_TRUE(mLocations.Size() <= FlowLocations::kMaxPending);
   }
-  CHECK_EQUAL(100000 - FlowLocations::kMaxPending, dropped);
+  CHECK_EQUAL(100000 - FlowLocations::kMaxPending, mLocations.Dropped());
   Run(550ms);
   CHECK_TRUE(mLocations.Size() <= FlowLocations::kMaxPending);
-  CHECK_TRUE(Learn(1));
+  std::uint64_t dropped = mLocations.Dropped();
+  Learn(1);
+  CHECK_EQUAL(dropped, mLocations.Dropped());
   mLocations.SetBalancers({});
   Run(1s);
   CHECK_EQUAL(0, mLocations.Size());
--- a/tests/FlowSteeringLocateTest.cpp
+++ b/tests/FlowSteeringLocateTest.cpp
@@ -124,6 +124,22 @@
   CHECK(LastPurpose() == SteerPurpose::Deliver);
 }
 
+// A caller opens a flow of one request, closes it, and later reuses its port
+// for a long flow at the same host. The second flow must be recorded, although
+// its host is the one that the balancer knows from the first.
+TEST(FlowSteeringLocate, FlowOnAReusedPortIsRecorded)
+{
+  Packet(lab::kSyn);
+  Report();
+  Packet(lab::kAck | lab::kFin, 2);
+  RunTicks(1s);
+  CHECK_EQUAL(0, mOut.mRecords);
+  Packet(lab::kSyn);
+  Report();
+  RunTicks(1s);
+  CHECK_EQUAL(1, mOut.mRecords);
+}
+
 // The replica is slow: its answer arrives when the search is running already.
 TEST(FlowSteeringLocate, PacketReturnedAfterTheTimeoutStartsNoSecondSearch)
 {
