--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -13,6 +13,7 @@
 #include "src/passthrough/IsolationWatch.h"
 #include "src/passthrough/PassthroughProcess.h"
 #include "src/process/ProcessStallWatch.h"
+#include "src/wire/LocationCodec.h"
 #include "src/wire/MembershipCodec.h"
 #include "src/wire/PassthroughCodec.h"
 
@@ -59,8 +60,9 @@
                  } })
     , mClock(mProcess.mClock)
     , mPlacementTime(mProcess.mMetrics.GetHistogram("placement_ms"))
-    , mSteering({ mSelf.mTunnel, mSelf.mDataCentre, aSettings.mMaxHints },
-                aAdapter.Packets(), *this)
+    , mSteering(
+        { mSelf.mTunnel, mSelf.mDataCentre, aSettings.mMaxHints, mSelf.mHost },
+        aAdapter.Packets(), *this)
     , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages,
                  [this](auto aViews, auto aServices) {
                    mSteering.SetViews(aViews, aServices);
@@ -170,6 +172,8 @@
     if (mBalancers.Set(balancers)) {
       mProcess.mTraffic.SetMembers(BalancerService(), balancers);
     }
+    mSteering.SetBalancers(balancers);
+    mSteering.SendRecords(now);
     EvaluateIsolation(now);
     UpdateDirectory(now);
     mMembers.Tick();
@@ -276,6 +280,9 @@
       case MessageKind::SteeredPacket:
         handled = Handle(DecodeSteeredPacket(aFrame.mPayload));
         break;
+      case MessageKind::FlowRecords:
+        handled = Handle(DecodeFlowRecords(aFrame.mPayload));
+        break;
       case MessageKind::InventoryNotice:
         handled = Handle(DecodeInventoryNotice(aFrame.mPayload));
         break;
@@ -319,13 +326,29 @@
 
   bool Handle(Result<SteeredPacket> aSteered)
   {
-    if (!aSteered || aSteered->mPurpose != SteerPurpose::NotHere) {
+    if (!aSteered) {
+      return false;
+    }
+    if (aSteered->mPurpose == SteerPurpose::Locate) {
+      mSteering.OnLocate(std::move(*aSteered));
+      return true;
+    }
+    if (aSteered->mPurpose != SteerPurpose::NotHere) {
       return false;
     }
-    mSteering.OnReturned(std::move(*aSteered), mClock.Now());
+    mSteering.OnReturned(*aSteered, mClock.Now());
+    ArmRetry();
     return true;
   }
 
+  bool Handle(const Result<FlowRecords>& aRecords)
+  {
+    if (aRecords) {
+      mSteering.OnRecords(*aRecords);
+    }
+    return aRecords.has_value();
+  }
+
   bool Handle(const Result<InventoryNotice>& aNotice)
   {
     if (aNotice) {
@@ -347,6 +370,13 @@
     mProcess.Steer(aAgent, aPacket);
   }
 
+  void SendRecords(const Address& aBalancer,
+                   const FlowRecords& aRecords) override
+  {
+    mProcess.mMessages.Send(aBalancer, MessageKind::FlowRecords,
+                            EncodePayload(aRecords));
+  }
+
   void ToCaller(const Address& aCaller, ByteView aPacket) override
   {
     mProcess.ToCaller(aCaller, aPacket);
@@ -357,11 +387,11 @@
     mPlacementTime.Record(InMs(aElapsed));
   }
 
-  /** Sets the timer to the timeout of the oldest unanswered opening packet. */
+  /** Sets the timer to the next timeout of an opening packet or lookup. */
   void ArmRetry()
   {
     auto next = mSteering.NextAt();
-    if (!next || mRetryAt) {
+    if (!next || (mRetryAt && *mRetryAt <= *next)) {
       return;
     }
     mRetryAt = next;
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -35,6 +35,15 @@
  * ms, when the hosts are available. */
 constexpr auto kHostDiscoveryDuration = std::chrono::milliseconds(2000);
 
+Member MakeSelf(const FlowSteering::Options& aOptions)
+{
+  Member out;
+  out.mHost = aOptions.mHost;
+  out.mDataCentre = aOptions.mDataCentre;
+  out.mTunnel = aOptions.mSelf;
+  return out;
+}
+
 } // namespace
 
 FlowSteering::FlowSteering(const Options& aOptions, const PacketFormat& aFormat,
@@ -44,6 +53,7 @@
   , mOutput(aOutput)
   , mViews(kScanLimit)
   , mHints(aOptions.mMaxHints)
+  , mLocations(MakeSelf(aOptions))
 {
 }
 
@@ -294,6 +304,16 @@
     Offer(it.mFlow, std::move(it.mSteered), std::move(it.mCandidates),
           PlacementWatch::Copy::Later, aNow, it.mRepeatedOffers);
   }
+  for (const FlowKey& it : mSearches.TakeUnlocated(aNow)) {
+    OnNotLocated(it, SteerEvent::LocateTimedOut, aNow);
+  }
+}
+
+std::optional<Time> FlowSteering::NextAt() const
+{
+  auto offer = mWatch.NextAt();
+  auto locate = mSearches.NextAt();
+  return offer && locate ? std::min(offer, locate) : (offer ? offer : locate);
 }
 
 void FlowSteering::Forward(const FlowPacket& aPacket, ByteView aDatagram,
@@ -301,6 +321,9 @@
 {
   FlowKey flow = aPacket.FlowFromCaller();
   std::uint64_t hash = HashFlow(flow);
+  if (aPacket.mFin || aPacket.mReset) {
+    OnFlowEnded(hash);
+  }
   const FlowRoute* route = mInventory->Find(flow.mService);
   if (const Member* member = HintedMember(hash)) {
     Increment(SteerEvent::Hinted);
@@ -313,19 +336,26 @@
     Increment(SteerEvent::DroppedNoRoute);
     return;
   }
-  SearchAll(flow, *route,
-            MakeSteered(route, {}, SteerPurpose::Search, aDatagram), hash,
-            aNow);
+  SteeredPacket steered =
+    MakeSteered(route, {}, SteerPurpose::Search, aDatagram);
+  if (!mSearches.OnPacket(flow, steered, aNow)) {
+    Increment(SteerEvent::HeldForSearch);
+    return;
+  }
+  if (!Locate(flow, std::move(steered))) {
+    StartSearch(flow, aNow);
+  }
 }
 
 void FlowSteering::OnReport(const PlacementReport& aReport, Time aNow)
 {
   mWatch.ClearSuspicion(aReport.mHost);
   if (aReport.mOutcome == PlacementOutcome::Placed) {
-    if (auto sentAt = mWatch.End(aReport.mFlow)) {
+    auto sentAt = mWatch.End(aReport.mFlow);
+    if (sentAt) {
       mOutput.Placed(aNow - *sentAt);
     }
-    mHints.Put(HashFlow(aReport.mFlow), { aReport.mHost, 0 });
+    StoreHost(aReport, sentAt.has_value(), aNow);
     DeliverFound(aReport);
     return;
   }
