--- a/src/balancer/MemberPlane.cpp
+++ b/src/balancer/MemberPlane.cpp
@@ -180,6 +180,12 @@
   return all;
 }
 
+bool MemberPlane::HasRecentDeath(Duration aWithin) const
+{
+  std::lock_guard lock(mLock);
+  return mMembership.Hosts().HasRecentDeath(aWithin, mParts.mClock.Now());
+}
+
 std::size_t MemberPlane::Size() const
 {
   std::lock_guard lock(mLock);
--- a/src/balancer/MemberPlane.h
+++ b/src/balancer/MemberPlane.h
@@ -66,6 +66,9 @@
   /** The other balancers that aren't declared dead. */
   std::vector<Member> Balancers() const;
 
+  /** Whether a host was declared dead within aWithin and is not back. */
+  bool HasRecentDeath(Duration aWithin) const;
+
   /** Number of hosts in view. */
   std::size_t Size() const;
 
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -101,10 +101,14 @@
 void MemberTable::OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow)
 {
   std::vector<MemberRecord> known = aSnapshot.mRecords;
-  std::erase_if(known, [this](const MemberRecord& aRecord) {
-    bool gone = aRecord.mVerdict == Verdict::Dead ||
-                aRecord.mMember.mState == HostState::Leaving;
-    return gone && Find(aRecord.mMember.mHost) == nullptr;
+  std::erase_if(known, [this, aNow](const MemberRecord& aRecord) {
+    bool dead = aRecord.mVerdict == Verdict::Dead;
+    bool gone = dead || aRecord.mMember.mState == HostState::Leaving;
+    bool isIgnored = gone && Find(aRecord.mMember.mHost) == nullptr;
+    if (isIgnored && dead) {
+      RecordReportedDeath(aRecord.mMember.mHost, aNow);
+    }
+    return isIgnored;
   });
   MergeAll(known, aSnapshot.mVersion, aNow);
 }
@@ -171,6 +175,7 @@
 
 bool MemberTable::Insert(const MemberRecord& aRecord, Time aNow)
 {
+  mReportedDeaths.erase(aRecord.mMember.mHost);
   MemberEntry& entry = mEntries[aRecord.mMember.mHost];
   entry.mRecord = aRecord;
   entry.mServingSince = aNow - aRecord.mAge;
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -129,7 +129,8 @@
    */
   std::vector<MemberRecord> OnDelta(const MemberDelta& aDelta, Time aNow);
   /** Like OnDelta, but ignores tombstones of hosts unknown here. Otherwise
-   * repair would exchange tombstones indefinitely. */
+   * repair would exchange tombstones indefinitely. HasRecentDeath() takes them
+   * into account. */
   void OnSnapshot(const MemberSnapshot& aSnapshot, Time aNow);
   /** Merges a MemberDelta that a peer's ServiceDelta returned. Members of the
    * service that it lacks are dropped if their last known heartbeat is at least
@@ -205,6 +206,10 @@
     return mResponsive.size() + mUnresponsive.size();
   }
   std::size_t Tombstones() const { return mGone.size(); }
+  /** Whether a member was declared dead within aWithin and is not in view
+   * again, as far as this table and the snapshots of its peers tell. Its host
+   * may be alive behind a network partition. */
+  bool HasRecentDeath(Duration aWithin, Time aNow) const;
   std::uint64_t Count(MemberEvent aEvent) const;
 
 private:
@@ -243,6 +248,7 @@
   std::size_t DeathCap(std::size_t aMembers) const;
   void AdvanceSlowStarts(Time aNow);
   void ExpireTombstones(Time aNow);
+  void RecordReportedDeath(HostId aHost, Time aNow);
   void Erase(MemberEntry& aEntry);
   void MarkChanged(MemberEntry& aEntry);
   void MarkForPeers(MemberEntry& aEntry);
@@ -281,6 +287,11 @@
   SlowStartList mSlowStarting;
   /** Tombstones, oldest first. */
   GoneList mGone;
+  /** Hosts unknown here that a snapshot reported as dead, and when it first did;
+   * bounded by mMaxTombstones. */
+  std::unordered_map<HostId, Time> mReportedDeaths;
+  /** A death was reported that mReportedDeaths has no room for. */
+  Time mUnlistedDeathAt{};
 };
 
 } // namespace heatherplank
--- a/src/membership/MemberTableTime.cpp
+++ b/src/membership/MemberTableTime.cpp
@@ -104,6 +104,35 @@
   return n;
 }
 
+/** Repair may report a death again until the peer's tombstone expires; only the
+ * first report counts. */
+void MemberTable::RecordReportedDeath(HostId aHost, Time aNow)
+{
+  if (mReportedDeaths.size() < mOptions.mMaxTombstones) {
+    mReportedDeaths.try_emplace(aHost, aNow);
+  } else if (!mReportedDeaths.contains(aHost)) {
+    mUnlistedDeathAt = aNow;
+  }
+}
+
+bool MemberTable::HasRecentDeath(Duration aWithin, Time aNow) const
+{
+  for (auto it = mGone.rbegin(); it != mGone.rend(); ++it) {
+    if (aNow - it->mGoneSince >= aWithin) {
+      break;
+    }
+    if (it->mRecord.mVerdict == Verdict::Dead) {
+      return true;
+    }
+  }
+  bool isUnlisted =
+    mUnlistedDeathAt != Time{} && aNow - mUnlistedDeathAt < aWithin;
+  return isUnlisted ||
+         std::ranges::any_of(mReportedDeaths, [&](const auto& aIt) {
+           return aNow - aIt.second < aWithin;
+         });
+}
+
 std::size_t MemberTable::DeathCap(std::size_t aMembers) const
 {
   auto share = static_cast<std::size_t>(mOptions.mMaxDeadFraction *
@@ -136,6 +165,9 @@
  * by no heartbeats, so the host is suspected and declared dead again. */
 void MemberTable::ExpireTombstones(Time aNow)
 {
+  std::erase_if(mReportedDeaths, [&](const auto& aIt) {
+    return aNow - aIt.second >= mOptions.mTombstoneTtl;
+  });
   while (!mGone.empty()) {
     MemberEntry& oldest = mGone.front();
     bool expired = aNow - oldest.mGoneSince >= mOptions.mTombstoneTtl;
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -322,6 +322,7 @@
   AnnouncementEffect effect = mHostStatus.OnAnnouncement(aAnnouncement, aNow);
   if (effect == AnnouncementEffect::NewIncarnation) {
     ++mHostIncarnations;
+    mHasMissedFlow = false;
     mWork.DropOlderThan(aNow - kMaxFirstAnnouncementDelay);
     mServiceTime.Reset();
   }
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -12,6 +12,7 @@
 #include "src/passthrough/HostAnnouncement.h"
 #include "src/passthrough/HostStatus.h"
 #include "src/passthrough/InventoryMessages.h"
+#include "src/passthrough/LocationMessages.h"
 #include "src/passthrough/NewByteDetector.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/ServiceTime.h"
@@ -90,6 +91,8 @@
   bool mProbeUnknownFlows = true;
   /** Admits no new flow before the host's first announcement. */
   bool mRequireAnnouncement = true;
+  /** Denies a flow in a query only if its entry could not have been missed. */
+  bool mDenyOnlyIfObserved = true;
 };
 
 /** An agent's table of the flows that its host holds and of the requests in
@@ -130,6 +133,10 @@
   /** A packet from a balancer or another agent. */
   void OnSteered(SteeredPacket aSteered, Time aNow);
 
+  /** Whether the host holds a flow, as far as this agent knows. NotHeld: the
+   * host will not hold the flow before an opening packet reaches it. */
+  FlowOutcome Answer(const QueriedFlow& aFlow, Time aNow);
+
   /** A packet from the host: to a caller, or returned to this agent. */
   void OnHostPacket(ByteView aPacket, Time aNow);
 
@@ -237,6 +244,7 @@
   void Forget(const FlowKey& aFlow, Time aNow);
   std::uint32_t AddPending(const SteeredPacket& aSteered, const FlowKey& aFlow);
   bool MayHoldUnknownFlows(Time aNow) const;
+  bool HasSeenAllFlows(Time aNow) const;
   void CountEvent(HostFlowEvent aEvent)
   {
     ++mCounts[static_cast<std::size_t>(aEvent)];
@@ -262,6 +270,8 @@
   Time mUnansweredSince{};
   Time mLastAdmittedAt{};
   bool mLeaving = false;
+  /** A flow of the host's current incarnation found no room in the table. */
+  bool mHasMissedFlow = false;
   std::array<std::uint64_t, static_cast<std::size_t>(HostFlowEvent::Last) + 1>
     mCounts{};
 };
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -143,6 +143,39 @@
          mHostStatus.Phase() != HostPhase::Gone;
 }
 
+/** Guards against: the host holds a flow that is not in the table, because the
+ * agent started after the host or the table was full, and the caller would be
+ * reset although its host is alive. */
+bool HostFlows::HasSeenAllFlows(Time aNow) const
+{
+  if (!mOptions.mGuards.mDenyOnlyIfObserved) {
+    return true;
+  }
+  bool isOlderThanFlows = aNow - mStartedAt >= mOptions.mFlowRetention;
+  return !mHasMissedFlow &&
+         (mHostStatus.IsObservedFromStart() ||
+          mHostStatus.Phase() == HostPhase::Gone || isOlderThanFlows);
+}
+
+/** An entry that does not match the acknowledgement decides nothing: the packet
+ * may be a late one of an earlier flow between the same addresses, whose
+ * present flow is alive. */
+FlowOutcome HostFlows::Answer(const QueriedFlow& aFlow, Time aNow)
+{
+  Table::Entry* entry = mFlows.Find(aFlow.mFlow);
+  if (entry == nullptr) {
+    return HasSeenAllFlows(aNow) ? FlowOutcome::NotHeld : FlowOutcome::Unknown;
+  }
+  if (entry->mValue.mStage == Stage::NotHere) {
+    return FlowOutcome::NotHeld;
+  }
+  FlowPacket packet;
+  packet.mAck = aFlow.mAcknowledged.has_value();
+  packet.mAcknowledged = aFlow.mAcknowledged.value_or(0);
+  return IsOpenHere(entry->mValue, packet) ? FlowOutcome::Held
+                                           : FlowOutcome::Unknown;
+}
+
 void HostFlows::Probe(SteeredPacket& aSteered, const FlowKey& aFlow)
 {
   CountEvent(HostFlowEvent::Probed);
@@ -236,6 +269,7 @@
   Table::Entry* entry = mFlows.FindOrInsert(key, aNow);
   if (entry == nullptr) {
     CountEvent(HostFlowEvent::TableFull);
+    mHasMissedFlow = true;
     return;
   }
   Flow& flow = entry->mValue;
--- /dev/null
+++ b/src/passthrough/ViewCompleteness.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <unordered_set>
+#include <utility>
+
+#include "include/heatherplank/Clock.h"
+#include "include/heatherplank/Types.h"
+#include "src/membership/BalancerMembership.h"
+
+namespace heatherplank {
+
+/** Decides whether a balancer's view contains all hosts that run.
+ *
+ * Guards against: a balancer that has just started knows some of the hosts.
+ * They all deny a flow, and its caller is reset although a host that is not in
+ * view yet holds it.
+ *
+ * The view is complete if membership is ready: it was taken over from a peer
+ * that was ready. Where every agent sends heartbeats to every balancer, it is
+ * also complete once this balancer has run for kMinAge and no host was added
+ * for kSettleDuration: an agent sends a heartbeat every 50 ms until it is
+ * answered, then every 500 ms. No I/O or clock access; not thread safe. */
+class ViewCompleteness
+{
+public:
+  static constexpr Duration kMinAge = std::chrono::milliseconds(1500);
+  static constexpr Duration kSettleDuration = std::chrono::milliseconds(700);
+
+  struct Inputs
+  {
+    MembershipReadiness mReadiness = MembershipReadiness::Starting;
+    /** This balancer receives messages from hardly any agent. */
+    bool mIsIsolated = false;
+    /** Every agent sends heartbeats to every balancer (see MonitorRule). */
+    bool mAllMonitor = true;
+  };
+
+  explicit ViewCompleteness(Time aStartedAt)
+    : mStartedAt(aStartedAt)
+    , mLastAddedAt(aStartedAt)
+  {
+  }
+
+  /** The hosts in view have changed. aHosts: all of them. */
+  void OnHosts(std::unordered_set<HostId> aHosts, Time aNow)
+  {
+    for (HostId it : aHosts) {
+      if (!mHosts.contains(it)) {
+        mLastAddedAt = aNow;
+      }
+    }
+    mHosts = std::move(aHosts);
+  }
+
+  bool IsComplete(const Inputs& aInputs, Time aNow) const
+  {
+    if (aInputs.mIsIsolated ||
+        aInputs.mReadiness == MembershipReadiness::Isolated) {
+      return false;
+    }
+    bool hasSettled = aNow - mStartedAt >= kMinAge &&
+                      aNow - mLastAddedAt >= kSettleDuration;
+    return aInputs.mReadiness == MembershipReadiness::Ready ||
+           (aInputs.mAllMonitor && hasSettled);
+  }
+
+private:
+  const Time mStartedAt;
+  Time mLastAddedAt;
+  std::unordered_set<HostId> mHosts;
+};
+
+} // namespace heatherplank
