Merge queries by key and flows that no host holds

The balancer that finds a flow by a query writes its record: OnFound carries the time. The fleet of the record tests answers queries.

--- a/bench/RelayBench.cpp
+++ b/bench/RelayBench.cpp
@@ -202,6 +202,7 @@
       EncodeDatagram(MessageKind::SteeredPacket, EncodePayload(aPacket)),
       aAgent);
   }
+  void Query(const Address&, const FlowQuery&) override {}
   void ToCaller(const Address&, ByteView) override {}
   void SendRecords(const Address&, const FlowRecords&) override {}
   void Placed(Duration) override {}
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -54,12 +54,17 @@
   , mViews(kScanLimit)
   , mHints(aOptions.mMaxHints)
   , mLocations(MakeSelf(aOptions))
+  , mQueries({ { aOptions.mSelf, aOptions.mDataCentre, aOptions.mFirstRound },
+               aOptions.mQueryGuards },
+             *this)
+  , mRouteServices(aOptions.mFlowRetention)
 {
 }
 
 void FlowSteering::SetInventory(FlowInventoryPtr aInventory)
 {
   mInventory = std::move(aInventory);
+  mRouteServices.SetInventory(*mInventory);
 }
 
 void FlowSteering::SetDrains(const DataCentreDrains& aDrains)
@@ -79,11 +84,17 @@
 void FlowSteering::UpdateMembers()
 {
   std::unordered_map<HostId, Member> members;
+  std::vector<QueriedHost> queried;
   for (const auto& [service, entry] : mViews.All()) {
     for (const Member& it : entry.mView->Members()) {
       members.insert_or_assign(it.mHost, it);
     }
   }
+  for (const auto& [host, it] : members) {
+    queried.push_back(
+      { host, it.mTunnel, it.mDataCentre, it.mState == HostState::Leaving });
+  }
+  mQueries.SetHosts(std::move(queried));
   members.swap(mMembers);
   LogMemberChanges(members);
 }
@@ -114,6 +125,7 @@
 void FlowSteering::OnProcessStall(Time aNow)
 {
   mWatch.ForgetAll();
+  mQueries.OnProcessStall(aNow);
   mAssumeCopiesUntil =
     std::max(mAssumeCopiesUntil, aNow + kBacklogReadDuration);
 }
@@ -239,6 +251,7 @@
                         Time aNow)
 {
   FlowKey flow = aPacket.FlowFromCaller();
+  mQueries.Forget(flow);
   std::uint64_t hash = HashFlow(flow);
   const Member* hinted = HintedMember(hash);
   bool isLaterCopy = aPacket.mRetransmissions > 0 || hinted != nullptr ||
@@ -307,13 +320,19 @@
   for (const FlowKey& it : mSearches.TakeUnlocated(aNow)) {
     OnNotLocated(it, SteerEvent::LocateTimedOut, aNow);
   }
+  mRouteServices.OnTick(aNow);
+  mQueries.OnTick(aNow);
 }
 
 std::optional<Time> FlowSteering::NextAt() const
 {
-  auto offer = mWatch.NextAt();
-  auto locate = mSearches.NextAt();
-  return offer && locate ? std::min(offer, locate) : (offer ? offer : locate);
+  std::optional<Time> next = mWatch.NextAt();
+  for (auto it : { mSearches.NextAt(), mQueries.NextAt() }) {
+    if (it && (!next || *it < *next)) {
+      next = it;
+    }
+  }
+  return next;
 }
 
 void FlowSteering::Forward(const FlowPacket& aPacket, ByteView aDatagram,
@@ -336,6 +355,9 @@
     Increment(SteerEvent::DroppedNoRoute);
     return;
   }
+  if (ResetIfHeldNowhere(aPacket, aNow)) {
+    return;
+  }
   SteeredPacket steered =
     MakeSteered(route, {}, SteerPurpose::Search, aDatagram);
   if (!mSearches.OnPacket(flow, steered, aNow)) {
@@ -356,7 +378,8 @@
       mOutput.Placed(aNow - *sentAt);
     }
     StoreHost(aReport, sentAt.has_value(), aNow);
-    DeliverFound(aReport);
+    mQueries.Forget(aReport.mFlow);
+    DeliverFound(aReport.mFlow, aReport.mHost);
     return;
   }
   if (mWatch.EndRefused(aReport.mFlow, aNow)) {
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -12,9 +12,11 @@
 #include "src/passthrough/CandidateOrder.h"
 #include "src/passthrough/FlowInventory.h"
 #include "src/passthrough/FlowLocations.h"
+#include "src/passthrough/FlowQueries.h"
 #include "src/passthrough/FlowSearches.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/PlacementWatch.h"
+#include "src/passthrough/RouteServices.h"
 #include "src/passthrough/SteerEvent.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/steer/HintCache.h"
@@ -28,6 +30,7 @@
   virtual ~FlowSteeringOutput() = default;
 
   virtual void Steer(const Address& aAgent, const SteeredPacket& aPacket) = 0;
+  virtual void Query(const Address& aAgent, const FlowQuery& aQuery) = 0;
   /** Sends a packet to the caller at the address aCaller. */
   virtual void ToCaller(const Address& aCaller, ByteView aPacket) = 0;
   virtual void SendRecords(const Address& aBalancer,
@@ -40,14 +43,14 @@
 /** Decides where a balancer forwards packets of opaque flows. All state is
  * soft: routes and members are supplied from outside, and the host of a
  * forgotten flow is found again by asking other balancers for its record (see
- * FlowLocations), or by querying the hosts in the candidate order of the flow.
+ * FlowLocations), or by FlowQueries.
  *
  * The packets come from the fabric, the network that spreads callers' packets
  * over the balancers. It may send the packets of an open flow to another
  * balancer at any time.
  *
  * No I/O or clock access; not thread safe. */
-class FlowSteering
+class FlowSteering : private FlowQueriesOutput
 {
 public:
   struct Options
@@ -59,6 +62,11 @@
     std::size_t mMaxHints = 65536;
     /** This balancer's id, by which it is selected as a record replica. */
     HostId mHost;
+    /** Lifetime of a flow. */
+    Duration mFlowRetention = std::chrono::seconds(60);
+    /** See FlowQueryRounds::Options. */
+    std::uint32_t mFirstRound = 1;
+    FlowQueryGuards mQueryGuards{};
   };
 
   /** aFormat and aOutput must outlive this object. */
@@ -76,6 +84,13 @@
   void SetViews(std::span<const MemberViewPtr> aViews,
                 std::span<const ServiceId> aServices);
 
+  /** Whether the views given by SetViews contain all hosts. Call after each
+   * SetViews() and before each OnTick(). */
+  void SetViewState(const HostViewState& aState)
+  {
+    mQueries.SetViewState(aState);
+  }
+
   /** Handles a packet from a caller. */
   void OnPacket(ByteView aDatagram, Time aNow);
 
@@ -97,6 +112,11 @@
 
   void OnReport(const PlacementReport& aReport, Time aNow);
 
+  void OnQueryReply(const FlowQueryReply& aReply, Time aNow)
+  {
+    mQueries.OnReply(aReply, aNow);
+  }
+
   /** Call after a process stall, before passing in any packet that arrived
    * during the stall.
    *
@@ -116,12 +136,15 @@
    * every opening packet counts as a later copy for a short time. */
   void OnStart(Time aNow);
 
-  /** Call at NextAt() or later. */
+  /** Call at NextAt() or later, and about every 50 ms. */
   void OnTick(Time aNow);
   std::optional<Time> NextAt() const;
 
   const FlowInventoryPtr& Inventory() const { return mInventory; }
 
+  /** All hosts in view. */
+  const std::unordered_map<HostId, Member>& Hosts() const { return mMembers; }
+
   /** Number of hosts in view that accept new flows. */
   std::size_t UsableHosts() const;
 
@@ -141,9 +164,17 @@
   void StoreHost(const PlacementReport& aReport, bool aIsOpened, Time aNow);
   void OnFlowEnded(std::uint64_t aFlowHash);
   void StartSearch(const FlowKey& aFlow, Time aNow);
-  void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
-              std::uint32_t aEarlierSearches, Time aNow);
-  void DeliverFound(const PlacementReport& aReport);
+  void SendQuery(const Address& aAgent, const FlowQuery& aQuery) override;
+  void OnFound(const FlowKey& aFlow, HostId aHost, Time aNow) override;
+  void OnUndecided(const FlowKey& aFlow,
+                   std::span<const Address> aHosts) override;
+  void OnHeldNowhere(const QueriedFlow& aFlow, std::size_t aReplies) override;
+  bool HasPendingOffer(const FlowKey& aFlow) const override;
+  std::vector<HostId> LikelyHosts(const FlowKey& aFlow,
+                                  std::size_t aLimit) const override;
+  bool ResetIfHeldNowhere(const FlowPacket& aPacket, Time aNow);
+  void SendReset(const QueriedFlow& aFlow);
+  void DeliverFound(const FlowKey& aFlow, HostId aHost);
   void Offer(const FlowKey& aFlow, SteeredPacket aSteered,
              std::vector<PlacementCandidate> aCandidates,
              PlacementWatch::Copy aCopy, Time aNow, int aRetries = 0);
@@ -179,6 +210,8 @@
   PlacementWatch mWatch;
   FlowSearches mSearches;
   FlowLocations mLocations;
+  FlowQueries mQueries;
+  RouteServices mRouteServices;
   /** Until this time after a start or stall, an opening packet may be a delayed
    * copy, and is treated as one. */
   Time mAssumeCopiesUntil{};
--- a/src/passthrough/FlowSteeringLocate.cpp
+++ b/src/passthrough/FlowSteeringLocate.cpp
@@ -111,7 +111,7 @@
   if (!hint || !mMembers.contains(hint->mHost)) {
     StartSearch(aFlow, aNow);
   } else if (mSearches.BeginSearch(aFlow)) {
-    DeliverFound({ aFlow, hint->mHost, PlacementOutcome::Placed });
+    DeliverFound(aFlow, hint->mHost);
   }
 }
 
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -58,6 +58,10 @@
       return "malformed";
     case HostFlowEvent::Answered:
       return "answered";
+    case HostFlowEvent::Queried:
+      return "queried";
+    case HostFlowEvent::QueriedUnknown:
+      return "queried_unknown";
   }
   return "unknown";
 }
@@ -322,6 +326,7 @@
   AnnouncementEffect effect = mHostStatus.OnAnnouncement(aAnnouncement, aNow);
   if (effect == AnnouncementEffect::NewIncarnation) {
     ++mHostIncarnations;
+    mHasMissedFlow = false;
     mWork.DropOlderThan(aNow - kMaxFirstAnnouncementDelay);
     mServiceTime.Reset();
   }
--- a/src/passthrough/PassthroughProcess.cpp
+++ b/src/passthrough/PassthroughProcess.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "src/base/Log.h"
+#include "src/wire/LocationCodec.h"
 #include "src/wire/PassthroughCodec.h"
 
 namespace heatherplank {
@@ -102,6 +103,17 @@
   SendDatagram(aBalancer, MessageKind::PlacementReport, EncodePayload(aReport));
 }
 
+void PassthroughProcess::Query(const Address& aAgent, const FlowQuery& aQuery)
+{
+  SendDatagram(aAgent, MessageKind::FlowQuery, EncodePayload(aQuery));
+}
+
+void PassthroughProcess::Reply(const Address& aAsker,
+                               const FlowQueryReply& aReply)
+{
+  SendDatagram(aAsker, MessageKind::FlowQueryReply, EncodePayload(aReply));
+}
+
 void PassthroughProcess::ToCaller(const Address& aCaller, ByteView aPacket)
 {
   Address to = aCaller;
--- a/tests/FlowLocateTest.cpp
+++ b/tests/FlowLocateTest.cpp
@@ -84,7 +84,7 @@
   CHECK_EQUAL(2, fleet.mSteered[SteerPurpose::Locate]);
   CHECK_EQUAL(1, fleet.mSteered[SteerPurpose::NotHere]);
   CHECK_EQUAL(1, fleet.Count(SteerEvent::LocateFailed));
-  CHECK_EQUAL(1, fleet.Count(SteerEvent::Searched));
+  CHECK_EQUAL(1, fleet.Count(SteerEvent::Queried));
   fleet.Run(kRecordTime);
   fleet.ResetCounts();
   fleet.Restart(to);
@@ -104,11 +104,11 @@
   fleet.Data(1, to);
   fleet.Run(10ms);
   CHECK_EQUAL(1, fleet.Received(1));
-  CHECK_EQUAL(0, fleet.mSteered[SteerPurpose::FanOut]);
+  CHECK_EQUAL(0, fleet.Count(SteerEvent::Queried));
   fleet.Run(10ms);
   CHECK_EQUAL(2, fleet.Received(1));
   CHECK_EQUAL(1, fleet.Count(SteerEvent::LocateTimedOut));
-  CHECK_EQUAL(1, fleet.Count(SteerEvent::Searched));
+  CHECK_EQUAL(1, fleet.Count(SteerEvent::Queried));
   // Once membership has noticed it, the other replica is asked.
   fleet.UpdateViews();
   fleet.Restart(to);
@@ -158,7 +158,7 @@
   CHECK_EQUAL(1, fleet.mSteered[SteerPurpose::Located]);
   CHECK_EQUAL(1, fleet.mSteered[SteerPurpose::NotHere]);
   CHECK_EQUAL(1, fleet.Count(SteerEvent::HintWrong));
-  CHECK_EQUAL(1, fleet.Count(SteerEvent::Searched));
+  CHECK_EQUAL(1, fleet.Count(SteerEvent::Queried));
   // The search has written the right record.
   fleet.Run(kRecordTime);
   fleet.ResetCounts();
@@ -200,13 +200,14 @@
   fleet.mBalancers[4]->mSteering->SetBalancers(others);
   for (std::size_t flow = 0; flow < 100; ++flow) {
     fleet.Data(flow, 4);
+    fleet.Run(FlowQueries::kBatchInterval);
     CHECK_EQUAL(2, fleet.Received(flow));
   }
   auto& steering = *fleet.mBalancers[4]->mSteering;
-  CHECK_TRUE(steering.Count(SteerEvent::Searched) ==
+  CHECK_TRUE(steering.Count(SteerEvent::Queried) ==
              steering.Count(SteerEvent::LocateFailed));
   // Only flows whose two replicas are balancer 1 and balancer 4 itself.
-  CHECK_TRUE(steering.Count(SteerEvent::Searched) < 25);
+  CHECK_TRUE(steering.Count(SteerEvent::Queried) < 25);
 }
 
 // A balancer is stopped, and membership notices it. Records move to the new
@@ -229,7 +230,7 @@
     fleet.Data(flow, 0);
     CHECK_EQUAL(2, fleet.Received(flow));
   }
-  CHECK_EQUAL(0, fleet.Count(SteerEvent::Searched));
+  CHECK_EQUAL(0, fleet.Count(SteerEvent::Queried));
 }
 
 // Half of the balancers lose power at once and return. Flows of which both
@@ -251,18 +252,20 @@
   std::minstd_rand random(1);
   for (std::size_t flow = 0; flow < kFlows; ++flow) {
     fleet.Data(flow, random() % 10);
+    fleet.Run(FlowQueries::kBatchInterval);
     CHECK_EQUAL(2, fleet.Received(flow));
   }
   // 5 x 4 / (10 x 9) of the flows have lost both replicas, half of these the
   // opener as well: 44 of 400 expected.
-  std::uint64_t searched = fleet.Count(SteerEvent::Searched);
+  std::uint64_t searched = fleet.Count(SteerEvent::Queried);
   CHECK_TRUE(searched > 20 && searched < 70);
   fleet.Run(kRecordTime);
   for (std::size_t flow = 0; flow < kFlows; ++flow) {
     fleet.Data(flow, random() % 10);
+    fleet.Run(FlowQueries::kBatchInterval);
     CHECK_EQUAL(3, fleet.Received(flow));
   }
-  CHECK_EQUAL(searched, fleet.Count(SteerEvent::Searched));
+  CHECK_EQUAL(searched, fleet.Count(SteerEvent::Queried));
 }
 
 // The cost of a flow must not grow with the fleet: two records of 16 bytes, and
@@ -296,7 +299,7 @@
       fleet.Data(flow, (flow + 1) % balancers);
       CHECK_EQUAL(2, fleet.Received(flow));
     }
-    CHECK_EQUAL(0, fleet.mSteered[SteerPurpose::FanOut]);
+    CHECK_EQUAL(0, fleet.Count(SteerEvent::Queried));
     CHECK_TRUE(fleet.mSteered[SteerPurpose::Locate] <=
                static_cast<int>(kFlows));
   }
--- a/tests/FlowSteeringLocateTest.cpp
+++ b/tests/FlowSteeringLocateTest.cpp
@@ -27,6 +27,7 @@
   {
     std::vector<std::pair<Address, SteeredPacket>> mSteered;
     std::size_t mRecords = 0;
+    int mQueries = 0;
 
     void Steer(const Address& aTo, const SteeredPacket& aPacket) override
     {
@@ -37,15 +38,19 @@
     {
       mRecords += aRecords.mRecords.size();
     }
+    void Query(const Address&, const FlowQuery&) override { ++mQueries; }
     void Placed(Duration) override {}
   };
 
   ManualClock mClock;
   PlatformPackets mPackets;
   Output mOut;
-  FlowSteering mSteering{
-    { kSelf, MakeDataCentreId("near"), 64, MakeHostId("b") }, mPackets, mOut
-  };
+  FlowSteering mSteering{ { .mSelf = kSelf,
+                            .mDataCentre = MakeDataCentreId("near"),
+                            .mMaxHints = 64,
+                            .mHost = MakeHostId("b") },
+                          mPackets,
+                          mOut };
   HostId mHost = MakeHostId("h");
 
   void setup() override
@@ -148,10 +153,10 @@
   CHECK(*mSteering.NextAt() == mClock.Now() + FlowSearches::kLocateTimeout);
   mClock.Advance(FlowSearches::kLocateTimeout);
   mSteering.OnTick(mClock.Now());
-  CHECK_EQUAL(1, mSteering.Count(SteerEvent::Searched));
+  CHECK_EQUAL(1, mSteering.Count(SteerEvent::Queried));
   Return(located);
-  CHECK_EQUAL(1, mSteering.Count(SteerEvent::Searched));
-  CHECK_FALSE(mSteering.NextAt().has_value());
+  CHECK_EQUAL(1, mSteering.Count(SteerEvent::Queried));
+  CHECK(*mSteering.NextAt() > mClock.Now());
 }
 
 // The lookup fails although a record has arrived meanwhile, from a balancer
@@ -166,14 +171,14 @@
   CHECK_EQUAL(3, mOut.mSteered.size());
   CHECK(mOut.mSteered[1].second.mPacket == located.mPacket);
   CHECK(LastPurpose() == SteerPurpose::Deliver);
-  CHECK_EQUAL(0, mSteering.Count(SteerEvent::Searched));
+  CHECK_EQUAL(0, mSteering.Count(SteerEvent::Queried));
 }
 
 TEST(FlowSteeringLocate, WithoutAnotherBalancerTheSearchStartsAtOnce)
 {
   mSteering.SetBalancers({});
   Packet(lab::kAck);
-  CHECK(LastPurpose() == SteerPurpose::FanOut);
+  CHECK_EQUAL(1, mOut.mQueries);
   CHECK_EQUAL(0, mSteering.Count(SteerEvent::LocateSent));
 }
 
--- a/tests/LocationFleet.h
+++ b/tests/LocationFleet.h
@@ -11,6 +11,7 @@
 
 #include "lab/soak/PacketMaker.h"
 #include "src/net/Endpoint.h"
+#include "src/passthrough/FlowQueryRelay.h"
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/HostFlows.h"
 #include "src/wire/LocationCodec.h"
@@ -41,14 +42,21 @@
     {
       mFleet->SendRecords(aTo, aRecords);
     }
+    void Query(const Address& aTo, const FlowQuery& aQuery) override
+    {
+      mFleet->SendQuery(aTo, aQuery);
+    }
     void Placed(Duration) override {}
   };
 
-  struct Agent final : HostFlowsOutput
+  struct Agent final
+    : HostFlowsOutput
+    , FlowQueryRelayOutput
   {
     LocationFleet* mFleet = nullptr;
     Member mMember;
     std::unique_ptr<HostFlows> mFlows;
+    std::unique_ptr<FlowQueryRelay> mRelay;
     std::map<FlowKey, int> mReceived;
 
     void ToHost(ByteView aPacket) override;
@@ -66,6 +74,18 @@
       });
     }
     void RecordDuration(HostTiming, Duration) override {}
+    FlowOutcome Answer(const QueriedFlow& aFlow) override
+    {
+      return mFlows->Answer(aFlow, mFleet->mClock.Now());
+    }
+    void Query(const Address& aTo, const FlowQuery& aQuery) override
+    {
+      mFleet->SendQuery(aTo, aQuery);
+    }
+    void Reply(const Address& aTo, const FlowQueryReply& aReply) override
+    {
+      mFleet->SendReply(aTo, aReply);
+    }
   };
 
   LocationFleet(std::size_t aBalancers, std::size_t aHosts)
@@ -96,8 +116,10 @@
     it.mAlive = true;
     it.mMember.mIncarnation = ++mIncarnations;
     it.mSteering = std::make_unique<FlowSteering>(
-      FlowSteering::Options{ it.mMember.mTunnel, it.mMember.mDataCentre, 4096,
-                             it.mMember.mHost },
+      FlowSteering::Options{ .mSelf = it.mMember.mTunnel,
+                             .mDataCentre = it.mMember.mDataCentre,
+                             .mMaxHints = 4096,
+                             .mHost = it.mMember.mHost },
       mPackets, it);
     it.mSteering->SetInventory(mInventory);
     std::vector<Member> hosts;
@@ -273,6 +295,8 @@
     options.mService = it->mMember.mService;
     it->mFlows =
       std::make_unique<HostFlows>(options, mPackets, *it, mClock.Now());
+    it->mRelay = std::make_unique<FlowQueryRelay>(
+      FlowQueryRelay::Options{ it->mMember.mHost, it->mMember.mTunnel }, *it);
     Announce(*it);
     mAgents.push_back(std::move(it));
   }
@@ -344,6 +368,31 @@
     });
   }
 
+  void SendQuery(const Address& aTo, const FlowQuery& aQuery)
+  {
+    Post([this, aTo, aQuery] {
+      for (auto& it : mAgents) {
+        if (it->mMember.mTunnel == aTo) {
+          it->mRelay->OnQuery(aQuery, mClock.Now());
+        }
+      }
+    });
+  }
+
+  void SendReply(const Address& aTo, const FlowQueryReply& aReply)
+  {
+    Post([this, aTo, aReply] {
+      if (Balancer* it = BalancerAt(aTo)) {
+        it->mSteering->OnQueryReply(aReply, mClock.Now());
+      }
+      for (auto& it : mAgents) {
+        if (it->mMember.mTunnel == aTo) {
+          it->mRelay->OnReply(aReply);
+        }
+      }
+    });
+  }
+
   void SendRecords(const Address& aTo, const FlowRecords& aRecords)
   {
     constexpr std::size_t kNetworkHeaders = 28;
