--- a/tests/FlowSteeringLocateTest.cpp
+++ b/tests/FlowSteeringLocateTest.cpp
@@ -140,6 +140,17 @@
   CHECK_EQUAL(1, mOut.mRecords);
 }
 
+TEST(FlowSteeringLocate, FlowThatItsCallerResetsIsNotRecorded)
+{
+  RunTicks(200ms);
+  Packet(lab::kSyn);
+  Report();
+  mSteering.OnPacket(mPackets.MakeReset({ kFlow.mService, kFlow.mCaller }, 2),
+                     mClock.Now());
+  RunTicks(1s);
+  CHECK_EQUAL(0, mOut.mRecords);
+}
+
 // The replica is slow: its answer arrives when the search is running already.
 TEST(FlowSteeringLocate, PacketReturnedAfterTheTimeoutStartsNoSecondSearch)
 {
