--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -94,13 +94,7 @@
 void PassthroughWorld::SteerPacket(Balancer& aBalancer, const Bytes& aPacket)
 {
   aBalancer.mSteering->OnPacket(aPacket, mClock.Now());
-  if (auto next = aBalancer.mSteering->NextAt()) {
-    Schedule(*next - mClock.Now(), [this, &aBalancer] {
-      if (!aBalancer.mStalled) {
-        aBalancer.mSteering->OnTick(mClock.Now());
-      }
-    });
-  }
+  ArmTimer(aBalancer);
 }
 
 void PassthroughWorld::ToAgent(const Address& aTo, const SteeredPacket& aPacket,
@@ -126,8 +120,11 @@
 {
   for (auto& it : mBalancers) {
     if (it->mTunnel == aTo) {
-      Send([&balancer = *it, what = std::move(aAction)] {
-        balancer.RunOrDefer([&balancer, what] { what(balancer); });
+      Send([this, &balancer = *it, what = std::move(aAction)] {
+        balancer.RunOrDefer([this, &balancer, what] {
+          what(balancer);
+          ArmTimer(balancer);
+        });
       });
       return;
     }
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -97,6 +97,7 @@
   bool IsDrainPropagated(const Agent& aAgent) const;
 
   void Tick();
+  void ArmTimer(Balancer& aBalancer);
   void UpdateViewState(Balancer& aBalancer);
   void Reveal(Balancer& aBalancer, std::size_t aHost);
   void DeclareDead(Balancer& aBalancer, const Agent& aAgent);
--- a/tests/PassthroughWorldParts.h
+++ b/tests/PassthroughWorldParts.h
@@ -84,6 +84,8 @@
    */
   std::set<std::size_t> mHidden;
   std::set<std::size_t> mDead;
+  /** When its timer runs off next. */
+  std::optional<Time> mTimerAt;
   /** The late host joined during a stall. */
   bool mMissedJoin = false;
 
--- a/tests/PassthroughWorldQueries.cpp
+++ b/tests/PassthroughWorldQueries.cpp
@@ -19,6 +19,7 @@
     if (!it->mStalled) {
       UpdateViewState(*it);
       it->mSteering->OnTick(mClock.Now());
+      ArmTimer(*it);
     }
   }
   for (auto& it : mAgents) {
@@ -29,6 +30,26 @@
   Schedule(kTickInterval, [this] { Tick(); });
 }
 
+/** Sets the balancer's timer to the next timeout of its FlowSteering. */
+void PassthroughWorld::ArmTimer(Balancer& aBalancer)
+{
+  auto next = aBalancer.mSteering->NextAt();
+  if (!next || (aBalancer.mTimerAt && *aBalancer.mTimerAt <= *next)) {
+    return;
+  }
+  aBalancer.mTimerAt = next;
+  Duration after = std::max(Duration::zero(), *next - mClock.Now());
+  Schedule(after, [this, &aBalancer, at = *next] {
+    if (aBalancer.mTimerAt == at) {
+      aBalancer.mTimerAt.reset();
+    }
+    if (!aBalancer.mStalled) {
+      aBalancer.mSteering->OnTick(mClock.Now());
+      ArmTimer(aBalancer);
+    }
+  });
+}
+
 void PassthroughWorld::UpdateViewState(Balancer& aBalancer)
 {
   bool isComplete = aBalancer.mCompleteness->IsComplete(
