--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -95,24 +95,7 @@
 void PassthroughWorld::SteerPacket(Balancer& aBalancer, const Bytes& aPacket)
 {
   aBalancer.mSteering->OnPacket(aPacket, mClock.Now());
-  ScheduleTimeout(aBalancer);
-}
-
-/** Calls OnTick at each timeout of the balancer, until there are none or the
- * balancer is stalled. */
-void PassthroughWorld::ScheduleTimeout(Balancer& aBalancer)
-{
-  auto next = aBalancer.mSteering->NextAt();
-  if (!next) {
-    return;
-  }
-  Schedule(std::max(Duration::zero(), *next - mClock.Now()),
-           [this, &aBalancer] {
-             if (!aBalancer.mStalled) {
-               aBalancer.mSteering->OnTick(mClock.Now());
-               ScheduleTimeout(aBalancer);
-             }
-           });
+  ArmTimer(aBalancer);
 }
 
 void PassthroughWorld::ToAgent(const Address& aTo, const SteeredPacket& aPacket,
@@ -138,8 +121,11 @@
 {
   for (auto& it : mBalancers) {
     if (it->mTunnel == aTo) {
-      Send([&balancer = *it, what = std::move(aAction)] {
-        balancer.RunOrDefer([&balancer, what] { what(balancer); });
+      Send([this, &balancer = *it, what = std::move(aAction)] {
+        balancer.RunOrDefer([this, &balancer, what] {
+          what(balancer);
+          ArmTimer(balancer);
+        });
       });
       return;
     }
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -102,6 +102,7 @@
   bool IsDrainPropagated(const Agent& aAgent) const;
 
   void Tick();
+  void ArmTimer(Balancer& aBalancer);
   void UpdateViewState(Balancer& aBalancer);
   void Reveal(Balancer& aBalancer, std::size_t aHost);
   void DeclareDead(Balancer& aBalancer, const Agent& aAgent);
@@ -114,7 +115,6 @@
 
   void OnCallerPacket(Bytes aPacket);
   void SteerPacket(Balancer& aBalancer, const Bytes& aPacket);
-  void ScheduleTimeout(Balancer& aBalancer);
   void ToAgent(const Address& aTo, const SteeredPacket& aPacket,
                const Agent* aFrom);
   void ToBalancer(const Address& aTo, std::function<void(Balancer&)> aAction);
--- a/tests/PassthroughWorldParts.h
+++ b/tests/PassthroughWorldParts.h
@@ -85,6 +85,8 @@
    */
   std::set<std::size_t> mHidden;
   std::set<std::size_t> mDead;
+  /** When its timer runs off next. */
+  std::optional<Time> mTimerAt;
   /** The late host joined during a stall. */
   bool mMissedJoin = false;
 
@@ -106,7 +108,7 @@
       it();
     }
     mSteering->OnTick(mWorld->mClock.Now());
-    mWorld->ScheduleTimeout(*this);
+    mWorld->ArmTimer(*this);
     if (std::exchange(mMissedJoin, false)) {
       mWorld->Schedule(
         mWorld->RandomDuration(0, 500),
