Includes between the folders of src/ point downwards only

Cause: process included cli, and wire included config, decide, membership, passthrough, record, status and steer, which include wire in turn.

Moved, without a change of behaviour: ExitCodes to process; HostLoad to include/; the messages of membership, ownership and inventory to wire; the codecs of configuration, run-once keys, homes and status beside their types.

Putting the codecs of membership and ownership into those folders was the alternative; plain types in wire touch fewer files.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -25,10 +25,10 @@
 #include "src/process/ProcessRuntime.h"
 #include "src/process/StatusSender.h"
 #include "src/process/WallClock.h"
+#include "src/status/StatusCodec.h"
 #include "src/store/HttpObjectStore.h"
 #include "src/wire/LoadCodec.h"
 #include "src/wire/MembershipCodec.h"
-#include "src/wire/StatusCodec.h"
 
 namespace heatherplank {
 
--- a/src/agent/ConfigFeed.cpp
+++ b/src/agent/ConfigFeed.cpp
@@ -5,10 +5,10 @@
 #include <variant>
 
 #include "src/base/Log.h"
+#include "src/config/ConfigCodec.h"
 #include "src/metrics/Metrics.h"
 #include "src/process/ConfigCounterExport.h"
 #include "src/process/ControlLinks.h"
-#include "src/wire/ConfigCodec.h"
 
 namespace heatherplank {
 
--- a/src/agent/OutlierTracker.h
+++ b/src/agent/OutlierTracker.h
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "include/heatherplank/Clock.h"
-#include "src/decide/HostLoad.h"
+#include "include/heatherplank/HostLoad.h"
 #include "src/steer/ServiceView.h"
 
 namespace heatherplank {
--- a/src/agent/PolicyMeter.h
+++ b/src/agent/PolicyMeter.h
@@ -9,8 +9,8 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Configuration.h"
+#include "include/heatherplank/HostLoad.h"
 #include "src/caller/Answer.h"
-#include "src/decide/HostLoad.h"
 #include "src/status/PolicyFigures.h"
 
 namespace heatherplank {
--- a/src/agent/RunOnceRecorder.cpp
+++ b/src/agent/RunOnceRecorder.cpp
@@ -6,8 +6,8 @@
 #include "src/metrics/Metrics.h"
 #include "src/net/DatagramSocket.h"
 #include "src/process/ControlLinks.h"
-#include "src/wire/HomeCodec.h"
-#include "src/wire/KeyCodec.h"
+#include "src/record/HomeCodec.h"
+#include "src/record/KeyCodec.h"
 
 namespace heatherplank {
 
--- a/src/cli/CommandContext.h
+++ b/src/cli/CommandContext.h
@@ -7,8 +7,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "include/heatherplank/Error.h"
-#include "src/cli/ExitCodes.h"
 #include "src/config/ConfigurationStore.h"
+#include "src/process/ExitCodes.h"
 #include "src/store/HttpObjectStore.h"
 #include "src/store/SyncObjectStore.h"
 
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -3,7 +3,7 @@
 #include <span>
 #include <string>
 
-#include "src/cli/ExitCodes.h"
+#include "src/process/ExitCodes.h"
 
 namespace heatherplank {
 
--- a/src/wire/ConfigCodec.cpp
+++ b/src/config/ConfigCodec.cpp
@@ -1,4 +1,4 @@
-#include "src/wire/ConfigCodec.h"
+#include "src/config/ConfigCodec.h"
 
 #include <utility>
 
--- a/src/decide/AdmissionPolicy.h
+++ b/src/decide/AdmissionPolicy.h
@@ -9,9 +9,9 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Error.h"
+#include "include/heatherplank/HostLoad.h"
 #include "include/heatherplank/Types.h"
 #include "src/decide/AdmissionOptions.h"
-#include "src/decide/HostLoad.h"
 #include "src/decide/Reasons.h"
 #include "src/decide/Request.h"
 
--- a/src/decide/BalancingPolicy.h
+++ b/src/decide/BalancingPolicy.h
@@ -9,7 +9,7 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Error.h"
-#include "src/decide/HostLoad.h"
+#include "include/heatherplank/HostLoad.h"
 
 namespace heatherplank {
 
--- a/src/decide/ForwardPlanner.h
+++ b/src/decide/ForwardPlanner.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
-#include "src/decide/HostLoad.h"
+#include "include/heatherplank/HostLoad.h"
 #include "src/decide/PickLedger.h"
 #include "src/decide/Request.h"
 
--- a/src/decide/OutlierDetector.h
+++ b/src/decide/OutlierDetector.h
@@ -5,8 +5,8 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Error.h"
+#include "include/heatherplank/HostLoad.h"
 #include "include/heatherplank/Types.h"
-#include "src/decide/HostLoad.h"
 
 namespace heatherplank {
 
--- a/src/decide/PickLedger.h
+++ b/src/decide/PickLedger.h
@@ -4,7 +4,7 @@
 #include <map>
 
 #include "include/heatherplank/Clock.h"
-#include "src/decide/HostLoad.h"
+#include "include/heatherplank/HostLoad.h"
 
 namespace heatherplank {
 
--- a/src/membership/MembershipActions.h
+++ b/src/membership/MembershipActions.h
@@ -1,15 +1,10 @@
 #pragma once
 
-#include <variant>
-
 #include "include/heatherplank/Types.h"
-#include "src/membership/MemberRecord.h"
+#include "src/wire/MembershipMessages.h"
 
 namespace heatherplank {
 
-using MembershipMessage = std::variant<Heartbeat, MemberDelta, MemberDigest,
-                                       MemberSnapshotRequest, MemberSnapshot>;
-
 /** A message to send to a control address; delivery is not guaranteed. */
 struct SendMembership
 {
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -11,13 +11,13 @@
 #include "src/passthrough/FlowAdmission.h"
 #include "src/passthrough/HostAnnouncement.h"
 #include "src/passthrough/HostStatus.h"
-#include "src/passthrough/InventoryMessages.h"
 #include "src/passthrough/NewByteDetector.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/ServiceTime.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/passthrough/WorkInProgress.h"
 #include "src/steer/BoundedTable.h"
+#include "src/wire/InventoryMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/InventoryExchange.h
+++ b/src/passthrough/InventoryExchange.h
@@ -6,10 +6,10 @@
 #include <vector>
 
 #include "src/passthrough/DrainWatch.h"
-#include "src/passthrough/InventoryMessages.h"
 #include "src/passthrough/InventoryPeers.h"
 #include "src/passthrough/InventoryWatch.h"
 #include "src/passthrough/StoreWatcherSelection.h"
+#include "src/wire/InventoryMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/InventoryPeers.h
+++ b/src/passthrough/InventoryPeers.h
@@ -9,7 +9,7 @@
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
 #include "src/membership/ByteBudget.h"
-#include "src/passthrough/InventoryMessages.h"
+#include "src/wire/InventoryMessages.h"
 
 namespace heatherplank {
 
--- a/src/process/RunProcess.h
+++ b/src/process/RunProcess.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "src/base/Log.h"
-#include "src/cli/ExitCodes.h"
+#include "src/process/ExitCodes.h"
 #include "src/process/ProcessOptions.h"
 
 namespace heatherplank {
--- a/src/wire/HomeCodec.cpp
+++ b/src/record/HomeCodec.cpp
@@ -1,4 +1,4 @@
-#include "src/wire/HomeCodec.h"
+#include "src/record/HomeCodec.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/wire/KeyCodec.cpp
+++ b/src/record/KeyCodec.cpp
@@ -1,4 +1,4 @@
-#include "src/wire/KeyCodec.h"
+#include "src/record/KeyCodec.h"
 
 #include "src/wire/WireAddress.h"
 #include "src/wire/keys_generated.h"
--- a/src/wire/StatusCodec.cpp
+++ b/src/status/StatusCodec.cpp
@@ -1,4 +1,4 @@
-#include "src/wire/StatusCodec.h"
+#include "src/status/StatusCodec.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/steer/OwnerLookups.h
+++ b/src/steer/OwnerLookups.h
@@ -10,9 +10,9 @@
 #include "include/heatherplank/Clock.h"
 #include "src/steer/BoundedTable.h"
 #include "src/steer/OwnershipActions.h"
-#include "src/steer/OwnershipMessages.h"
 #include "src/steer/OwnershipOptions.h"
 #include "src/steer/ViewHistory.h"
+#include "src/wire/OwnershipMessages.h"
 
 namespace heatherplank {
 
--- a/src/steer/Ownership.h
+++ b/src/steer/Ownership.h
@@ -11,8 +11,8 @@
 #include "src/steer/FlowMover.h"
 #include "src/steer/OwnerLookups.h"
 #include "src/steer/OwnershipActions.h"
-#include "src/steer/OwnershipMessages.h"
 #include "src/steer/OwnershipState.h"
+#include "src/wire/OwnershipMessages.h"
 
 namespace heatherplank {
 
--- a/src/steer/OwnershipActions.h
+++ b/src/steer/OwnershipActions.h
@@ -7,7 +7,7 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
-#include "src/steer/OwnershipMessages.h"
+#include "src/wire/OwnershipMessages.h"
 #include "src/wire/PacketCodec.h"
 
 namespace heatherplank {
--- a/src/steer/OwnershipState.h
+++ b/src/steer/OwnershipState.h
@@ -7,9 +7,9 @@
 #include "src/steer/OwnerPolicy.h"
 #include "src/steer/OwnershipActions.h"
 #include "src/steer/OwnershipCounters.h"
-#include "src/steer/OwnershipMessages.h"
 #include "src/steer/OwnershipOptions.h"
 #include "src/steer/ViewHistory.h"
+#include "src/wire/OwnershipMessages.h"
 
 namespace heatherplank {
 
--- a/src/steer/ViewHistory.h
+++ b/src/steer/ViewHistory.h
@@ -7,9 +7,9 @@
 #include <boost/container/static_vector.hpp>
 
 #include "include/heatherplank/Clock.h"
-#include "src/steer/OwnershipMessages.h"
 #include "src/steer/OwnershipOptions.h"
 #include "src/steer/ServiceView.h"
+#include "src/wire/OwnershipMessages.h"
 
 namespace heatherplank {
 
--- a/src/wire/LoadCodec.h
+++ b/src/wire/LoadCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "include/heatherplank/HostLoad.h"
 #include "include/heatherplank/Types.h"
-#include "src/decide/HostLoad.h"
 #include "src/wire/Frame.h"
 
 namespace heatherplank {
--- a/src/wire/MembershipCodec.h
+++ b/src/wire/MembershipCodec.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "include/heatherplank/Error.h"
-#include "src/membership/MemberRecord.h"
-#include "src/membership/MembershipActions.h"
 #include "src/wire/Frame.h"
+#include "src/wire/MembershipMessages.h"
 
 namespace heatherplank {
 
--- a/src/wire/PassthroughCodec.h
+++ b/src/wire/PassthroughCodec.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "include/heatherplank/Error.h"
-#include "src/passthrough/InventoryMessages.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/wire/Frame.h"
+#include "src/wire/InventoryMessages.h"
 
 namespace heatherplank {
 
--- a/src/wire/SteerCodec.h
+++ b/src/wire/SteerCodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "include/heatherplank/Error.h"
-#include "src/steer/OwnershipMessages.h"
 #include "src/wire/Frame.h"
+#include "src/wire/OwnershipMessages.h"
 
 namespace heatherplank {
 
--- a/tests/ConfigWorld.cpp
+++ b/tests/ConfigWorld.cpp
@@ -4,9 +4,9 @@
 #include <tuple>
 #include <utility>
 
+#include "src/config/ConfigCodec.h"
 #include "src/config/ConfigurationParts.h"
 #include "src/net/Endpoint.h"
-#include "src/wire/ConfigCodec.h"
 
 namespace heatherplank {
 
--- a/tests/MembershipCodecTest.cpp
+++ b/tests/MembershipCodecTest.cpp
@@ -2,8 +2,8 @@
 #include <functional>
 #include <random>
 
-#include "src/wire/HomeCodec.h"
-#include "src/wire/KeyCodec.h"
+#include "src/record/HomeCodec.h"
+#include "src/record/KeyCodec.h"
 #include "src/wire/MembershipCodec.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/StatusTest.cpp
+++ b/tests/StatusTest.cpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "src/status/StatusCodec.h"
 #include "src/status/StatusPublisher.h"
 #include "src/status/StatusReporter.h"
-#include "src/wire/StatusCodec.h"
 #include "tests/FakeObjectStore.h"
 
 #include <CppUTest/TestHarness.h>
