--- a/bench/PassthroughBench.cpp
+++ b/bench/PassthroughBench.cpp
@@ -1,9 +1,13 @@
+#include <malloc.h>
+
 #include <benchmark/benchmark.h>
 
+#include "bench/BenchMembers.h"
 #include "lab/soak/PacketMaker.h"
 #include "src/net/Endpoint.h"
 #include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/HostFlows.h"
+#include "src/passthrough/PassthroughTraffic.h"
 #include "src/wire/PassthroughCodec.h"
 
 using namespace heatherplank;
@@ -165,4 +169,49 @@
 }
 BENCHMARK(FlowAtAgent);
 
+/** Services of five hosts, as many hosts in all. */
+void FillMembers(PassthroughTraffic& aTraffic, std::int64_t aHosts)
+{
+  constexpr std::int64_t kHostsPerService = 5;
+  for (std::int64_t i = 0; i < aHosts; i += kHostsPerService) {
+    ServiceId service = MakeServiceId("s" + std::to_string(i));
+    std::vector<Member> members;
+    for (std::int64_t j = i; j < i + kHostsPerService; ++j) {
+      members.push_back(MakeMember("h" + std::to_string(j), service, j));
+    }
+    aTraffic.SetMembers(service, members);
+  }
+}
+
+void MeterSentPacket(benchmark::State& aState)
+{
+  MetricsRegistry metrics;
+  auto before = mallinfo2().uordblks;
+  PassthroughTraffic traffic(metrics, MakeDataCentreId("dc-0"), Time{});
+  FillMembers(traffic, aState.range(0));
+  aState.counters["bytes"] = static_cast<double>(mallinfo2().uordblks - before);
+  std::int64_t host = 0;
+  for (auto it : aState) {
+    traffic.OnSteered(AddressOf(host), SteerPurpose::Deliver, 500);
+    host = (host + 7919) % aState.range(0);
+  }
+}
+BENCHMARK(MeterSentPacket)->Arg(10)->Arg(30000);
+
+void MeterServiceChanged(benchmark::State& aState)
+{
+  MetricsRegistry metrics;
+  PassthroughTraffic traffic(metrics, MakeDataCentreId("dc-0"), Time{});
+  FillMembers(traffic, aState.range(0));
+  ServiceId service = MakeServiceId("s0");
+  std::vector<Member> members;
+  for (std::int64_t i = 0; i < 5; ++i) {
+    members.push_back(MakeMember("h" + std::to_string(i), service, i));
+  }
+  for (auto it : aState) {
+    traffic.SetMembers(service, members);
+  }
+}
+BENCHMARK(MeterServiceChanged)->Arg(30000);
+
 } // namespace
