--- a/lab/soak/SoakLongFlows.cpp
+++ b/lab/soak/SoakLongFlows.cpp
@@ -36,23 +36,25 @@
     { "balancer_stop", &Soak::StopAnyBalancer },
     { "host_drain", &Soak::DrainHost },
     { "reload", &Soak::Reload },
+    { "processes_lost", &Soak::LoseProcesses },
   };
+  std::size_t kinds = std::size(kFaults) - (mOptions.mWide ? 0 : 1);
   auto n = 2 + static_cast<int>(mRandom() % 4);
   for (int i = 0; i < n; ++i) {
-    const auto& [name, fault] = kFaults[mRandom() % std::size(kFaults)];
+    const auto& [name, fault] = kFaults[mRandom() % kinds];
     PlanFault(name, fault);
   }
   auto tenth = milliseconds(100 * mOptions.mSeconds);
   if (mOptions.mRouteLeavesService) {
-    // In the first half, so that balancers restart afterwards.
+    // Balancers restart afterwards, so that the flows move.
     mPlannedFaults.emplace_back("service_left");
-    RunAfter(3 * tenth, [this] { LeaveService(); });
-    PlanFault("balancers_in_turn", &Soak::RestartBalancersInTurn);
+    RunAfter(2 * tenth, [this] { LeaveService(); });
+    RunAfter(3 * tenth, [this] { RestartBalancersInTurn(); });
   }
   if (mOptions.mLosesPower) {
+    // All processes are back before the faults end, also in a run of 6 s.
     mPlannedFaults.emplace_back("power_loss");
-    RunAfter(static_cast<int>(3 + mRandom() % 3) * tenth,
-             [this] { LosePower(); });
+    RunAfter(6 * tenth, [this] { LosePower(); });
   }
 }
 
@@ -91,22 +93,38 @@
     }
   }
   auto off = RandomFaultDuration();
-  auto returnAfter = [&] {
-    return off + milliseconds(mRandom() % kReturnSpread.count());
-  };
+  for (auto& it : mAgents) {
+    it->mHost->Crash();
+    RestartAfter(ReturnAfter(off), [&it = *it] { it.mHost->Start(); });
+  }
+  KillAllProcesses(off);
+  RunAfter(off + kReturnSpread + kResetBound,
+           [this] { CheckLostFlowsAreReset(); });
+}
+
+Duration Soak::ReturnAfter(Duration aOff)
+{
+  return aOff + milliseconds(mRandom() % kReturnSpread.count());
+}
+
+void Soak::KillAllProcesses(Duration aOff)
+{
   for (auto& it : mBalancers) {
     it->mProcess.reset();
-    RunAfter(returnAfter(), [this, &it = *it] { StartBalancer(it); });
+    RestartAfter(ReturnAfter(aOff), [this, &it = *it] { StartBalancer(it); });
   }
   for (auto& it : mAgents) {
     it->mProcess.reset();
-    it->mHost->Crash();
-    RunAfter(returnAfter(), [&it = *it] { it.mHost->Start(); });
-    RunAfter(returnAfter(), [this, &it = *it] { StartAgent(it); });
+    RestartAfter(ReturnAfter(aOff), [this, &it = *it] { StartAgent(it); });
   }
-  auto end = off + kReturnSpread + kResetBound;
-  mNoFaultsBefore = std::chrono::steady_clock::now() + end;
-  RunAfter(end, [this] { CheckLostFlowsAreReset(); });
+  mNoFaultsBefore =
+    std::chrono::steady_clock::now() + aOff + kReturnSpread + kResetBound;
+}
+
+void Soak::LoseProcesses()
+{
+  ++mPowerLosses;
+  KillAllProcesses(RandomFaultDuration());
 }
 
 void Soak::CheckLostFlowsAreReset()
--- a/lab/soak/SoakWorld.h
+++ b/lab/soak/SoakWorld.h
@@ -229,6 +229,11 @@
   /** Kills all processes and hosts at once. All return within kReturnSpread of
    * each other, without further faults until kResetBound has passed. */
   void LosePower();
+  /** The same, but the hosts live on: agents that start cannot know which flows
+   * they hold. */
+  void LoseProcesses();
+  void KillAllProcesses(Duration aOff);
+  Duration ReturnAfter(Duration aOff);
 
   void Reload();
 
