--- a/lab/soak/SoakLongFlows.cpp
+++ b/lab/soak/SoakLongFlows.cpp
@@ -39,7 +39,8 @@
     { "processes_lost", &Soak::LoseProcesses },
   };
   std::size_t kinds = std::size(kFaults) - (mOptions.mWide ? 0 : 1);
-  auto n = 2 + static_cast<int>(mRandom() % 4);
+  PlanFault("balancers_in_turn", &Soak::RestartBalancersInTurn);
+  auto n = 1 + static_cast<int>(mRandom() % 4);
   for (int i = 0; i < n; ++i) {
     const auto& [name, fault] = kFaults[mRandom() % kinds];
     PlanFault(name, fault);
