--- a/lab/soak/SoakChecks.cpp
+++ b/lab/soak/SoakChecks.cpp
@@ -82,21 +82,22 @@
     mCallers.SendRequest(flow);
   }
   mContext.run_for(milliseconds(700));
-  std::size_t missing = 0;
+  std::vector<FlowKey> missing;
   for (const auto& [flow, n] : sampled) {
-    bool isOpen = false;
     bool reached = false;
     for (const auto& it : mAgents) {
-      isOpen = isOpen || it->mHost->OpenFlowIncarnation(flow) != 0;
       reached = reached || it->mHost->ReceivedPacketOf(flow);
     }
-    missing += isOpen && !reached ? 1 : 0;
+    if (HostOf(flow) != nullptr && !reached) {
+      missing.push_back(flow);
+    }
   }
   mFlowsSampled = sampled.size();
-  if (missing > 0) {
-    RecordViolation(std::to_string(missing) + " of " +
+  if (!missing.empty()) {
+    RecordViolation(std::to_string(missing.size()) + " of " +
                     std::to_string(sampled.size()) +
-                    " open flows did not reach their host");
+                    " open flows did not reach their host, one of them " +
+                    missing.front().ToString());
   }
 }
 
