--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -35,6 +35,15 @@
  * ms, when the hosts are available. */
 constexpr auto kHostDiscoveryDuration = std::chrono::milliseconds(2000);
 
+Member MakeSelf(const FlowSteering::Options& aOptions)
+{
+  Member out;
+  out.mHost = aOptions.mHost;
+  out.mDataCentre = aOptions.mDataCentre;
+  out.mTunnel = aOptions.mSelf;
+  return out;
+}
+
 } // namespace
 
 FlowSteering::FlowSteering(const Options& aOptions, const PacketFormat& aFormat,
@@ -44,12 +53,18 @@
   , mOutput(aOutput)
   , mViews(kScanLimit)
   , mHints(aOptions.mMaxHints)
+  , mLocations(MakeSelf(aOptions))
+  , mQueries({ { aOptions.mSelf, aOptions.mDataCentre, aOptions.mFirstRound },
+               aOptions.mQueryGuards },
+             *this)
+  , mRouteServices(aOptions.mFlowRetention)
 {
 }
 
 void FlowSteering::SetInventory(FlowInventoryPtr aInventory)
 {
   mInventory = std::move(aInventory);
+  mRouteServices.SetInventory(*mInventory);
 }
 
 void FlowSteering::SetDrains(const DataCentreDrains& aDrains)
@@ -69,11 +84,17 @@
 void FlowSteering::UpdateMembers()
 {
   std::unordered_map<HostId, Member> members;
+  std::vector<QueriedHost> queried;
   for (const auto& [service, entry] : mViews.All()) {
     for (const Member& it : entry.mView->Members()) {
       members.insert_or_assign(it.mHost, it);
     }
   }
+  for (const auto& [host, it] : members) {
+    queried.push_back(
+      { host, it.mTunnel, it.mDataCentre, it.mState == HostState::Leaving });
+  }
+  mQueries.SetHosts(std::move(queried));
   members.swap(mMembers);
   LogMemberChanges(members);
 }
@@ -104,6 +125,7 @@
 void FlowSteering::OnProcessStall(Time aNow)
 {
   mWatch.ForgetAll();
+  mQueries.OnProcessStall(aNow);
   mAssumeCopiesUntil =
     std::max(mAssumeCopiesUntil, aNow + kBacklogReadDuration);
 }
@@ -229,6 +251,7 @@
                         Time aNow)
 {
   FlowKey flow = aPacket.FlowFromCaller();
+  mQueries.Forget(flow);
   std::uint64_t hash = HashFlow(flow);
   const Member* hinted = HintedMember(hash);
   bool isLaterCopy = aPacket.mRetransmissions > 0 || hinted != nullptr ||
@@ -294,6 +317,22 @@
     Offer(it.mFlow, std::move(it.mSteered), std::move(it.mCandidates),
           PlacementWatch::Copy::Later, aNow, it.mRepeatedOffers);
   }
+  for (const FlowKey& it : mSearches.TakeUnlocated(aNow)) {
+    OnNotLocated(it, SteerEvent::LocateTimedOut, aNow);
+  }
+  mRouteServices.OnTick(aNow);
+  mQueries.OnTick(aNow);
+}
+
+std::optional<Time> FlowSteering::NextAt() const
+{
+  std::optional<Time> next = mWatch.NextAt();
+  for (auto it : { mSearches.NextAt(), mQueries.NextAt() }) {
+    if (it && (!next || *it < *next)) {
+      next = it;
+    }
+  }
+  return next;
 }
 
 void FlowSteering::Forward(const FlowPacket& aPacket, ByteView aDatagram,
@@ -301,6 +340,9 @@
 {
   FlowKey flow = aPacket.FlowFromCaller();
   std::uint64_t hash = HashFlow(flow);
+  if (aPacket.mFin || aPacket.mReset) {
+    OnFlowEnded(hash);
+  }
   const FlowRoute* route = mInventory->Find(flow.mService);
   if (const Member* member = HintedMember(hash)) {
     Increment(SteerEvent::Hinted);
@@ -313,20 +355,31 @@
     Increment(SteerEvent::DroppedNoRoute);
     return;
   }
-  SearchAll(flow, *route,
-            MakeSteered(route, {}, SteerPurpose::Search, aDatagram), hash,
-            aNow);
+  if (ResetIfHeldNowhere(aPacket, aNow)) {
+    return;
+  }
+  SteeredPacket steered =
+    MakeSteered(route, {}, SteerPurpose::Search, aDatagram);
+  if (!mSearches.OnPacket(flow, steered, aNow)) {
+    Increment(SteerEvent::HeldForSearch);
+    return;
+  }
+  if (!Locate(flow, std::move(steered))) {
+    StartSearch(flow, aNow);
+  }
 }
 
 void FlowSteering::OnReport(const PlacementReport& aReport, Time aNow)
 {
   mWatch.ClearSuspicion(aReport.mHost);
   if (aReport.mOutcome == PlacementOutcome::Placed) {
-    if (auto sentAt = mWatch.End(aReport.mFlow)) {
+    auto sentAt = mWatch.End(aReport.mFlow);
+    if (sentAt) {
       mOutput.Placed(aNow - *sentAt);
     }
-    mHints.Put(HashFlow(aReport.mFlow), { aReport.mHost, 0 });
-    DeliverFound(aReport);
+    StoreHost(aReport, sentAt.has_value(), aNow);
+    mQueries.Forget(aReport.mFlow);
+    DeliverFound(aReport.mFlow, aReport.mHost);
     return;
   }
   if (mWatch.EndRefused(aReport.mFlow, aNow)) {
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -11,9 +11,12 @@
 #include "src/balancer/ServiceViews.h"
 #include "src/passthrough/CandidateOrder.h"
 #include "src/passthrough/FlowInventory.h"
+#include "src/passthrough/FlowLocations.h"
+#include "src/passthrough/FlowQueries.h"
 #include "src/passthrough/FlowSearches.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/PlacementWatch.h"
+#include "src/passthrough/RouteServices.h"
 #include "src/passthrough/SteerEvent.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/steer/HintCache.h"
@@ -27,8 +30,11 @@
   virtual ~FlowSteeringOutput() = default;
 
   virtual void Steer(const Address& aAgent, const SteeredPacket& aPacket) = 0;
+  virtual void Query(const Address& aAgent, const FlowQuery& aQuery) = 0;
   /** Sends a packet to the caller at the address aCaller. */
   virtual void ToCaller(const Address& aCaller, ByteView aPacket) = 0;
+  virtual void SendRecords(const Address& aBalancer,
+                           const FlowRecords& aRecords) = 0;
   /** A host answered an opening packet. aElapsed: time since its last offer, or
    * since PlacementWatch restarted the timeout of the offer. */
   virtual void Placed(Duration aElapsed) = 0;
@@ -36,15 +42,15 @@
 
 /** Decides where a balancer forwards packets of opaque flows. All state is
  * soft: routes and members are supplied from outside, and the host of a
- * forgotten flow is found again by querying the hosts in the candidate order of
- * the flow.
+ * forgotten flow is found again by asking other balancers for its record (see
+ * FlowLocations), or by FlowQueries.
  *
  * The packets come from the fabric, the network that spreads callers' packets
  * over the balancers. It may send the packets of an open flow to another
  * balancer at any time.
  *
  * No I/O or clock access; not thread safe. */
-class FlowSteering
+class FlowSteering : private FlowQueriesOutput
 {
 public:
   struct Options
@@ -54,6 +60,13 @@
     DataCentreId mDataCentre;
     /** Maximum number of flows whose host is cached. */
     std::size_t mMaxHints = 65536;
+    /** This balancer's id, by which it is selected as a record replica. */
+    HostId mHost;
+    /** Lifetime of a flow. */
+    Duration mFlowRetention = std::chrono::seconds(60);
+    /** See FlowQueryRounds::Options. */
+    std::uint32_t mFirstRound = 1;
+    FlowQueryGuards mQueryGuards{};
   };
 
   /** aFormat and aOutput must outlive this object. */
@@ -71,14 +84,39 @@
   void SetViews(std::span<const MemberViewPtr> aViews,
                 std::span<const ServiceId> aServices);
 
+  /** Whether the views given by SetViews contain all hosts. Call after each
+   * SetViews() and before each OnTick(). */
+  void SetViewState(const HostViewState& aState)
+  {
+    mQueries.SetViewState(aState);
+  }
+
   /** Handles a packet from a caller. */
   void OnPacket(ByteView aDatagram, Time aNow);
 
-  /** An agent sent the packet back: its host does not hold the flow. */
-  void OnReturned(SteeredPacket aSteered, Time aNow);
+  /** Sets the other balancers in view, of any data centre. */
+  void SetBalancers(std::span<const Member> aOthers);
+
+  /** Sends the records that are due. Call about every 50 ms. */
+  void SendRecords(Time aNow);
+
+  /** Another balancer sent records of flows' hosts. */
+  void OnRecords(const FlowRecords& aRecords);
+
+  /** Another balancer asks this one, as a record replica, for a flow's host. */
+  void OnLocate(SteeredPacket aSteered);
+
+  /** An agent sent the packet back because its host does not hold the flow, or
+   * a replica did because it has no record of the flow. */
+  void OnReturned(const SteeredPacket& aSteered, Time aNow);
 
   void OnReport(const PlacementReport& aReport, Time aNow);
 
+  void OnQueryReply(const FlowQueryReply& aReply, Time aNow)
+  {
+    mQueries.OnReply(aReply, aNow);
+  }
+
   /** Call after a process stall, before passing in any packet that arrived
    * during the stall.
    *
@@ -98,12 +136,15 @@
    * every opening packet counts as a later copy for a short time. */
   void OnStart(Time aNow);
 
-  /** Call at NextAt() or later. */
+  /** Call at NextAt() or later, and about every 50 ms. */
   void OnTick(Time aNow);
-  std::optional<Time> NextAt() const { return mWatch.NextAt(); }
+  std::optional<Time> NextAt() const;
 
   const FlowInventoryPtr& Inventory() const { return mInventory; }
 
+  /** All hosts in view. */
+  const std::unordered_map<HostId, Member>& Hosts() const { return mMembers; }
+
   /** Number of hosts in view that accept new flows. */
   std::size_t UsableHosts() const;
 
@@ -118,11 +159,22 @@
     const std::unordered_map<HostId, Member>& aBefore) const;
   void Open(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
   void Forward(const FlowPacket& aPacket, ByteView aDatagram, Time aNow);
-  void SearchAll(const FlowKey& aFlow, const FlowRoute& aRoute,
-                 SteeredPacket aSteered, std::uint64_t aHash, Time aNow);
-  void Search(const FlowKey& aFlow, SteeredPacket aSteered, std::uint64_t aHash,
-              std::uint32_t aEarlierSearches, Time aNow);
-  void DeliverFound(const PlacementReport& aReport);
+  bool Locate(const FlowKey& aFlow, SteeredPacket aSteered);
+  void OnNotLocated(const FlowKey& aFlow, SteerEvent aReason, Time aNow);
+  void StoreHost(const PlacementReport& aReport, bool aIsOpened, Time aNow);
+  void OnFlowEnded(std::uint64_t aFlowHash);
+  void StartSearch(const FlowKey& aFlow, Time aNow);
+  void SendQuery(const Address& aAgent, const FlowQuery& aQuery) override;
+  void OnFound(const FlowKey& aFlow, HostId aHost, Time aNow) override;
+  void OnUndecided(const FlowKey& aFlow,
+                   std::span<const Address> aHosts) override;
+  void OnHeldNowhere(const QueriedFlow& aFlow, std::size_t aReplies) override;
+  bool HasPendingOffer(const FlowKey& aFlow) const override;
+  std::vector<HostId> LikelyHosts(const FlowKey& aFlow,
+                                  std::size_t aLimit) const override;
+  bool ResetIfHeldNowhere(const FlowPacket& aPacket, Time aNow);
+  void SendReset(const QueriedFlow& aFlow);
+  void DeliverFound(const FlowKey& aFlow, HostId aHost);
   void Offer(const FlowKey& aFlow, SteeredPacket aSteered,
              std::vector<PlacementCandidate> aCandidates,
              PlacementWatch::Copy aCopy, Time aNow, int aRetries = 0);
@@ -141,9 +193,9 @@
   {
     return mInventory ? mInventory->mVersion : 0;
   }
-  void Increment(SteerEvent aEvent)
+  void Increment(SteerEvent aEvent, std::uint64_t aCount = 1)
   {
-    ++mCounts[static_cast<std::size_t>(aEvent)];
+    mCounts[static_cast<std::size_t>(aEvent)] += aCount;
   }
 
   const Options mOptions;
@@ -157,6 +209,9 @@
   HintCache mHints;
   PlacementWatch mWatch;
   FlowSearches mSearches;
+  FlowLocations mLocations;
+  FlowQueries mQueries;
+  RouteServices mRouteServices;
   /** Until this time after a start or stall, an opening packet may be a delayed
    * copy, and is treated as one. */
   Time mAssumeCopiesUntil{};
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -11,13 +11,14 @@
 #include "src/passthrough/FlowAdmission.h"
 #include "src/passthrough/HostAnnouncement.h"
 #include "src/passthrough/HostStatus.h"
-#include "src/passthrough/InventoryMessages.h"
+#include "src/passthrough/LocationMessages.h"
 #include "src/passthrough/NewByteDetector.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/ServiceTime.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/passthrough/WorkInProgress.h"
 #include "src/steer/BoundedTable.h"
+#include "src/wire/InventoryMessages.h"
 
 namespace heatherplank {
 
@@ -72,7 +73,11 @@
   TableFull,
   Malformed,
   Answered,
-  Last = Answered,
+  /** A query asked for a flow at this host. */
+  Queried,
+  /** The agent could not tell whether the host holds the queried flow. */
+  QueriedUnknown,
+  Last = QueriedUnknown,
 };
 
 std::string_view ToString(HostFlowEvent aEvent);
@@ -90,6 +95,8 @@
   bool mProbeUnknownFlows = true;
   /** Admits no new flow before the host's first announcement. */
   bool mRequireAnnouncement = true;
+  /** Denies a flow in a query only if its entry could not have been missed. */
+  bool mDenyOnlyIfObserved = true;
 };
 
 /** An agent's table of the flows that its host holds and of the requests in
@@ -130,6 +137,10 @@
   /** A packet from a balancer or another agent. */
   void OnSteered(SteeredPacket aSteered, Time aNow);
 
+  /** Whether the host holds a flow, as far as this agent knows. NotHeld: the
+   * host will not hold the flow before an opening packet reaches it. */
+  FlowOutcome Answer(const QueriedFlow& aFlow, Time aNow);
+
   /** A packet from the host: to a caller, or returned to this agent. */
   void OnHostPacket(ByteView aPacket, Time aNow);
 
@@ -237,6 +248,8 @@
   void Forget(const FlowKey& aFlow, Time aNow);
   std::uint32_t AddPending(const SteeredPacket& aSteered, const FlowKey& aFlow);
   bool MayHoldUnknownFlows(Time aNow) const;
+  bool HasSeenAllFlows(Time aNow) const;
+  FlowOutcome Lookup(const QueriedFlow& aFlow, Time aNow);
   void CountEvent(HostFlowEvent aEvent)
   {
     ++mCounts[static_cast<std::size_t>(aEvent)];
@@ -262,6 +275,8 @@
   Time mUnansweredSince{};
   Time mLastAdmittedAt{};
   bool mLeaving = false;
+  /** A flow of the host's current incarnation found no room in the table. */
+  bool mHasMissedFlow = false;
   std::array<std::uint64_t, static_cast<std::size_t>(HostFlowEvent::Last) + 1>
     mCounts{};
 };
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -36,7 +36,8 @@
 }
 
 /** Splits a search into parallel searches of the candidates, unless this host
- * holds the flow. Leaves aSteered as a search of this host alone. */
+ * holds the flow. Leaves aSteered as a search of this host alone. Sent only by
+ * balancers of the previous release, during a rolling upgrade. */
 void HostFlows::FanOut(SteeredPacket& aSteered, const FlowPacket& aPacket)
 {
   std::vector<Address> hosts = std::exchange(aSteered.mCandidates, {});
@@ -46,7 +47,7 @@
     return;
   }
   SteeredPacket search = aSteered;
-  for (SearchPath& part : SplitSearch(hosts, kPathsPerFanOut)) {
+  for (SearchPath& part : SplitSearch(hosts, kPathsPerSearch)) {
     search.mCandidates = std::move(part.mOthers);
     mOutput.Steer(part.mFirst, search);
   }
@@ -87,11 +88,12 @@
     mWork.End(aEntry.mFlow, aNow);
     flow.mFinished = true;
   }
-  if (aSteered.mPurpose == SteerPurpose::Search) {
-    // A balancer that searches does not know the flow's host, even if it was
-    // notified before: the report was lost, or the balancer has restarted. With
-    // no new report it would search for every packet of the flow and drop the
-    // packets that wait for the result.
+  if (aSteered.mPurpose == SteerPurpose::Search ||
+      aSteered.mPurpose == SteerPurpose::Located) {
+    // A balancer that searches or asks a replica does not know the flow's host,
+    // even if it was notified before: the report was lost, or the balancer has
+    // restarted. With no new report it would search for every packet of the
+    // flow and drop the packets that wait for the result.
     flow.mNotifiedBalancer = Address{};
   }
   ReportLocation(aEntry, aSteered.mIngress);
@@ -114,7 +116,8 @@
 
 void HostFlows::ForwardSearch(SteeredPacket& aSteered, const FlowKey& aFlow)
 {
-  if (aSteered.mPurpose == SteerPurpose::Deliver) {
+  if (aSteered.mPurpose == SteerPurpose::Deliver ||
+      aSteered.mPurpose == SteerPurpose::Located) {
     CountEvent(HostFlowEvent::NotHere);
     LogFlow("not_here", { { "flow", aFlow.ToString() } });
     aSteered.mPurpose = SteerPurpose::NotHere;
@@ -143,6 +146,49 @@
          mHostStatus.Phase() != HostPhase::Gone;
 }
 
+/** Guards against: the host holds a flow that is not in the table, because the
+ * agent started after the host or the table was full, and the caller would be
+ * reset although its host is alive. */
+bool HostFlows::HasSeenAllFlows(Time aNow) const
+{
+  if (!mOptions.mGuards.mDenyOnlyIfObserved) {
+    return true;
+  }
+  bool isOlderThanFlows = aNow - mStartedAt >= mOptions.mFlowRetention;
+  return !mHasMissedFlow &&
+         (mHostStatus.IsObservedFromStart() ||
+          mHostStatus.Phase() == HostPhase::Gone || isOlderThanFlows);
+}
+
+FlowOutcome HostFlows::Answer(const QueriedFlow& aFlow, Time aNow)
+{
+  CountEvent(HostFlowEvent::Queried);
+  FlowOutcome outcome = Lookup(aFlow, aNow);
+  if (outcome == FlowOutcome::Unknown) {
+    CountEvent(HostFlowEvent::QueriedUnknown);
+  }
+  return outcome;
+}
+
+/** An entry that does not match the acknowledgement decides nothing: the packet
+ * may be a late one of an earlier flow between the same addresses, whose
+ * present flow is alive. */
+FlowOutcome HostFlows::Lookup(const QueriedFlow& aFlow, Time aNow)
+{
+  Table::Entry* entry = mFlows.Find(aFlow.mFlow);
+  if (entry == nullptr) {
+    return HasSeenAllFlows(aNow) ? FlowOutcome::NotHeld : FlowOutcome::Unknown;
+  }
+  if (entry->mValue.mStage == Stage::NotHere) {
+    return FlowOutcome::NotHeld;
+  }
+  FlowPacket packet;
+  packet.mAck = aFlow.mAcknowledged.has_value();
+  packet.mAcknowledged = aFlow.mAcknowledged.value_or(0);
+  return IsOpenHere(entry->mValue, packet) ? FlowOutcome::Held
+                                           : FlowOutcome::Unknown;
+}
+
 void HostFlows::Probe(SteeredPacket& aSteered, const FlowKey& aFlow)
 {
   CountEvent(HostFlowEvent::Probed);
@@ -236,6 +282,7 @@
   Table::Entry* entry = mFlows.FindOrInsert(key, aNow);
   if (entry == nullptr) {
     CountEvent(HostFlowEvent::TableFull);
+    mHasMissedFlow = true;
     return;
   }
   Flow& flow = entry->mValue;
--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -28,6 +28,8 @@
     mBalancers.push_back(std::move(balancer));
     mBalancers.back()->Start();
   }
+  SendRecords();
+  Tick();
 }
 
 PassthroughWorld::~PassthroughWorld() = default;
@@ -93,13 +95,7 @@
 void PassthroughWorld::SteerPacket(Balancer& aBalancer, const Bytes& aPacket)
 {
   aBalancer.mSteering->OnPacket(aPacket, mClock.Now());
-  if (auto next = aBalancer.mSteering->NextAt()) {
-    Schedule(*next - mClock.Now(), [this, &aBalancer] {
-      if (!aBalancer.mStalled) {
-        aBalancer.mSteering->OnTick(mClock.Now());
-      }
-    });
-  }
+  ArmTimer(aBalancer);
 }
 
 void PassthroughWorld::ToAgent(const Address& aTo, const SteeredPacket& aPacket,
@@ -107,7 +103,9 @@
 {
   for (auto& it : mAgents) {
     bool isCut =
-      aFrom != nullptr && aFrom->mUnreachableAgents.contains(it->mIndex);
+      it->mIsCutOff ||
+      (aFrom != nullptr &&
+       (aFrom->mIsCutOff || aFrom->mUnreachableAgents.contains(it->mIndex)));
     if (it->mTunnel == aTo && !isCut) {
       Send([this, &agent = *it, aPacket] {
         agent.RunOrDefer([this, &agent, aPacket] {
@@ -123,8 +121,11 @@
 {
   for (auto& it : mBalancers) {
     if (it->mTunnel == aTo) {
-      Send([&balancer = *it, what = std::move(aAction)] {
-        balancer.RunOrDefer([&balancer, what] { what(balancer); });
+      Send([this, &balancer = *it, what = std::move(aAction)] {
+        balancer.RunOrDefer([this, &balancer, what] {
+          what(balancer);
+          ArmTimer(balancer);
+        });
       });
       return;
     }
@@ -141,7 +142,9 @@
       }
       if (read->mReset) {
         if (HostOf(*it) != nullptr) {
-          AddViolation("a caller got a reset while its host holds the flow");
+          AddViolation("a caller got a reset while its host holds the flow, "
+                       "sequence " +
+                       std::to_string(read->mSequence));
         }
         it->mEnded = true;
       } else if (read->mSyn && !it->mAccepted) {
@@ -236,6 +239,10 @@
   if (mOptions.mDrainDataCentre) {
     Schedule(RandomDuration(200, 1500), [this] { DrainDataCentre(); });
   }
+  if (!mOptions.mDrainDataCentre) {
+    SchedulePowerLoss();
+    ScheduleLateHost();
+  }
   Time end = mClock.Now() + kFaultDuration;
   while (mClock.Now() < end) {
     RunUntil(mClock.Now() + 50ms);
@@ -249,6 +256,7 @@
   ScheduleViewUpdates();
   RunUntil(mClock.Now() + 1s);
   CheckOpenFlowsReachable();
+  CheckLostFlowsReset();
   return mViolations;
 }
 
--- a/tests/PassthroughWorldHosts.cpp
+++ b/tests/PassthroughWorldHosts.cpp
@@ -53,6 +53,10 @@
 
 void PassthroughWorld::UpdateViews(Balancer& aBalancer)
 {
+  if (aBalancer.mStalled) {
+    aBalancer.RunOrDefer([this, &aBalancer] { UpdateViews(aBalancer); });
+    return;
+  }
   std::vector<MemberViewPtr> views;
   std::vector<ServiceId> services;
   ++mVersion;
@@ -72,7 +76,7 @@
         member.mState =
           it->mHost->mAlive ? HostState::Draining : HostState::Leaving;
       }
-      if (it->mService == service) {
+      if (it->mService == service && !aBalancer.mHidden.contains(it->mIndex)) {
         view->mMembers.push_back(member);
       }
     }
@@ -84,6 +88,47 @@
     services.push_back(MakeServiceId(service));
   }
   aBalancer.mSteering->SetViews(views, services);
+  aBalancer.mCompleteness->OnHosts(aBalancer.mSteering->Hosts(), mClock.Now());
+  UpdateViewState(aBalancer);
+}
+
+/** Each balancer learns later which others there are, and at first may miss
+ * one, so that their views differ meanwhile. */
+void PassthroughWorld::ScheduleBalancerViews()
+{
+  for (auto& it : mBalancers) {
+    const Balancer* unknown =
+      RandomFraction() < 0.3 ? mBalancers[RandomBelow(mBalancers.size())].get()
+                             : nullptr;
+    Schedule(RandomDuration(0, 400), [this, &balancer = *it, unknown] {
+      UpdateBalancers(balancer, unknown);
+    });
+    Schedule(RandomDuration(400, 800),
+             [this, &balancer = *it] { UpdateBalancers(balancer, nullptr); });
+  }
+}
+
+void PassthroughWorld::UpdateBalancers(Balancer& aBalancer,
+                                       const Balancer* aUnknown)
+{
+  std::vector<Member> others;
+  for (const auto& it : mBalancers) {
+    if (it.get() != &aBalancer && it.get() != aUnknown) {
+      others.push_back(it->AsMember());
+    }
+  }
+  aBalancer.mSteering->SetBalancers(others);
+}
+
+/** Lets the balancers send their records, now and every 50 ms. */
+void PassthroughWorld::SendRecords()
+{
+  for (auto& it : mBalancers) {
+    if (!it->mStalled) {
+      it->mSteering->SendRecords(mClock.Now());
+    }
+  }
+  Schedule(50ms, [this] { SendRecords(); });
 }
 
 void PassthroughWorld::ToHost(Agent& aAgent, Bytes aPacket)
