FairQueue: number of caller queues is a parameter

The request scheduler of the pass-through path takes its turns from the same queue and needs more caller queues than the 256 of the request interface, whose behaviour is unchanged.

--- a/src/decide/FairQueue.cpp
+++ b/src/decide/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include "src/decide/FairQueue.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace heatherplank {
 
@@ -8,13 +9,14 @@
 
 // Fibonacci hashing: the top bits of the product are well mixed.
 constexpr std::uint64_t kGoldenRatio = 0x9e3779b97f4a7c15;
-constexpr int kHashShift = 56;
+constexpr int kHashBits = 64;
 
 } // namespace
 
-FairQueue::FairQueue(std::uint64_t aSeed, bool aFair)
+FairQueue::FairQueue(std::uint64_t aSeed, bool aFair, std::size_t aCallerQueues)
   : mSeed(aSeed)
   , mFair(aFair)
+  , mCallerQueues(aCallerQueues)
 {
 }
 
@@ -102,7 +104,8 @@
   if (!mFair) {
     return 0;
   }
-  return ((aCaller ^ mSeed) * kGoldenRatio) >> kHashShift;
+  int shift = kHashBits - std::countr_zero(mCallerQueues.size());
+  return ((aCaller ^ mSeed) * kGoldenRatio) >> shift;
 }
 
 } // namespace heatherplank
--- a/src/decide/FairQueue.h
+++ b/src/decide/FairQueue.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -26,10 +25,10 @@
  *
  * Guards against: a few callers or keys that send most of the requests. They
  * would fill the queue, and other callers would be refused or wait behind them.
- * Callers are hashed with the host's seed into 256 per-caller queues, which
- * bounds memory for any number of callers. A caller that shares a queue with a
- * busy one on this host doesn't on the next host; with the few busy callers
- * that the class is designed for, the probability of sharing is one in eighty.
+ * Callers are hashed with the host's seed into a fixed number of per-caller
+ * queues, which bounds memory for any number of callers. A caller that shares a
+ * queue with a busy one on this host doesn't on the next host; with three busy
+ * callers and 256 queues, the probability of sharing is one in eighty.
  *
  * Push, pop and removal take constant time, except for the order by deadline,
  * which takes logarithmic time. Not thread safe.
@@ -37,8 +36,12 @@
 class FairQueue
 {
 public:
-  /** With aFair false, all callers share one queue. */
-  FairQueue(std::uint64_t aSeed, bool aFair);
+  static constexpr std::size_t kDefaultCallerQueues = 256;
+
+  /** With aFair false, all callers share one queue. Precondition:
+   * aCallerQueues is a power of two above 1. */
+  FairQueue(std::uint64_t aSeed, bool aFair,
+            std::size_t aCallerQueues = kDefaultCallerQueues);
 
   FairQueue(FairQueue&&) = delete;
 
@@ -109,14 +112,12 @@
                              CallerQueue, boost::intrusive::list_member_hook<>,
                              &CallerQueue::mActiveHook>>;
 
-  static constexpr std::size_t kCallerQueues = 256;
-
   std::size_t QueueIndexOf(std::uint64_t aCaller) const;
 
   std::uint64_t mSeed;
   bool mFair;
   std::uint32_t mSize = 0;
-  std::array<CallerQueue, kCallerQueues> mCallerQueues;
+  std::vector<CallerQueue> mCallerQueues;
   ActiveList mActive;
   DeadlineSet mDeadlines;
 };
