WorkInProgress counts the requests that an answer overtook

A host that takes requests in order answers out of order only if it rejects a request behind a full queue. The agent can't read the answer and needs the order to tell a rejection from a free slot.

--- a/src/passthrough/WorkInProgress.cpp
+++ b/src/passthrough/WorkInProgress.cpp
@@ -4,10 +4,11 @@
 
 namespace heatherplank {
 
-void WorkInProgress::Begin(const FlowKey& aFlow, Time aNow, Time aExpiresAt)
+void WorkInProgress::Begin(const FlowKey& aFlow, Time aNow, Time aExpiresAt,
+                           WorkKind aKind)
 {
   auto it = mWork.try_emplace(aFlow).first;
-  it->second = { aNow, aExpiresAt, Size() - 1 };
+  it->second = { aNow, aExpiresAt, Size() - 1, aKind };
 }
 
 WorkInProgress::Ended WorkInProgress::End(const FlowKey& aFlow, Time aNow)
@@ -16,8 +17,14 @@
   if (it == mWork.end()) {
     return {};
   }
-  Ended out{ std::max(aNow - it->second.mBeganAt, Duration(1)),
-             it->second.mAhead };
+  auto isOvertaken = [&](const auto& aIt) {
+    return aIt.second.mKind == WorkKind::Request &&
+           aIt.second.mBeganAt < it->second.mBeganAt;
+  };
+  Ended out{
+    std::max(aNow - it->second.mBeganAt, Duration(1)), it->second.mAhead,
+    static_cast<std::uint32_t>(std::ranges::count_if(mWork, isOvertaken))
+  };
   mWork.erase(it);
   return out;
 }
--- a/src/passthrough/WorkInProgress.h
+++ b/src/passthrough/WorkInProgress.h
@@ -8,6 +8,14 @@
 
 namespace heatherplank {
 
+/** What an entry of WorkInProgress counts. */
+enum class WorkKind : std::uint8_t
+{
+  /** A flow that is being opened; the host has no request of it. */
+  Opening,
+  Request,
+};
+
 /** Counts the requests that a host processes or is about to receive, from the
  * packets that its agent sees. An entry ends with the answer or expires: flows
  * that never open and hosts that never answer must not occupy a slot forever.
@@ -18,7 +26,8 @@
 public:
   /** Counts a flow until End, at most until aExpiresAt. A second call for the
    * same flow replaces the first. */
-  void Begin(const FlowKey& aFlow, Time aNow, Time aExpiresAt);
+  void Begin(const FlowKey& aFlow, Time aNow, Time aExpiresAt,
+             WorkKind aKind = WorkKind::Request);
 
   /** The entry of a flow that ended. */
   struct Ended
@@ -27,6 +36,8 @@
     Duration mLasted{};
     /** Number of other flows counted when this one began. */
     std::uint32_t mAhead = 0;
+    /** Number of requests that began earlier and are still counted. */
+    std::uint32_t mOvertaken = 0;
   };
 
   /** Ends the entry of a flow whose request was answered or will not arrive. */
@@ -49,6 +60,7 @@
     Time mBeganAt;
     Time mExpiresAt;
     std::uint32_t mAhead = 0;
+    WorkKind mKind = WorkKind::Request;
   };
   std::unordered_map<FlowKey, Work> mWork;
 };
--- a/tests/WorkInProgressTest.cpp
+++ b/tests/WorkInProgressTest.cpp
@@ -57,3 +57,18 @@
   CHECK_EQUAL(1, mWork.Size());
   CHECK_EQUAL(1, mWork.End(Flow(2), mClock.Now()).mAhead);
 }
+
+// A host with a full queue rejects a request at once, before it answers those
+// that came earlier. Flows that are being opened are not in its queue.
+TEST(WorkInProgress, CountsTheRequestsThatAnAnswerOvertook)
+{
+  mWork.Begin(Flow(1), mClock.Now(), mClock.Now() + 8s);
+  mWork.Begin(Flow(2), mClock.Now(), mClock.Now() + 8s, WorkKind::Opening);
+  mClock.Advance(1ms);
+  mWork.Begin(Flow(3), mClock.Now(), mClock.Now() + 8s);
+  mClock.Advance(1ms);
+  mWork.Begin(Flow(4), mClock.Now(), mClock.Now() + 8s);
+  CHECK_EQUAL(1, mWork.End(Flow(3), mClock.Now()).mOvertaken);
+  CHECK_EQUAL(1, mWork.End(Flow(4), mClock.Now()).mOvertaken);
+  CHECK_EQUAL(0, mWork.End(Flow(1), mClock.Now()).mOvertaken);
+}
