Requests on open flows wait at the agent while the host has no slot

Cause: FlowAdmission decides on opening packets only. Later requests went straight to the host's own FIFO queue, whatever their importance, and the last one was rejected when it was full.

Change: RequestScheduler holds them, and releases them by importance, by whether they can still be in time, and by caller in turn (FairQueue). HostFlows delivers what it releases; setting schedule_requests, counters, gauge requests_held, log line request_overdue.

A rejection no longer counts as a service time.

--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -1,6 +1,7 @@
 #include "src/passthrough/FlowAgent.h"
 
 #include <algorithm>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -71,6 +72,8 @@
   options.mAnnouncementTimeout =
     kMaxMissedAnnouncements *
     std::chrono::milliseconds(aSettings.mHostHeartbeatMs);
+  options.mScheduleRequests = aSettings.mScheduleRequests;
+  options.mSeed = std::random_device()();
   return options;
 }
 
@@ -208,6 +211,7 @@
     auto& metrics = mProcess.mMetrics;
     Time now = mClock.Now();
     metrics.GetGauge("host_in_progress").Set(mFlows.Condition(now).mInProgress);
+    metrics.GetGauge("requests_held").Set(mFlows.RequestsHeld());
     metrics.GetGauge("host_heard_s_ago")
       .Set(InMs(now - mFlows.Host().LastAnnouncementAt()) / 1000);
     metrics.GetGauge("flows").Set(static_cast<double>(mFlows.Size()));
@@ -348,7 +352,7 @@
   void Stop()
   {
     mStopping = true;
-    mFlows.Leave();
+    mFlows.Leave(mClock.Now());
     AnnounceState();
     bool hostEnded = mFlows.Host().Phase() == HostPhase::Gone;
     mProcess.StopAfter(hostEnded ? kStopDelayHostGone : kStopDelay);
--- a/src/passthrough/HostFlows.cpp
+++ b/src/passthrough/HostFlows.cpp
@@ -58,6 +58,12 @@
       return "malformed";
     case HostFlowEvent::Answered:
       return "answered";
+    case HostFlowEvent::RequestHeld:
+      return "request_held";
+    case HostFlowEvent::RequestInTurn:
+      return "request_in_turn";
+    case HostFlowEvent::RequestOverdue:
+      return "request_overdue";
   }
   return "unknown";
 }
@@ -72,6 +78,7 @@
   , mHostStatus(aOptions.mAnnouncementTimeout)
   , mColdRate(aNow)
   , mFlows(aOptions.mMaxFlows)
+  , mScheduler(aOptions.mSeed)
 {
 }
 
@@ -87,7 +94,7 @@
   out.mSeemsDown = unanswered && aNow - mLastAdmittedAt < kRetryInterval;
   out.mIsCold = mHostStatus.IsCold(aNow);
   out.mSlots = mHostStatus.Slots();
-  out.mInProgress = mWork.Size();
+  out.mInProgress = mWork.Size() + mScheduler.Size();
   out.mServiceTime = mServiceTime.Get();
   return out;
 }
@@ -122,6 +129,7 @@
     LogEvent(LogLevel::Info, "drained",
              { { "version", aNotice.mVersion.ToString() },
                { "flows", mFlows.Size() } });
+    DeliverAllHeld(aNow);
   }
 }
 
@@ -243,7 +251,7 @@
                       { "host_heard_ms_ago", MsSinceAnnouncement(aNow) } });
   entry->mValue.mNotifiedBalancer = aSteered.mIngress;
   mColdRate.OnAdmitted(aNow);
-  mWork.Begin(flow, aNow, aNow + kOpenTimeout);
+  mWork.Begin(flow, aNow, aNow + kOpenTimeout, WorkKind::Opening);
   if (mUnansweredSince == Time{}) {
     mUnansweredSince = aNow;
   }
@@ -311,6 +319,7 @@
 void HostFlows::Forget(const FlowKey& aFlow, Time aNow)
 {
   mWork.End(aFlow, aNow);
+  mScheduler.Take(aFlow);
   if (auto* entry = mFlows.Find(aFlow)) {
     mFlows.Erase(*entry);
   }
@@ -325,12 +334,16 @@
     mWork.DropOlderThan(aNow - kMaxFirstAnnouncementDelay);
     mServiceTime.Reset();
   }
+  if (!HoldsRequests(aNow)) {
+    DeliverAllHeld(aNow);
+  }
   return effect;
 }
 
 void HostFlows::OnTick(Time aNow)
 {
   mWork.Expire(aNow);
+  DeliverHeld(RequestScheduler::HostEvent::None, aNow);
   Time before = aNow - mOptions.mFlowRetention;
   mFlows.Expire(before, aNow, [](const Table::Entry&) { return true; });
 }
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -14,6 +14,7 @@
 #include "src/passthrough/InventoryMessages.h"
 #include "src/passthrough/NewByteDetector.h"
 #include "src/passthrough/PacketFormat.h"
+#include "src/passthrough/RequestScheduler.h"
 #include "src/passthrough/ServiceTime.h"
 #include "src/passthrough/SteerMessages.h"
 #include "src/passthrough/WorkInProgress.h"
@@ -72,7 +73,13 @@
   TableFull,
   Malformed,
   Answered,
-  Last = Answered,
+  /** A request on an open flow was held because the host had no free slot. */
+  RequestHeld,
+  /** A held request was delivered in turn. */
+  RequestInTurn,
+  /** A held request was delivered at its limit. */
+  RequestOverdue,
+  Last = RequestOverdue,
 };
 
 std::string_view ToString(HostFlowEvent aEvent);
@@ -121,6 +128,10 @@
     Duration mAnnouncementTimeout = std::chrono::milliseconds(3600);
     FlowAdmission::Options mAdmission;
     HostFlowGuards mGuards;
+    /** Holds requests on open flows while the host has no free slot. */
+    bool mScheduleRequests = true;
+    /** Seeds the hash of callers; differs from host to host. */
+    std::uint64_t mSeed = 0;
   };
 
   /** aFormat and aOutput must outlive this object. */
@@ -139,10 +150,12 @@
   /** A balancer reports that the data centre is drained. */
   void OnDrainNotice(const DrainNotice& aNotice, Time aNow);
 
-  /** The agent is about to stop: admits no new flows from now on. */
-  void Leave() { mLeaving = true; }
+  /** The agent is about to stop: admits no new flows and holds no requests from
+   * now on. */
+  void Leave(Time aNow);
 
-  /** Removes expired state. Call about ten times a second. */
+  /** Removes expired state, and delivers requests that were held for long
+   * enough. Call at least ten times a second. */
   void OnTick(Time aNow);
 
   const HostStatus& Host() const { return mHostStatus; }
@@ -150,6 +163,8 @@
   /** Whether the data centre is drained: the host is given no new flows. */
   bool IsDrained(Time aNow) const { return mDrain.IsDrained(aNow); }
   std::size_t Size() const { return mFlows.Size(); }
+  /** Number of requests held. */
+  std::uint32_t RequestsHeld() const { return mScheduler.Size(); }
   std::uint64_t Count(HostFlowEvent aEvent) const
   {
     return mCounts[static_cast<std::size_t>(aEvent)];
@@ -181,6 +196,14 @@
     /** The caller acknowledged this host's reply, or the host sent data. */
     Open,
   };
+  enum class RequestState : std::uint8_t
+  {
+    /** No request has begun since the flow was opened. */
+    None,
+    InProgress,
+    /** The host has answered; the next new bytes begin a request. */
+    Answered,
+  };
   struct Flow
   {
     Stage mStage = Stage::Offered;
@@ -193,6 +216,7 @@
     /** The host closed its direction, or either end reset the flow; no further
      * request can begin. */
     bool mFinished = false;
+    RequestState mRequest = RequestState::None;
     NewByteDetector mFromCaller;
     /** The balancer that last received a report of the flow's host. */
     Address mNotifiedBalancer;
@@ -227,6 +251,19 @@
   void FanOut(SteeredPacket& aSteered, const FlowPacket& aPacket);
   void Deliver(SteeredPacket& aSteered, const FlowPacket& aPacket,
                Table::Entry& aEntry, Time aNow);
+  void DeliverNow(RequestScheduler::Packet& aPacket, Table::Entry& aEntry,
+                  Time aNow);
+  bool Hold(RequestScheduler::Packet& aPacket, const Flow& aFlow, Time aNow);
+  bool MustWait(const RequestScheduler::Packet& aPacket, const Flow& aFlow,
+                Time aNow);
+  bool HoldsRequests(Time aNow) const;
+  HostCondition LoadWithoutHeld() const;
+  bool IsRejected(const WorkInProgress::Ended& aRequest) const;
+  void OnHostData(Table::Entry& aEntry, const FlowPacket& aPacket, Time aNow);
+  void DeliverHeld(RequestScheduler::HostEvent aEvent, Time aNow);
+  void DeliverHeldOf(const FlowKey& aFlow, Time aNow);
+  void DeliverAllHeld(Time aNow);
+  void DeliverReleased(RequestScheduler::Released& aReleased, Time aNow);
   void ForwardSearch(SteeredPacket& aSteered, const FlowKey& aFlow);
   void Probe(SteeredPacket& aSteered, const FlowKey& aFlow);
   bool IsOpenHere(Flow& aFlow, const FlowPacket& aPacket) const;
@@ -254,6 +291,7 @@
   std::uint32_t mHostIncarnations = 0;
   Table mFlows;
   WorkInProgress mWork;
+  RequestScheduler mScheduler;
   std::array<Pending, kMaxPending> mPending;
   std::uint32_t mNextTag = 1;
   ServiceTime mServiceTime;
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/** How long an unanswered request counts as in progress. */
-constexpr auto kRequestTimeout = std::chrono::seconds(8);
 /** Bytes that may be in flight to a caller: 16 packets of 1,200 bytes, times
  * four because acknowledgements may be late. */
 constexpr std::uint32_t kMaxWindowBytes = 76800;
@@ -80,13 +78,6 @@
     flow.mStage = Stage::Open;
   }
   bool isNew = flow.mFromCaller.Record(aPacket.mSequence, aPacket.mDataLength);
-  if (isNew && !flow.mFinished) {
-    mWork.Begin(aEntry.mFlow, aNow, aNow + kRequestTimeout);
-  }
-  if (aPacket.mReset) {
-    mWork.End(aEntry.mFlow, aNow);
-    flow.mFinished = true;
-  }
   if (aSteered.mPurpose == SteerPurpose::Search) {
     // A balancer that searches does not know the flow's host, even if it was
     // notified before: the report was lost, or the balancer has restarted. With
@@ -95,9 +86,10 @@
     flow.mNotifiedBalancer = Address{};
   }
   ReportLocation(aEntry, aSteered.mIngress);
-  CountEvent(HostFlowEvent::Delivered);
-  mFormat.Tag(aSteered.mPacket, 0);
-  mOutput.ToHost(aSteered.mPacket);
+  RequestScheduler::Packet packet{ std::move(aSteered), aPacket, isNew };
+  if (!Hold(packet, flow, aNow)) {
+    DeliverNow(packet, aEntry, aNow);
+  }
 }
 
 /** Reports the flow's host to a balancer that was not the last one notified, so
@@ -246,6 +238,7 @@
     }
     if (flow.mHostSequenceKnown && flow.mHostSequence != aPacket.mSequence) {
       // The caller reused its port for a new flow.
+      mScheduler.Take(key);
       Address notified = flow.mNotifiedBalancer;
       flow = {};
       flow.mNotifiedBalancer = notified;
@@ -254,7 +247,7 @@
     flow.mHostSequence = aPacket.mSequence;
     flow.mHostSequenceKnown = true;
     flow.mHostIncarnation = mHostIncarnations;
-    mWork.Begin(key, aNow, aNow + kOpenTimeout);
+    mWork.Begin(key, aNow, aNow + kOpenTimeout, WorkKind::Opening);
     if (!flow.mNotifiedBalancer.IsNone()) {
       mOutput.Report(flow.mNotifiedBalancer,
                      { key, mOptions.mHost, PlacementOutcome::Placed });
@@ -262,16 +255,10 @@
     return;
   }
   flow.mStage = Stage::Open;
+  flow.mFinished = flow.mFinished || aPacket.mFin || aPacket.mReset;
   if (aPacket.mDataLength > 0 || aPacket.mFin || aPacket.mReset) {
-    auto request = mWork.End(key, aNow);
-    if (aPacket.mDataLength > 0 && request.mLasted > Duration::zero()) {
-      CountEvent(HostFlowEvent::Answered);
-      mOutput.RecordDuration(HostTiming::Answer, request.mLasted);
-      mServiceTime.RecordAnswer(request.mLasted, request.mAhead,
-                                mHostStatus.Slots());
-    }
+    OnHostData(*entry, aPacket, aNow);
   }
-  flow.mFinished = flow.mFinished || aPacket.mFin || aPacket.mReset;
 }
 
 } // namespace heatherplank
--- a/src/passthrough/PassthroughSettings.cpp
+++ b/src/passthrough/PassthroughSettings.cpp
@@ -72,6 +72,8 @@
     "host_heartbeat_ms", 10, kMsPerHour, aOut.mHostHeartbeatMs));
   aOut.mMaxFlows = static_cast<std::uint32_t>(
     aReader.Integer("max_flows", 1, kMaxFlows, aOut.mMaxFlows));
+  aOut.mScheduleRequests =
+    aReader.Bool("schedule_requests", aOut.mScheduleRequests);
 }
 
 } // namespace
--- a/src/passthrough/PassthroughSettings.h
+++ b/src/passthrough/PassthroughSettings.h
@@ -72,6 +72,9 @@
   std::uint32_t mHostHeartbeatMs = 1200;
   /** Maximum number of flows that the agent tracks. */
   std::uint32_t mMaxFlows = 16384;
+  /** Holds requests on open flows while the host has no free slot, and delivers
+   * the most important ones first. */
+  bool mScheduleRequests = true;
 };
 
 /** Read settings from a file, JSON with comments. Errors: InvalidInput that
--- a/tests/HostFlowsFixture.h
+++ b/tests/HostFlowsFixture.h
@@ -64,6 +64,7 @@
   Output mOut;
   std::unique_ptr<HostFlows> mFlows;
   std::uint64_t mAnnouncements = 0;
+  bool mSchedules = true;
 
   void setup() override { Restart(); }
 
@@ -74,6 +75,7 @@
     options.mSelf = *ParseAddress("10.0.1.1:7000");
     options.mService = MakeServiceId("s");
     options.mMaxFlows = 64;
+    options.mScheduleRequests = mSchedules;
     mFlows = std::make_unique<HostFlows>(options, mPackets, mOut, mClock.Now());
   }
 
--- a/tests/PassthroughSettingsTest.cpp
+++ b/tests/PassthroughSettingsTest.cpp
@@ -65,9 +65,11 @@
   auto read = ParseFlowAgentSettings(
     "{" + kShared + R"("service": "s", "host_inbox": "10.0.0.1:1",
       "host_outbox": "10.0.0.1:2", "host_calls": "10.0.0.1:3",
-      "host_heartbeat_ms": 500})",
+      "host_heartbeat_ms": 500, "schedule_requests": false})",
     "f.json");
   CHECK_TRUE(read.has_value());
+  CHECK_FALSE(read->mScheduleRequests);
+  CHECK_TRUE(FlowAgentSettings().mScheduleRequests);
   CHECK_EQUAL(500, read->mHostHeartbeatMs);
   CHECK_EQUAL(60, read->mFlowsLastS);
   CHECK_FALSE(
