--- a/src/passthrough/FlowAgent.cpp
+++ b/src/passthrough/FlowAgent.cpp
@@ -181,6 +181,7 @@
     auto& metrics = mProcess.mMetrics;
     Time now = mClock.Now();
     metrics.GetGauge("host_in_progress").Set(mFlows.Condition(now).mInProgress);
+    metrics.GetGauge("requests_held").Set(mFlows.RequestsHeld());
     metrics.GetGauge("host_heard_s_ago")
       .Set(InMs(now - mFlows.Host().LastAnnouncementAt()) / 1000);
     metrics.GetGauge("flows").Set(static_cast<double>(mFlows.Size()));
@@ -363,7 +364,7 @@
   void Stop()
   {
     mStopping = true;
-    mFlows.Leave();
+    mFlows.Leave(mClock.Now());
     AnnounceState();
     bool hostEnded = mFlows.Host().Phase() == HostPhase::Gone;
     mProcess.StopAfter(hostEnded ? kStopDelayHostGone : kStopDelay);
--- a/src/passthrough/FlowAgentOptions.cpp
+++ b/src/passthrough/FlowAgentOptions.cpp
@@ -1,5 +1,6 @@
 #include "src/passthrough/FlowAgentOptions.h"
 
+#include <random>
 #include <utility>
 
 #include "src/passthrough/HeartbeatRule.h"
@@ -50,6 +51,8 @@
   options.mAnnouncementTimeout =
     kMaxMissedAnnouncements *
     std::chrono::milliseconds(aSettings.mHostHeartbeatMs);
+  options.mScheduleRequests = aSettings.mScheduleRequests;
+  options.mSeed = std::random_device()();
   return options;
 }
 
