--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -108,7 +108,7 @@
   std::uint64_t batch = mNextBatch++;
   if (!hosts.empty()) {
     mLastBatchAt = aNow;
-    mRounds.Ask(batch, std::move(flows), std::move(hosts), aNow);
+    mRounds.Ask(batch, flows, std::move(hosts), aNow);
     return;
   }
   // Hosts have left the view since the flows were queued.
@@ -209,8 +209,7 @@
   auto& denied = flow.mDeniedBy;
   denied.insert(denied.end(), aOutcome.mDenied.begin(), aOutcome.mDenied.end());
   std::ranges::sort(denied);
-  auto duplicates = std::ranges::unique(denied);
-  denied.erase(duplicates.begin(), duplicates.end());
+  denied.erase(std::unique(denied.begin(), denied.end()), denied.end());
   flow.mStage = Stage::Undecided;
   if (TryConclude(it->first, flow, aNow)) {
     return;
--- a/src/passthrough/FlowQueryRounds.cpp
+++ b/src/passthrough/FlowQueryRounds.cpp
@@ -20,11 +20,12 @@
 {
 }
 
-void FlowQueryRounds::Ask(std::uint64_t aBatch, std::vector<QueriedFlow> aFlows,
+void FlowQueryRounds::Ask(std::uint64_t aBatch,
+                          std::span<const QueriedFlow> aFlows,
                           std::vector<QueriedHost> aHosts, Time aNow)
 {
   Batch& batch = mBatches[aBatch];
-  for (QueriedFlow& it : aFlows) {
+  for (const QueriedFlow& it : aFlows) {
     batch.mOutcomes.emplace_back().mFlow = it;
   }
   batch.mStartedAt = aNow;
--- a/src/passthrough/FlowQueryRounds.h
+++ b/src/passthrough/FlowQueryRounds.h
@@ -90,7 +90,7 @@
 
   /** Starts a batch, whose id aBatch was not used before. Preconditions: at
    * least one host, and from one to FlowQuery::kMaxFlows flows. */
-  void Ask(std::uint64_t aBatch, std::vector<QueriedFlow> aFlows,
+  void Ask(std::uint64_t aBatch, std::span<const QueriedFlow> aFlows,
            std::vector<QueriedHost> aHosts, Time aNow);
 
   void OnReply(const FlowQueryReply& aReply, Time aNow);
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -80,6 +80,7 @@
       members.insert_or_assign(it.mHost, it);
     }
   }
+  queried.reserve(members.size());
   for (const auto& [host, it] : members) {
     queried.push_back(
       { host, it.mTunnel, it.mDataCentre, it.mState == HostState::Leaving });
--- a/tests/LocationCodecTest.cpp
+++ b/tests/LocationCodecTest.cpp
@@ -128,3 +128,24 @@
   reply.mAnswers[1].mFlowIndex = FlowQuery::kMaxFlows;
   CHECK_FALSE(DecodeFlowQueryReply(EncodePayload(reply)).has_value());
 }
+
+// docs/CAPACITY.md computes the cost of queries by these formulas.
+TEST(LocationCodec, SizesAreThoseOfTheCapacityPage)
+{
+  for (std::size_t flows : { 1U, 16U }) {
+    for (std::size_t hosts : { 0U, 1U, 17U, 63U }) {
+      FlowQuery query = SampleQuery();
+      query.mFlows.resize(flows);
+      query.mHosts.resize(hosts);
+      FlowQueryReply reply;
+      reply.mAnswers.resize(flows);
+      reply.mUndecided.resize(hosts);
+      std::size_t querySize = kDatagramHeaderSize + EncodePayload(query).size();
+      std::size_t replySize = kDatagramHeaderSize + EncodePayload(reply).size();
+      std::size_t queryFormula = 64 + 56 * flows + 24 * hosts;
+      std::size_t replyFormula = 40 + 16 * flows + 24 * hosts;
+      CHECK_TRUE(querySize >= queryFormula && querySize <= queryFormula + 16);
+      CHECK_TRUE(replySize >= replyFormula && replySize <= replyFormula + 16);
+    }
+  }
+}
