--- a/tests/HostFlowsSchedulingTest.cpp
+++ b/tests/HostFlowsSchedulingTest.cpp
@@ -122,7 +122,7 @@
   CHECK_EQUAL(1, mFlows->Count(HostFlowEvent::RequestOverdue));
 }
 
-TEST(HostFlowsScheduling, HeldRequestsAreDeliveredWhenAnyoneDrains)
+TEST(HostFlowsScheduling, HeldRequestsAreDeliveredWhenTheHostDrains)
 {
   HoldOne();
   Announce(HostPhase::Draining);
@@ -131,6 +131,13 @@
   CHECK_EQUAL(5, mOut.mToHost.size());
 }
 
+TEST(HostFlowsScheduling, HeldRequestsAreDeliveredWhenTheDataCentreDrains)
+{
+  HoldOne();
+  mFlows->OnDrainNotice({ { 1 } }, mClock.Now());
+  CHECK_EQUAL(4, mOut.mToHost.size());
+}
+
 TEST(HostFlowsScheduling, HeldRequestsAreDeliveredWhenTheAgentStops)
 {
   HoldOne();
