Undecided hosts are asked again 20 ms after their probe; a view settles within 1 s

After a loss of power a few agents hear of their host only with its second announcement and cannot tell what it holds. The probe's result is now asked for after 20 ms, once per packet.

--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -80,6 +80,7 @@
   flow->mMayBeReset = aMayBeReset;
   flow->mLastPacketAt = aNow;
   if (flow->mStage == Stage::Undecided) {
+    flow->mWasProbed = false;
     Enqueue(aFlow.mFlow, *flow);
     StartBatchIfDue(aNow);
   } else if (flow->mStage == Stage::Denied) {
@@ -215,7 +216,7 @@
     return;
   }
   if (!aOutcome.mUndecided.empty()) {
-    mOutput.OnUndecided(aOutcome.mFlow.mFlow, aOutcome.mUndecided);
+    StartProbe(it->first, flow, aOutcome.mUndecided, aNow);
   } else if (IsDeniedByAll(flow) && mHosts.size() <= kMaxHosts) {
     flow.mStage = Stage::Denied;
     mDenied.push_back(it->first);
@@ -225,6 +226,31 @@
   }
 }
 
+/** Guards against: the agents of a few hosts started a moment later than these,
+ * and cannot tell what the hosts hold. Callers of all lost flows would wait for
+ * their retransmission, which finds the probe's result, and miss their target.
+ */
+void FlowQueries::StartProbe(const FlowKey& aKey, Flow& aFlow,
+                             std::span<const Address> aHosts, Time aNow)
+{
+  if (!std::exchange(aFlow.mWasProbed, true)) {
+    aFlow.mStage = Stage::Probed;
+    mProbed.emplace_back(aNow + kProbeDuration, aKey);
+    mOutput.OnUndecided(aKey, aHosts);
+  }
+}
+
+void FlowQueries::QueueProbed(Time aNow)
+{
+  while (!mProbed.empty() && mProbed.front().first <= aNow) {
+    auto it = mFlows.find(mProbed.front().second);
+    mProbed.pop_front();
+    if (it != mFlows.end() && it->second.mStage == Stage::Probed) {
+      Enqueue(it->first, it->second);
+    }
+  }
+}
+
 bool FlowQueries::MayConclude(Time aNow) const
 {
   const FlowQueryGuards& guards = mOptions.mGuards;
@@ -280,6 +306,7 @@
 void FlowQueries::OnTick(Time aNow)
 {
   mRounds.OnTick(aNow);
+  QueueProbed(aNow);
   RevisitDenied(aNow);
   StartBatchIfDue(aNow);
   if (aNow - mLastExpiryAt >= kExpiryInterval) {
@@ -302,6 +329,10 @@
     Time due = *mLastBatchAt + kBatchInterval;
     next = next ? std::min(*next, due) : due;
   }
+  if (!mProbed.empty()) {
+    Time due = mProbed.front().first;
+    next = next ? std::min(*next, due) : due;
+  }
   return next;
 }
 
--- a/src/passthrough/FlowQueries.h
+++ b/src/passthrough/FlowQueries.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "include/heatherplank/Clock.h"
@@ -89,6 +90,10 @@
   /** Shortest interval between batches. Bounds the agents' work after a power
    * loss, when callers of 1,500 flows a second return to some 20 balancers. */
   static constexpr Duration kBatchInterval = std::chrono::milliseconds(50);
+  /** Agents that cannot tell whether their hosts hold a flow probe them with
+   * its packet. A host returns it within about 1 ms, and the agents are asked
+   * again after this time. */
+  static constexpr Duration kProbeDuration = std::chrono::milliseconds(20);
   /** What is known of a flow is kept for this long after its last packet. */
   static constexpr Duration kRetention = std::chrono::seconds(10);
   /** A caller that has been silent for this long has given up: the deadline of
@@ -145,6 +150,8 @@
     /** In mQueue. */
     Queued,
     Asked,
+    /** In mProbed. */
+    Probed,
     /** All hosts in view have denied the flow, but a condition for concluding
      * that no host holds it is not met. In mDenied. */
     Denied,
@@ -155,6 +162,8 @@
     Stage mStage = Stage::Undecided;
     QueriedFlow mLastPacket;
     bool mMayBeReset = false;
+    /** Hosts were probed with the last packet: it starts no further probe. */
+    bool mWasProbed = false;
     Time mLastPacketAt{};
     /** The batch in which the flow is asked for. */
     std::uint64_t mBatch = 0;
@@ -178,6 +187,9 @@
   bool MayConclude(Time aNow) const;
   /** Concludes that no host holds the flow if all conditions are met. */
   bool TryConclude(const FlowKey& aKey, Flow& aFlow, Time aNow);
+  void StartProbe(const FlowKey& aKey, Flow& aFlow,
+                  std::span<const Address> aHosts, Time aNow);
+  void QueueProbed(Time aNow);
   void RevisitDenied(Time aNow);
   void Expire(Time aNow);
 
@@ -190,6 +202,9 @@
   std::unordered_map<FlowKey, Flow> mFlows;
   std::deque<FlowKey> mQueue;
   std::vector<FlowKey> mDenied;
+  /** Flows whose undecided hosts are being probed, and when the agents are
+   * asked again. */
+  std::deque<std::pair<Time, FlowKey>> mProbed;
   /** The hosts or the state of the view changed since RevisitDenied(). */
   bool mViewChanged = false;
   std::uint64_t mNextBatch = 0;
--- a/src/passthrough/ViewCompleteness.h
+++ b/src/passthrough/ViewCompleteness.h
@@ -27,8 +27,11 @@
 class ViewCompleteness
 {
 public:
-  static constexpr Duration kMinAge = std::chrono::milliseconds(1500);
-  static constexpr Duration kSettleDuration = std::chrono::milliseconds(700);
+  /** Two heartbeat intervals of an agent, so that one lost heartbeat hides no
+   * host. */
+  static constexpr Duration kMinAge = std::chrono::milliseconds(1000);
+  /** Above one heartbeat interval. */
+  static constexpr Duration kSettleDuration = std::chrono::milliseconds(600);
 
   struct Inputs
   {
--- a/tests/FlowQueriesTest.cpp
+++ b/tests/FlowQueriesTest.cpp
@@ -244,8 +244,7 @@
   CHECK_EQUAL(0, Nowhere());
   CHECK_EQUAL(1, mOut.mUndecided.size());
   CHECK(mOut.mUndecided[0] == std::vector{ Host(2).mTunnel });
-  mClock.Advance(200ms);
-  Packet();
+  Advance(FlowQueries::kBatchInterval);
   CHECK_EQUAL(2, mOut.mQueries.size());
   CHECK(mOut.mQueries[1].first == Host(2).mTunnel);
   CHECK_TRUE(mOut.mQueries[1].second.mHosts.empty());
@@ -253,6 +252,22 @@
   CHECK_EQUAL(1, Nowhere());
 }
 
+// Guards against: an agent that never learns what its host holds is asked in a
+// loop. Each packet of the caller starts one probe.
+TEST(FlowQueries, HostThatStaysUndecidedIsProbedOncePerPacket)
+{
+  for (std::size_t packets : { 1, 2 }) {
+    Packet();
+    Reply(mOut.mQueries.size() - 1, FlowOutcome::Unknown, { Host(2).mTunnel });
+    Advance(FlowQueries::kBatchInterval);
+    Reply(mOut.mQueries.size() - 1, FlowOutcome::Unknown, { Host(2).mTunnel });
+    Advance(1s);
+    CHECK_EQUAL(2 * packets, mOut.mQueries.size());
+    CHECK_EQUAL(packets, mOut.mUndecided.size());
+  }
+  CHECK_EQUAL(0, Nowhere());
+}
+
 // A flow that all hosts in view deny while the view may lack hosts. It is not
 // queried again, and is reset once the view is complete, if its caller sends.
 TEST(FlowQueries, DeniedFlowWaitsForACompleteView)
