--- a/tests/FlowSteeringTest.cpp
+++ b/tests/FlowSteeringTest.cpp
@@ -275,8 +275,8 @@
   CHECK(mOut.mSteered[0].second.mPurpose == SteerPurpose::Search);
   CHECK(mOut.mSteered[0].first == Host(2, "near").mTunnel);
   // The probe was returned: only the undecided host is asked again.
-  mClock.Advance(200ms);
-  Data();
+  mClock.Advance(FlowQueries::kBatchInterval);
+  mSteering.OnTick(mClock.Now());
   CHECK_EQUAL(2, mOut.mQueries.size());
   CHECK(mOut.mQueries[1].first == Host(2, "near").mTunnel);
   CHECK_TRUE(mOut.mQueries[1].second.mHosts.empty());
