--- a/src/passthrough/FlowLocations.h
+++ b/src/passthrough/FlowLocations.h
@@ -12,9 +12,9 @@
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Member.h"
 #include "include/heatherplank/Types.h"
-#include "src/passthrough/LocationMessages.h"
 #include "src/passthrough/RecordReplicas.h"
 #include "src/steer/HintCache.h"
+#include "src/wire/LocationMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/FlowQueries.h
+++ b/src/passthrough/FlowQueries.h
@@ -11,7 +11,7 @@
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
 #include "src/passthrough/FlowQueryRounds.h"
-#include "src/passthrough/LocationMessages.h"
+#include "src/wire/LocationMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/FlowQueryRounds.h
+++ b/src/passthrough/FlowQueryRounds.h
@@ -9,7 +9,7 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
-#include "src/passthrough/LocationMessages.h"
+#include "src/wire/LocationMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -18,8 +18,8 @@
 #include "src/passthrough/PlacementWatch.h"
 #include "src/passthrough/RouteServices.h"
 #include "src/passthrough/SteerEvent.h"
-#include "src/passthrough/SteerMessages.h"
 #include "src/steer/HintCache.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/HostFlows.h
+++ b/src/passthrough/HostFlows.h
@@ -11,15 +11,15 @@
 #include "src/passthrough/FlowAdmission.h"
 #include "src/passthrough/HostAnnouncement.h"
 #include "src/passthrough/HostStatus.h"
-#include "src/passthrough/LocationMessages.h"
 #include "src/passthrough/NewByteDetector.h"
 #include "src/passthrough/PacketFormat.h"
 #include "src/passthrough/RequestScheduler.h"
 #include "src/passthrough/ServiceTime.h"
-#include "src/passthrough/SteerMessages.h"
 #include "src/passthrough/WorkInProgress.h"
 #include "src/steer/BoundedTable.h"
 #include "src/wire/InventoryMessages.h"
+#include "src/wire/LocationMessages.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/PassthroughProcess.h
+++ b/src/passthrough/PassthroughProcess.h
@@ -11,15 +11,15 @@
 #include "src/net/CutList.h"
 #include "src/net/DatagramSocket.h"
 #include "src/passthrough/BalancerDirectory.h"
-#include "src/passthrough/LocationMessages.h"
 #include "src/passthrough/PassthroughSettings.h"
 #include "src/passthrough/PassthroughTraffic.h"
 #include "src/passthrough/PlatformAdapter.h"
-#include "src/passthrough/SteerMessages.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
 #include "src/process/DatagramMessages.h"
 #include "src/process/ProcessRuntime.h"
+#include "src/wire/LocationMessages.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/PassthroughTraffic.h
+++ b/src/passthrough/PassthroughTraffic.h
@@ -11,8 +11,8 @@
 #include "src/metrics/Metrics.h"
 #include "src/metrics/TrafficMeter.h"
 #include "src/passthrough/DataCentreLookup.h"
-#include "src/passthrough/SteerMessages.h"
 #include "src/process/SendObserver.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/PlacementWatch.h
+++ b/src/passthrough/PlacementWatch.h
@@ -8,7 +8,7 @@
 
 #include "include/heatherplank/Clock.h"
 #include "include/heatherplank/Types.h"
-#include "src/passthrough/SteerMessages.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
--- a/src/passthrough/RequestScheduler.h
+++ b/src/passthrough/RequestScheduler.h
@@ -12,7 +12,7 @@
 #include "src/decide/FairQueue.h"
 #include "src/passthrough/FlowAdmission.h"
 #include "src/passthrough/PacketFormat.h"
-#include "src/passthrough/SteerMessages.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
--- a/src/wire/LocationCodec.h
+++ b/src/wire/LocationCodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "include/heatherplank/Error.h"
-#include "src/passthrough/LocationMessages.h"
 #include "src/wire/Frame.h"
+#include "src/wire/LocationMessages.h"
 
 namespace heatherplank {
 
--- a/src/wire/PassthroughCodec.h
+++ b/src/wire/PassthroughCodec.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "include/heatherplank/Error.h"
-#include "src/passthrough/SteerMessages.h"
 #include "src/wire/Frame.h"
 #include "src/wire/InventoryMessages.h"
+#include "src/wire/SteerMessages.h"
 
 namespace heatherplank {
 
