Eight local hosts are offered a new flow before hosts of other data centres

Of the eight best ranked hosts a third are local with three data centres. While these few have no free slot, a flow went to another data centre for its lifetime, and its packets cross there and back.

--- a/src/passthrough/CandidateOrder.cpp
+++ b/src/passthrough/CandidateOrder.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/** Best ranked hosts among which further local ones are looked for. */
+constexpr std::size_t kMaxLocalScan = 64;
+
 std::vector<const Member*> Order(std::vector<const Member*> aMembers,
                                  const OrderInputs& aInputs)
 {
@@ -22,6 +25,29 @@
   return aMembers;
 }
 
+/** Adds the best ranked hosts of a data centre that accept new flows, until
+ * aInOut has kLocalCandidates of them. */
+void AddLocalHosts(const ServiceView& aView, std::uint64_t aFlowHash,
+                   DataCentreId aDataCentre, std::vector<const Member*>& aInOut)
+{
+  auto isLocal = [&](const Member* aIt) {
+    return aIt->mDataCentre == aDataCentre;
+  };
+  auto localCount = std::ranges::count_if(aInOut, isLocal);
+  if (aView.Members().size() > kMaxScannedMembers) {
+    return;
+  }
+  for (const Member* it : aView.RankedByScan(aFlowHash, kMaxLocalScan)) {
+    if (localCount >= kLocalCandidates) {
+      return;
+    }
+    if (isLocal(it) && CanAdopt(*it) && std::ranges::count(aInOut, it) == 0) {
+      aInOut.push_back(it);
+      ++localCount;
+    }
+  }
+}
+
 } // namespace
 
 std::vector<const Member*> OrderForPlacement(const ServiceView& aView,
@@ -29,7 +55,9 @@
                                              const OrderInputs& aInputs)
 {
   auto ranked = aView.Candidates(aFlowHash, kRankDepth);
-  return Order({ ranked.begin(), ranked.end() }, aInputs);
+  std::vector<const Member*> out(ranked.begin(), ranked.end());
+  AddLocalHosts(aView, aFlowHash, aInputs.mDataCentre, out);
+  return Order(std::move(out), aInputs);
 }
 
 } // namespace heatherplank
--- a/src/passthrough/CandidateOrder.h
+++ b/src/passthrough/CandidateOrder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <vector>
 
@@ -26,7 +27,20 @@
   std::function<bool(HostId)> mIsSuspected;
 };
 
-/** Returns the hosts that may accept a new flow. Thread safe if aInputs is. */
+/** Minimum number of local hosts that are offered a new flow before hosts of
+ * other data centres, if there are so many.
+ *
+ * Load: many data centres share a service, so only a few of the best ranked
+ * hosts are local. While these happen to be busy, a flow would go to another
+ * data centre for its lifetime, although most local hosts have free slots. */
+constexpr std::ptrdiff_t kLocalCandidates = 8;
+
+/** Services with more members get no further local candidates, since finding
+ * them costs a scan of all members for every opening packet. */
+constexpr std::size_t kMaxScannedMembers = 256;
+
+/** Returns the hosts that may accept a new flow: the best ranked ones, and up
+ * to kLocalCandidates local ones. Thread safe if aInputs is. */
 std::vector<const Member*> OrderForPlacement(const ServiceView& aView,
                                              std::uint64_t aFlowHash,
                                              const OrderInputs& aInputs);
--- a/tests/CandidateOrderTest.cpp
+++ b/tests/CandidateOrderTest.cpp
@@ -54,6 +54,34 @@
   }
 }
 
+// Guards against: the few local hosts among the best ranked ones are busy for a
+// moment, and a flow is placed in another data centre for its lifetime.
+TEST(CandidateOrder, LocalHostsAreOfferedAFlowBeforeRemoteOnes)
+{
+  auto view = MakeServiceView({ 1 }, 1, Hosts(45));
+  for (std::uint64_t flow = 0; flow < 100; ++flow) {
+    auto order = OrderForPlacement(*view, MixHash(flow, 1), From("a"));
+    CHECK_TRUE(order.size() >= kLocalCandidates);
+    for (std::size_t i = 0; i < kLocalCandidates; ++i) {
+      CHECK_TRUE(order[i]->mDataCentre == MakeDataCentreId("a"));
+    }
+  }
+}
+
+// Hosts that drain must not be added to those that accept new flows.
+TEST(CandidateOrder, DrainingLocalHostsAreNoCandidates)
+{
+  auto hosts = Hosts(45);
+  for (Member& it : hosts) {
+    bool isLocal = it.mDataCentre == MakeDataCentreId("a");
+    it.mState = isLocal ? HostState::Draining : HostState::Serving;
+  }
+  auto view = MakeServiceView({ 1 }, 1, hosts);
+  for (const Member* it : OrderForPlacement(*view, 7, From("a"))) {
+    CHECK_TRUE(it->mState == HostState::Serving);
+  }
+}
+
 TEST(CandidateOrder, SpreadsFlowsEvenlyOverLocalHosts)
 {
   auto view = MakeServiceView({ 1 }, 1, Hosts(9));
