Undecided hosts of the own data centre are probed before others are asked

When all processes restart under running hosts, no agent knows what its host holds. The flow's packet then waited until every data centre had said so, and was sent to hosts everywhere.

--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -80,7 +80,7 @@
   flow->mMayBeReset = aMayBeReset;
   flow->mLastPacketAt = aNow;
   if (flow->mStage == Stage::Undecided) {
-    flow->mWasProbed = false;
+    flow->mProbes = 0;
     Enqueue(aFlow.mFlow, *flow);
     StartBatchIfDue(aNow);
   } else if (flow->mStage == Stage::Denied) {
@@ -233,7 +233,8 @@
 void FlowQueries::StartProbe(const FlowKey& aKey, Flow& aFlow,
                              std::span<const Address> aHosts, Time aNow)
 {
-  if (!std::exchange(aFlow.mWasProbed, true)) {
+  if (aFlow.mProbes < kMaxProbes) {
+    ++aFlow.mProbes;
     aFlow.mStage = Stage::Probed;
     mProbed.emplace_back(aNow + kProbeDuration, aKey);
     mOutput.OnUndecided(aKey, aHosts);
