--- a/lab/flows/FlowFarm.cpp
+++ b/lab/flows/FlowFarm.cpp
@@ -219,7 +219,8 @@
       lost += it.mFlow % left != it.mHost ? 1 : 0;
       continue;
     }
-    // Ours asks the best ranked hosts; the others believe the ranks.
+    // With Walk, FlowQueries asks the best ranked hosts; the baselines look
+    // only at the host that ranks first.
     std::size_t reach =
       aPlacement == FlowPlacement::Walk ? FlowQueries::kMaxHosts : 1;
     auto ranks = Ranks(it.mFlow, left);
--- a/lab/flows/OpenFlows.cpp
+++ b/lab/flows/OpenFlows.cpp
@@ -76,7 +76,8 @@
     std::uniform_real_distribution<double> first(0, kIntervalMs);
     std::bernoulli_distribution important(mLoad.mImportantShare);
     for (std::size_t i = 0; i < flows; ++i) {
-      // Flows alternate between hosts; every second flow of a host is busy's.
+      // Flows alternate between hosts; every second flow of a host belongs to a
+      // busy caller.
       bool busy = i / mLoad.mHosts % 2 == 0;
       std::uint32_t others = mLoad.mCallers - mLoad.mBusyCallers;
       auto caller =
--- a/src/membership/AgentMembership.h
+++ b/src/membership/AgentMembership.h
@@ -89,7 +89,8 @@
   MemberViewPtr Peers() const { return mPeers.View(mSelf.mService); }
   /** The balancers in the list of all; not those of an assignment. */
   MemberViewPtr Balancers() const { return mBalancers.View(BalancerService()); }
-  /** The balancers in the list of all, or else those of an assignment. */
+  /** The balancers that this agent knows: those of its assignment of monitors
+   * if it has one, or else all. */
   std::vector<Member> KnownBalancers() const;
   /** The control addresses that heartbeats are sent to. */
   std::vector<Address> Monitors() const;
--- a/src/passthrough/FlowLocations.h
+++ b/src/passthrough/FlowLocations.h
@@ -20,11 +20,12 @@
 
 /** Decides which records of flows' hosts a balancer sends to the record
  * replicas of the flows, and when. A record is a hint: losing one costs a
- * search, a wrong one a hop.
+ * query, a wrong one a hop.
  *
  * Guards against: the fabric moves the flows of a balancer that is stopped,
  * killed or added, and the balancers that receive them do not know their hosts.
- * Searching for each flow costs dozens of messages; asking a replica costs one.
+ * Querying the hosts for each flow costs dozens of messages; asking a replica
+ * costs one.
  *
  * No I/O or clock access; not thread safe. */
 class FlowLocations
@@ -36,7 +37,7 @@
   /** A replica gets at most one message per interval from this balancer. */
   static constexpr Duration kMessageInterval = std::chrono::milliseconds(250);
   /** Maximum number of records that wait for kRecordDelay, and of those that
-   * wait for the next message. Further ones are dropped. */
+   * wait for the next message: some 0.4 MB. Further ones are dropped. */
   static constexpr std::size_t kMaxPending = 4096;
   /** Maximum number of hints scanned per tick after a change of balancers. */
   static constexpr std::size_t kMaxScannedPerTick = 4096;
@@ -46,7 +47,8 @@
   /** Maximum number of records that the scan may have waiting: half a second of
    * kMoveBytesPerSecond. The scan continues when they were sent. */
   static constexpr std::size_t kMaxMoved = 256;
-  /** Budget for the records that are sent because of a change of balancers. */
+  /** Budget for the records that are sent because of a change of balancers: a
+   * third of the control traffic that a node may send. */
   static constexpr std::size_t kMoveBytesPerSecond = 8192;
   /** Budget for the records that one replica gets from all balancers together
    * because of a change. Each sends its share, so that a balancer that joins
@@ -56,6 +58,7 @@
    * hint still serves late packets, but is not sent after a change of
    * balancers. Hints of other flows have no incarnation. */
   static constexpr Incarnation kEndedFlow = ~Incarnation{ 0 };
+  /** Size of a record in a message. */
   static constexpr std::size_t kRecordBytes = 16;
   /** Size of a message of records without the records: the headers of the
    * network (28 bytes), of the datagram and of its payload. */
--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "src/passthrough/PacketFormat.h"
+
 namespace heatherplank {
 
 namespace {
@@ -47,6 +49,8 @@
   }
   const auto& last = it->second.mLastPacket.mAcknowledged;
   if (last && aFlow.mAcknowledged) {
+    // The packets of one flow that lost its host acknowledge numbers that
+    // differ by at most the bytes in flight, in either direction.
     std::uint32_t ahead = *aFlow.mAcknowledged - *last;
     if (ahead > kMaxWindowBytes && 0 - ahead > kMaxWindowBytes) {
       mFlows.erase(it);
--- a/src/passthrough/FlowQueries.h
+++ b/src/passthrough/FlowQueries.h
@@ -15,7 +15,8 @@
 
 namespace heatherplank {
 
-/** Connects FlowQueries to the network and to a balancer's other state. */
+/** Connects FlowQueries to the network and to a balancer's other state. Called
+ * synchronously; must not call FlowQueries. */
 class FlowQueriesOutput
 {
 public:
@@ -88,7 +89,7 @@
   };
 
   /** Shortest interval between batches. Bounds the agents' work after a power
-   * loss, when callers of 1,500 flows a second return to some 20 balancers. */
+   * loss, when the callers of all lost flows return at once. */
   static constexpr Duration kBatchInterval = std::chrono::milliseconds(50);
   /** Agents that cannot tell whether their hosts hold a flow probe them with
    * its packet. A host returns it within about 1 ms, and the agents are asked
@@ -101,27 +102,28 @@
   static constexpr Duration kCallerTimeout = std::chrono::seconds(3);
   /** After a stall nothing is concluded for this long. */
   static constexpr Duration kStallPause = std::chrono::seconds(1);
-  /** Maximum number of flows remembered; further ones are not queried. */
+  /** Maximum number of flows remembered; further ones are not queried. Some 3
+   * MB with 76 hosts in view. */
   static constexpr std::size_t kMaxFlows = 4096;
-  /** Maximum number of hosts asked for a flow. With more in view, only hosts of
-   * the route's services are asked, and nothing is concluded. */
+  /** Maximum number of hosts asked for a flow, which bounds a batch to 512
+   * messages. With more in view, only hosts of the route's services are asked,
+   * and nothing is concluded. */
   static constexpr std::size_t kMaxHosts = 256;
-  /** Acknowledgement numbers of one flow that lost its host differ by at most
-   * the bytes in flight. */
-  static constexpr std::uint32_t kMaxWindowBytes = 76800;
 
   /** aOutput must outlive this object. */
   FlowQueries(const Options& aOptions, FlowQueriesOutput& aOutput);
 
-  /** Replaces the hosts in view. */
+  /** Replaces the hosts in view, in whatever state. */
   void SetHosts(std::vector<QueriedHost> aHosts);
+  /** Call before each OnTick(). */
   void SetViewState(const HostViewState& aState);
 
   /** Whether no host holds the flow of this packet: answer it by a reset. */
   bool IsHeldNowhere(const QueriedFlow& aFlow, Time aNow);
 
-  /** Queries a flow, unless that is in progress or every host in view has
-   * denied the flow. aMayBeReset: the packet may be answered by a reset. */
+  /** Queries the flow of a packet that is not an opening one, unless that is in
+   * progress or every host in view has denied the flow. aMayBeReset: the packet
+   * may be answered by a reset. */
   void OnPacket(const QueriedFlow& aFlow, bool aMayBeReset, Time aNow);
 
   /** Call for an opening packet of a flow, and when its host is known. */
@@ -132,6 +134,8 @@
     mRounds.OnReply(aReply, aNow);
   }
 
+  /** Call after a process stall, before passing in any packet that arrived
+   * during the stall. */
   void OnProcessStall(Time aNow) { mNoConclusionUntil = aNow + kStallPause; }
 
   /** Call at NextAt() or later, and about every 50 ms. */
--- a/src/passthrough/FlowQueryRelay.h
+++ b/src/passthrough/FlowQueryRelay.h
@@ -11,7 +11,8 @@
 
 namespace heatherplank {
 
-/** Connects a FlowQueryRelay to the network and to the flows of its host. */
+/** Connects a FlowQueryRelay to the network and to the flows of its host.
+ * Called synchronously; must not call the FlowQueryRelay. */
 class FlowQueryRelayOutput
 {
 public:
@@ -49,7 +50,10 @@
   /** aOutput must outlive this object. */
   FlowQueryRelay(const Options& aOptions, FlowQueryRelayOutput& aOutput);
 
+  /** A balancer's query, or one of another agent's relay. */
   void OnQuery(const FlowQuery& aQuery, Time aNow);
+
+  /** An agent's reply to a query of this relay. */
   void OnReply(const FlowQueryReply& aReply);
 
   /** Ends rounds that have timed out. Call about every 50 ms. */
@@ -97,7 +101,7 @@
 
   const Options mOptions;
   FlowQueryRelayOutput& mOutput;
-  /** By round id, which rises with time. */
+  /** By round id; ordered, so that rounds end in the order of their start. */
   std::map<std::uint32_t, Round> mRounds;
   std::uint32_t mNextId = 0;
 };
--- a/src/passthrough/FlowQueryRounds.h
+++ b/src/passthrough/FlowQueryRounds.h
@@ -36,7 +36,8 @@
   bool mIsComplete = true;
 };
 
-/** Carries out the decisions of FlowQueryRounds. */
+/** Carries out the decisions of FlowQueryRounds. Called synchronously; must not
+ * call FlowQueryRounds. */
 class FlowQueryRoundsOutput
 {
 public:
--- a/src/passthrough/FlowSearches.cpp
+++ b/src/passthrough/FlowSearches.cpp
@@ -54,12 +54,12 @@
   return OnPacket(aFlow, aPacket, aNow);
 }
 
-bool FlowSearches::BeginSearch(const FlowKey& aFlow)
+bool FlowSearches::BeginQuery(const FlowKey& aFlow)
 {
   if (!IsLocating(aFlow)) {
     return false;
   }
-  mLookups.at(aFlow).mStage = Stage::Searching;
+  mLookups.at(aFlow).mStage = Stage::Querying;
   return true;
 }
 
@@ -119,7 +119,7 @@
   Lookup& lookup = it->second;
   std::vector<SteeredPacket> out = std::move(lookup.mHeld);
   mHeldTotal -= out.size();
-  if (lookup.mStage == Stage::Searching && lookup.mFirst) {
+  if (lookup.mStage == Stage::Querying && lookup.mFirst) {
     out.insert(out.begin(), std::move(*lookup.mFirst));
   }
   mLookups.erase(it);
--- a/src/passthrough/FlowSearches.h
+++ b/src/passthrough/FlowSearches.h
@@ -16,33 +16,32 @@
 /** Tracks a balancer's pending lookups of flows whose host is unknown, and
  * holds their packets, including the first one, until the host is known. A
  * lookup first asks the record replicas of the flow (Stage::Locating), and then
- * the hosts (Stage::Searching).
+ * queries the hosts (Stage::Querying).
  *
  * Guards against: the fabric starts to send the packets of an upload to another
  * balancer, and the sixteen in flight arrive there at once. If each packet
- * were searched for, it would be sent out many times and fill a link of 10
- * Mbit/s for a tenth of a second; callers would retransmit late packets, and
- * searches for the copies would keep the link full. At balancers with thin
- * links, a third of the opening packets were not answered within 30 ms and
- * nearly half of the uploads were late, long before any fault. So only one
- * lookup per flow runs at a time. Packets that arrive meanwhile wait a few
- * milliseconds for its result and go straight to the host.
+ * started a lookup, the messages of these would fill the link of a small
+ * balancer, callers would retransmit late packets, and lookups for the copies
+ * would keep the link full. So only one lookup per flow runs at a time. Packets
+ * that arrive meanwhile wait a few milliseconds for its result and go straight
+ * to the host.
  *
  * No I/O or clock access; not thread safe. */
 class FlowSearches
 {
 public:
   /** A replica answers within a few milliseconds. After this timeout the hosts
-   * are searched without it. */
+   * are queried without it. */
   static constexpr Duration kLocateTimeout = std::chrono::milliseconds(20);
-  /** A lookup takes a few milliseconds; the longest one waits for the next
-   * batch of queries and for agents that do not reply in two data centres, 220
-   * ms. After this timeout it has failed: the packets that wait for it are
-   * dropped as if lost in the network, and the next packet starts another
-   * lookup. */
+  /** A lookup takes a few milliseconds, and 220 ms if the replicas do not
+   * answer (20 ms), the next batch of queries is awaited (50 ms), the own data
+   * centre does not reply (40 ms), and in another one the first agent asked
+   * does not (100 ms). After this timeout it has failed: the packets that wait
+   * for it are dropped as if lost in the network, and the next packet starts
+   * another lookup. */
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(250);
-  /** How long a lookup is remembered. Further searches for the flow within this
-   * time begin at other hosts. A caller's repeats arrive within 1.6 s. */
+  /** How long a lookup is remembered, for EarlierLookups(). A caller's repeats
+   * arrive within 1.6 s. */
   static constexpr Duration kRetentionDuration = std::chrono::seconds(2);
   /** Maximum number of packets held per flow: twice the number that a caller
    * has in flight. */
@@ -58,8 +57,8 @@
   {
     /** The first packet was sent to the record replicas, if there are any. */
     Locating,
-    /** The hosts are searched. */
-    Searching,
+    /** The hosts are queried. */
+    Querying,
   };
 
   /** A packet of a flow without a known host has arrived. Returns whether it
@@ -72,9 +71,9 @@
   bool OnReturned(const FlowKey& aFlow, const SteeredPacket& aPacket,
                   Time aNow);
 
-  /** Moves a lookup from Stage::Locating to Stage::Searching. Returns false if
-   * there is none in Stage::Locating: each lookup is searched for once. */
-  bool BeginSearch(const FlowKey& aFlow);
+  /** Moves a lookup from Stage::Locating to Stage::Querying. Returns false if
+   * there is none in Stage::Locating: each lookup queries the hosts once. */
+  bool BeginQuery(const FlowKey& aFlow);
 
   /** Whether the flow has a lookup in Stage::Locating. */
   bool IsLocating(const FlowKey& aFlow) const;
@@ -90,7 +89,7 @@
   std::uint32_t EarlierLookups(const FlowKey& aFlow) const;
 
   /** Returns the flows whose replicas did not answer within kLocateTimeout.
-   * They stay in Stage::Locating until BeginSearch(). */
+   * They stay in Stage::Locating until BeginQuery(). */
   std::vector<FlowKey> TakeUnlocated(Time aNow);
 
   /** When to call TakeUnlocated() next, if nothing happens before. */
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -366,7 +366,7 @@
     return;
   }
   if (!Locate(flow, std::move(steered))) {
-    StartSearch(flow, aNow);
+    StartQuery(flow, aNow);
   }
 }
 
--- a/src/passthrough/FlowSteering.h
+++ b/src/passthrough/FlowSteering.h
@@ -163,7 +163,7 @@
   void OnNotLocated(const FlowKey& aFlow, SteerEvent aReason, Time aNow);
   void StoreHost(const PlacementReport& aReport, bool aIsOpened, Time aNow);
   void OnFlowEnded(std::uint64_t aFlowHash);
-  void StartSearch(const FlowKey& aFlow, Time aNow);
+  void StartQuery(const FlowKey& aFlow, Time aNow);
   void SendQuery(const Address& aAgent, const FlowQuery& aQuery) override;
   void OnFound(const FlowKey& aFlow, HostId aHost, Time aNow) override;
   void OnUndecided(const FlowKey& aFlow,
--- a/src/passthrough/FlowSteeringLocate.cpp
+++ b/src/passthrough/FlowSteeringLocate.cpp
@@ -109,8 +109,8 @@
           { { "flow", aFlow.ToString() }, { "why", ToString(aReason) } });
   auto hint = mHints.Find(HashFlow(aFlow));
   if (!hint || !mMembers.contains(hint->mHost)) {
-    StartSearch(aFlow, aNow);
-  } else if (mSearches.BeginSearch(aFlow)) {
+    StartQuery(aFlow, aNow);
+  } else if (mSearches.BeginQuery(aFlow)) {
     DeliverFound(aFlow, hint->mHost);
   }
 }
--- a/src/passthrough/FlowSteeringSearch.cpp
+++ b/src/passthrough/FlowSteeringQuery.cpp
@@ -22,11 +22,10 @@
 
 } // namespace
 
-/** Starts the second stage of the flow's lookup, once per lookup: queries the
- * hosts. */
-void FlowSteering::StartSearch(const FlowKey& aFlow, Time aNow)
+/** Starts the second stage of the flow's lookup, once per lookup. */
+void FlowSteering::StartQuery(const FlowKey& aFlow, Time aNow)
 {
-  if (!mSearches.BeginSearch(aFlow)) {
+  if (!mSearches.BeginQuery(aFlow)) {
     return;
   }
   if (mMembers.empty()) {
@@ -145,7 +144,7 @@
     mFormat.MakeReset(aFlow.mFlow, aFlow.mAcknowledged.value_or(0)));
 }
 
-/** Sends the packets that waited for the search to the host of the flow. */
+/** Sends the packets that waited for the lookup to the host of the flow. */
 void FlowSteering::DeliverFound(const FlowKey& aFlow, HostId aHost)
 {
   auto held = mSearches.TakeFound(aFlow);
@@ -179,7 +178,7 @@
   Increment(SteerEvent::HintWrong);
   LogFlow("hint_wrong", { { "flow", flow.ToString() } });
   mHints.Erase(HashFlow(flow));
-  StartSearch(flow, aNow);
+  StartQuery(flow, aNow);
 }
 
 } // namespace heatherplank
--- a/src/passthrough/HostFlowsDelivery.cpp
+++ b/src/passthrough/HostFlowsDelivery.cpp
@@ -9,14 +9,6 @@
 
 namespace heatherplank {
 
-namespace {
-
-/** Bytes that may be in flight to a caller: 16 packets of 1,200 bytes, times
- * four because acknowledgements may be late. */
-constexpr std::uint32_t kMaxWindowBytes = 76800;
-
-} // namespace
-
 /** Whether the caller's packet belongs to a flow that was opened at this host.
  * Two hosts may have replied to copies of one opening packet; the caller's
  * acknowledgement number matches the host that the caller chose. Also true for
--- a/src/passthrough/PacketFormat.h
+++ b/src/passthrough/PacketFormat.h
@@ -9,6 +9,10 @@
 
 namespace heatherplank {
 
+/** Bytes that may be in flight to a caller: 16 packets of 1,200 bytes, times
+ * four because acknowledgements may be late. */
+constexpr std::uint32_t kMaxWindowBytes = 76800;
+
 /** Header of a packet of an opaque flow. The payload is never read. */
 struct FlowPacket
 {
--- a/src/passthrough/PassthroughTraffic.h
+++ b/src/passthrough/PassthroughTraffic.h
@@ -43,6 +43,8 @@
 
   void OnSent(const Address& aTo, MessageKind aKind,
               std::size_t aBytes) override;
+
+  /** Like OnSent, for a SteeredPacket, whose purpose determines the cause. */
   void OnSteered(const Address& aTo, SteerPurpose aPurpose, std::size_t aBytes);
 
   /** Exports the totals, and logs control traffic above the budget. Call it
--- a/src/passthrough/RequestScheduler.h
+++ b/src/passthrough/RequestScheduler.h
@@ -29,9 +29,9 @@
  * round-robin by caller (FairQueue). Every eighth request released in turn is
  * the one that has waited longest, so that no importance starves.
  *
- * Overload: the host sheds requests only while its queue is full, and a full
- * queue has no free slot for minutes. A request released at its limit then
- * enters the queue behind others and is late. Therefore
+ * Overload: the host rejects requests only while its queue is full, and then no
+ * slot is free. A request that waits for a slot would be released at its limit,
+ * enter the queue behind others and be late. Therefore
  * - each answer releases the first request in order, whether or not a slot is
  *   free: it takes the place in the host's queue that the answer freed;
  * - the limit leaves the time that the request needs at the host;
@@ -48,9 +48,10 @@
   static constexpr std::size_t kMaxPackets = 256;
   static constexpr std::size_t kMaxBytes = 524288;
   static constexpr std::size_t kMaxPacketsPerFlow = 32;
-  /** Number of turns among callers; two callers with one hash share a turn. */
+  /** Number of queues of callers, which bounds memory; callers with one hash
+   * share a turn. */
   static constexpr std::size_t kCallerQueues = 1024;
-  /** One in so many requests released in turn is the longest waiting one. */
+  /** Every eighth request released in turn is the longest waiting one. */
   static constexpr std::uint32_t kOldestEvery = 8;
 
   /** A packet of the caller with its parsed header. */
@@ -172,7 +173,8 @@
   std::size_t mPackets = 0;
   std::size_t mBytes = 0;
   std::uint32_t mReleasedInTurn = 0;
-  /** Nothing is held before: a request with too short a target arrived. */
+  /** No request is held before this time, because one with too short a target
+   * arrived. */
   Time mHoldsAgainAt{};
 };
 
--- a/src/process/SendObserver.h
+++ b/src/process/SendObserver.h
@@ -7,7 +7,7 @@
 
 namespace heatherplank {
 
-/** Is told of messages sent to other processes. */
+/** Observes the messages sent to other processes. */
 class SendObserver
 {
 public:
--- a/tests/FlowLocateTest.cpp
+++ b/tests/FlowLocateTest.cpp
@@ -69,8 +69,8 @@
 }
 
 // Both replicas of a flow were replaced, and nobody has sent them the record
-// yet. The flow is searched, found and recorded again.
-TEST(FlowLocate, FlowWithoutARecordIsSearchedAndRecordedAgain)
+// yet. The flow is queried, found and recorded again.
+TEST(FlowLocate, FlowWithoutARecordIsQueriedAndRecordedAgain)
 {
   LocationFleet fleet(6, 8);
   auto replicas = fleet.ReplicasOf(1);
@@ -95,7 +95,7 @@
 }
 
 // The first replica was killed, and membership has not noticed it yet.
-TEST(FlowLocate, DeadReplicaCostsItsTimeoutAndASearch)
+TEST(FlowLocate, DeadReplicaCostsItsTimeoutAndAQuery)
 {
   LocationFleet fleet(5, 8);
   OpenAndRecord(fleet, 1, 0);
@@ -139,7 +139,7 @@
 }
 
 // A replica's record names a host that does not hold the flow.
-TEST(FlowLocate, WrongRecordCostsAHopAndASearch)
+TEST(FlowLocate, WrongRecordCostsAHopAndAQuery)
 {
   LocationFleet fleet(5, 8);
   OpenAndRecord(fleet, 1, 0);
@@ -159,7 +159,7 @@
   CHECK_EQUAL(1, fleet.mSteered[SteerPurpose::NotHere]);
   CHECK_EQUAL(1, fleet.Count(SteerEvent::HintWrong));
   CHECK_EQUAL(1, fleet.Count(SteerEvent::Queried));
-  // The search has written the right record.
+  // The query has written the right record.
   fleet.Run(kRecordTime);
   fleet.ResetCounts();
   fleet.Restart(to);
@@ -186,8 +186,8 @@
 
 // A balancer has not seen one of the others yet, and asks other replicas than
 // those that have the record. Every flow still reaches its host, each with at
-// most one search.
-TEST(FlowLocate, DifferentViewsCostAHopOrASearch)
+// most one query.
+TEST(FlowLocate, DifferentViewsCostAHopOrAQuery)
 {
   LocationFleet fleet(5, 8);
   for (std::size_t flow = 0; flow < 100; ++flow) {
@@ -212,7 +212,7 @@
 
 // A balancer is stopped, and membership notices it. Records move to the new
 // replicas, so that afterwards any balancer locates every flow without a
-// search, even when the other old replica is gone as well.
+// query, even when the other old replica is gone as well.
 TEST(FlowLocate, RecordsMoveToTheNewReplicas)
 {
   LocationFleet fleet(5, 8);
@@ -234,7 +234,7 @@
 }
 
 // Half of the balancers lose power at once and return. Flows of which both
-// replicas and the opener were among them have no record; they are searched
+// replicas and the opener were among them have no record; they are queried
 // once and recorded again.
 TEST(FlowLocate, HalfOfTheBalancersRestart)
 {
@@ -257,15 +257,15 @@
   }
   // 5 x 4 / (10 x 9) of the flows have lost both replicas, half of these the
   // opener as well: 44 of 400 expected.
-  std::uint64_t searched = fleet.Count(SteerEvent::Queried);
-  CHECK_TRUE(searched > 20 && searched < 70);
+  std::uint64_t queried = fleet.Count(SteerEvent::Queried);
+  CHECK_TRUE(queried > 20 && queried < 70);
   fleet.Run(kRecordTime);
   for (std::size_t flow = 0; flow < kFlows; ++flow) {
     fleet.Data(flow, random() % 10);
     fleet.Run(FlowQueries::kBatchInterval);
     CHECK_EQUAL(3, fleet.Received(flow));
   }
-  CHECK_EQUAL(searched, fleet.Count(SteerEvent::Queried));
+  CHECK_EQUAL(queried, fleet.Count(SteerEvent::Queried));
 }
 
 // The cost of a flow must not grow with the fleet: two records of 16 bytes, and
--- a/tests/FlowSearchesTest.cpp
+++ b/tests/FlowSearchesTest.cpp
@@ -65,14 +65,14 @@
 }
 
 // A replica forwards the first packet. If it does not answer, the packet waits
-// with the others for the result of the search.
+// with the others for the result of the query.
 TEST(FlowSearches, FirstPacketIsDeliveredUnlessAReplicaForwardedIt)
 {
   Packet();
   CHECK_EQUAL(0, mSearches.TakeFound(Flow(1)).size());
   mSearches.OnPacket(Flow(1), Numbered(1), mClock.Now());
   mSearches.OnPacket(Flow(1), Numbered(2), mClock.Now());
-  CHECK_TRUE(mSearches.BeginSearch(Flow(1)));
+  CHECK_TRUE(mSearches.BeginQuery(Flow(1)));
   auto found = mSearches.TakeFound(Flow(1));
   CHECK_EQUAL(2, found.size());
   CHECK_EQUAL(1, found[0].mPacket[0]);
@@ -80,15 +80,15 @@
 }
 
 // A replica returns the packet just when its timeout passes. Both start the
-// search, which must run once, and the packet must not be delivered twice.
+// query, which must run once, and the packet must not be delivered twice.
 TEST(FlowSearches, ReturnedPacketAndTimeoutStartOneSearch)
 {
   mSearches.OnPacket(Flow(1), Numbered(1), mClock.Now());
   mClock.Advance(FlowSearches::kLocateTimeout);
   CHECK_EQUAL(1, mSearches.TakeUnlocated(mClock.Now()).size());
-  CHECK_TRUE(mSearches.BeginSearch(Flow(1)));
+  CHECK_TRUE(mSearches.BeginQuery(Flow(1)));
   CHECK_FALSE(mSearches.OnReturned(Flow(1), Numbered(1), mClock.Now()));
-  CHECK_FALSE(mSearches.BeginSearch(Flow(1)));
+  CHECK_FALSE(mSearches.BeginQuery(Flow(1)));
   CHECK_EQUAL(1, mSearches.TakeFound(Flow(1)).size());
 }
 
@@ -99,7 +99,7 @@
   Packet(2);
   Packet(3);
   mSearches.TakeFound(Flow(1));
-  mSearches.BeginSearch(Flow(2));
+  mSearches.BeginQuery(Flow(2));
   CHECK(*mSearches.NextAt() == mClock.Now() + FlowSearches::kLocateTimeout);
   mClock.Advance(FlowSearches::kLocateTimeout);
   auto flows = mSearches.TakeUnlocated(mClock.Now());
@@ -129,7 +129,7 @@
     for (int i = 0; i < 64; ++i) {
       Packet(flow);
     }
-    mSearches.BeginSearch(Flow(flow));
+    mSearches.BeginQuery(Flow(flow));
   }
   CHECK_EQUAL(FlowSearches::kMaxHeldPerFlow,
               mSearches.TakeFound(Flow(0)).size());
--- a/tests/FlowSteeringLocateTest.cpp
+++ b/tests/FlowSteeringLocateTest.cpp
@@ -1,5 +1,5 @@
 // How FlowSteering combines lookups at replicas with offers, reports and
-// searches that happen at the same time.
+// queries that happen at the same time.
 #include <vector>
 
 #include "lab/soak/PacketMaker.h"
@@ -108,7 +108,7 @@
 };
 
 // A busy agent reports the placement later than the caller sends its request.
-// The request must reach the host without a search, and the report must not be
+// The request must reach the host without a query, and the report must not be
 // taken for one that a replica caused: the flow would never be recorded.
 TEST(FlowSteeringLocate, ReportOfAnOfferDuringALookupWritesTheRecord)
 {
@@ -156,8 +156,8 @@
   CHECK_EQUAL(0, mOut.mRecords);
 }
 
-// The replica is slow: its answer arrives when the search is running already.
-TEST(FlowSteeringLocate, PacketReturnedAfterTheTimeoutStartsNoSecondSearch)
+// The replica is slow: its answer arrives when the query is running already.
+TEST(FlowSteeringLocate, PacketReturnedAfterTheTimeoutStartsNoSecondQuery)
 {
   Packet(lab::kAck);
   SteeredPacket located = mOut.mSteered.back().second;
@@ -185,7 +185,7 @@
   CHECK_EQUAL(0, mSteering.Count(SteerEvent::Queried));
 }
 
-TEST(FlowSteeringLocate, WithoutAnotherBalancerTheSearchStartsAtOnce)
+TEST(FlowSteeringLocate, WithoutAnotherBalancerTheQueryStartsAtOnce)
 {
   mSteering.SetBalancers({});
   Packet(lab::kAck);
