--- a/tests/PassthroughWorld.cpp
+++ b/tests/PassthroughWorld.cpp
@@ -100,6 +100,16 @@
 
 void PassthroughWorld::ToAgent(const Address& aTo, const SteeredPacket& aPacket,
                                const Agent* aFrom)
+{
+  RunAtAgent(aTo, aFrom, [this, aPacket](Agent& aIt) {
+    aIt.mFlows->OnSteered(aPacket, mClock.Now());
+  });
+}
+
+/** Sends a message to an agent, unless a cut or fault loses it; aAction handles
+ * it there. */
+void PassthroughWorld::RunAtAgent(const Address& aTo, const Agent* aFrom,
+                                  const std::function<void(Agent&)>& aAction)
 {
   for (auto& it : mAgents) {
     bool isCut =
@@ -107,10 +117,8 @@
       (aFrom != nullptr &&
        (aFrom->mIsCutOff || aFrom->mUnreachableAgents.contains(it->mIndex)));
     if (it->mTunnel == aTo && !isCut) {
-      Send([this, &agent = *it, aPacket] {
-        agent.RunOrDefer([this, &agent, aPacket] {
-          agent.mFlows->OnSteered(aPacket, mClock.Now());
-        });
+      Send([&agent = *it, aAction] {
+        agent.RunOrDefer([&agent, aAction] { aAction(agent); });
       });
     }
   }
--- a/tests/PassthroughWorld.h
+++ b/tests/PassthroughWorld.h
@@ -117,6 +117,8 @@
   void SteerPacket(Balancer& aBalancer, const Bytes& aPacket);
   void ToAgent(const Address& aTo, const SteeredPacket& aPacket,
                const Agent* aFrom);
+  void RunAtAgent(const Address& aTo, const Agent* aFrom,
+                  const std::function<void(Agent&)>& aAction);
   void ToBalancer(const Address& aTo, std::function<void(Balancer&)> aAction);
   void ToHost(Agent& aAgent, Bytes aPacket);
   void OnSynAtHost(Agent& aAgent, const FlowPacket& aPacket);
--- a/tests/PassthroughWorldQueries.cpp
+++ b/tests/PassthroughWorldQueries.cpp
@@ -60,19 +60,9 @@
 void PassthroughWorld::QueryAgent(const Address& aTo, const FlowQuery& aQuery,
                                   const Agent* aFrom)
 {
-  for (auto& it : mAgents) {
-    bool isCut =
-      it->mIsCutOff ||
-      (aFrom != nullptr &&
-       (aFrom->mIsCutOff || aFrom->mUnreachableAgents.contains(it->mIndex)));
-    if (it->mTunnel == aTo && !isCut) {
-      Send([this, &agent = *it, aQuery] {
-        agent.RunOrDefer([this, &agent, aQuery] {
-          agent.mRelay->OnQuery(aQuery, mClock.Now());
-        });
-      });
-    }
-  }
+  RunAtAgent(aTo, aFrom, [this, aQuery](Agent& aIt) {
+    aIt.mRelay->OnQuery(aQuery, mClock.Now());
+  });
 }
 
 void PassthroughWorld::ReplyToQuery(const Address& aTo,
