--- a/src/passthrough/FlowBalancer.cpp
+++ b/src/passthrough/FlowBalancer.cpp
@@ -3,21 +3,11 @@
 #include <string>
 #include <utility>
 
-#include "src/balancer/MemberPlane.h"
 #include "src/base/Log.h"
-#include "src/passthrough/BalancersInView.h"
 #include "src/passthrough/DirectorySelection.h"
+#include "src/passthrough/FlowBalancerImpl.h"
 #include "src/passthrough/FlowBalancerOptions.h"
-#include "src/passthrough/FlowSteering.h"
 #include "src/passthrough/HeartbeatRule.h"
-#include "src/passthrough/InventoryExchange.h"
-#include "src/passthrough/IsolationWatch.h"
-#include "src/passthrough/PassthroughProcess.h"
-#include "src/passthrough/ViewCompleteness.h"
-#include "src/process/ProcessStallWatch.h"
-#include "src/wire/LocationCodec.h"
-#include "src/wire/MembershipCodec.h"
-#include "src/wire/PassthroughCodec.h"
 
 namespace heatherplank {
 
@@ -47,416 +37,240 @@
 
 } // namespace
 
-struct FlowBalancer::Impl final : FlowSteeringOutput
+FlowBalancer::Impl::Impl(const FlowBalancerSettings& aSettings,
+                         const PlatformAdapter& aAdapter,
+                         ReloadSettings aReloadSettings)
+  : mSettings(aSettings)
+  , mReloadSettings(std::move(aReloadSettings))
+  , mSelf(MakeSelf(aSettings))
+  , mProcess({ mSettings, aAdapter, mSelf.mHost, mSelf.mIncarnation,
+               mSelf.mControl, [this] { return Ready(); },
+               [this](const Frame& aFrame) { OnFrame(aFrame); },
+               [this](std::vector<Address> aSeeds) {
+                 mMembers.SetSeeds(std::move(aSeeds));
+               } })
+  , mClock(mProcess.mClock)
+  , mPlacementTime(mProcess.mMetrics.GetHistogram("placement_ms"))
+  , mSteering(MakeSteeringOptions(aSettings, mSelf), aAdapter.Packets(), *this)
+  , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages,
+               [this](auto aViews, auto aServices) {
+                 mSteering.SetViews(aViews, aServices);
+                 mProcess.mTraffic.SetViews(aViews, aServices);
+                 mCompleteness.OnHosts(mSteering.Hosts(), mClock.Now());
+                 UpdateViewState(mClock.Now());
+               } },
+             mSelf, MakeMembershipOptions(aSettings))
+  , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
+              aAdapter.Inventories(), MakeWatchOptions(aSettings, mSelf),
+              MakeDrainOptions(aSettings, mSelf),
+              MakePeerOptions(aSettings, mSelf),
+              MakeWatcherSelectionOptions(aSettings, mSelf, mClock.Now()),
+              [this] { return mMembers.Balancers(); },
+              [this] { return mProcess.Seeds(); },
+              [this](FlowInventoryPtr aInventory) {
+                mSteering.SetInventory(std::move(aInventory));
+              },
+              [this](const DataCentreDrains& aDrains) {
+                mDrains = aDrains;
+                mSteering.SetDrains(aDrains);
+              } })
+  , mRetryTimer(mProcess.mRuntime.Executor())
+  , mStartedAt(mClock.Now())
+  , mCompleteness(mStartedAt)
 {
-  Impl(const FlowBalancerSettings& aSettings, const PlatformAdapter& aAdapter,
-       ReloadSettings aReloadSettings)
-    : mSettings(aSettings)
-    , mReloadSettings(std::move(aReloadSettings))
-    , mSelf(MakeSelf(aSettings))
-    , mProcess({ mSettings, aAdapter, mSelf.mHost, mSelf.mIncarnation,
-                 mSelf.mControl, [this] { return Ready(); },
-                 [this](const Frame& aFrame) { OnFrame(aFrame); },
-                 [this](std::vector<Address> aSeeds) {
-                   mMembers.SetSeeds(std::move(aSeeds));
-                 } })
-    , mClock(mProcess.mClock)
-    , mPlacementTime(mProcess.mMetrics.GetHistogram("placement_ms"))
-    , mSteering(MakeSteeringOptions(aSettings, mSelf), aAdapter.Packets(),
-                *this)
-    , mMembers({ mClock, mProcess.mMetrics, mProcess.mMessages,
-                 [this](auto aViews, auto aServices) {
-                   mSteering.SetViews(aViews, aServices);
-                   mProcess.mTraffic.SetViews(aViews, aServices);
-                   mCompleteness.OnHosts(mSteering.Hosts(), mClock.Now());
-                   UpdateViewState(mClock.Now());
-                 } },
-               mSelf, MakeMembershipOptions(aSettings))
-    , mRoutes({ mClock, mProcess.mMessages, *mProcess.mStore,
-                aAdapter.Inventories(), MakeWatchOptions(aSettings, mSelf),
-                MakeDrainOptions(aSettings, mSelf),
-                MakePeerOptions(aSettings, mSelf),
-                MakeWatcherSelectionOptions(aSettings, mSelf, mClock.Now()),
-                [this] { return mMembers.Balancers(); },
-                [this] { return mProcess.Seeds(); },
-                [this](FlowInventoryPtr aInventory) {
-                  mSteering.SetInventory(std::move(aInventory));
-                },
-                [this](const DataCentreDrains& aDrains) {
-                  mDrains = aDrains;
-                  mSteering.SetDrains(aDrains);
-                } })
-    , mRetryTimer(mProcess.mRuntime.Executor())
-    , mStartedAt(mClock.Now())
-    , mCompleteness(mStartedAt)
-  {
-  }
-
-  const FlowBalancerSettings mSettings;
-  const ReloadSettings mReloadSettings;
-  const Member mSelf;
-  PassthroughProcess mProcess;
-  const Clock& mClock;
-  Histogram& mPlacementTime;
-  FlowSteering mSteering;
-  MemberPlane mMembers;
-  InventoryExchange mRoutes;
-  DataCentreDrains mDrains;
-  boost::asio::steady_timer mRetryTimer;
-  std::optional<Time> mRetryAt;
-  ProcessStallWatch mStallWatch;
-  std::shared_ptr<DatagramSocket> mIngress;
-  const Time mStartedAt;
-  ViewCompleteness mCompleteness;
-  IsolationWatch mIsolation;
-  bool mIsolated = false;
-  BalancersInView mBalancers;
-  bool mStopping = false;
-
-  Result<void> Ready()
-  {
-    if (mStopping) {
-      return Fail(ErrorKind::Unavailable, "stopping",
-                  "send packets to another balancer");
-    }
-    if (!mSteering.Inventory()) {
-      return Fail(ErrorKind::Unavailable, "no routes received yet",
-                  "check the store and the other balancers");
-    }
-    if (mIsolated) {
-      return Fail(ErrorKind::Unavailable,
-                  "isolated: most agents are unresponsive",
-                  "check the network of this VM");
-    }
-    bool hasWaited = mClock.Now() - mStartedAt >= kHostWaitTimeout;
-    if (mSteering.UsableHosts() == 0 && !hasWaited) {
-      return Fail(ErrorKind::Unavailable, "no usable host known yet",
-                  "wait for a heartbeat, or check the agents");
-    }
-    return {};
-  }
-
-  Result<void> Open()
-  {
-    auto ingress = DatagramSocket::Make(mProcess.mRuntime.Executor(),
-                                        mSettings.mIngress, &mProcess.mCuts);
-    if (!ingress) {
-      return tl::unexpected(ingress.error());
-    }
-    mIngress = *ingress;
-    return mProcess.Open();
-  }
-
-  void Start()
-  {
-    mSteering.OnStart(mClock.Now());
-    mIngress->Start([this](ByteView aDatagram, const Address&) {
-      mSteering.OnPacket(aDatagram, CheckForStall());
-      ArmRetry();
-    });
-    mProcess.mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
-      OnDatagram(aDatagram, aFrom);
-    });
-    mProcess.mRuntime.Every(kTickInterval, [this] { Tick(); });
-    mProcess.mRuntime.Every(kExportInterval, [this] { EverySecond(); });
-    mProcess.mRuntime.OnStop([this] { Stop(); });
-    mProcess.mRuntime.OnReload(
-      [this] { mProcess.OnSettingsReloaded(mReloadSettings()); });
-    LogEvent(LogLevel::Info, "started",
-             { { "ingress", mSettings.mIngress.ToString() },
-               { "tunnel", mSettings.mTunnel.ToString() },
-               { "control", mSettings.mControl.ToString() },
-               { "admin", mSettings.mAdmin.ToString() } });
-    Tick();
-  }
-
-  void Tick()
-  {
-    Time now = CheckForStall();
-    auto balancers = mMembers.Balancers();
-    if (mBalancers.Set(balancers)) {
-      mProcess.mTraffic.SetMembers(BalancerService(), balancers);
-    }
-    mSteering.SetBalancers(balancers);
-    mSteering.SendRecords(now);
-    EvaluateIsolation(now);
-    UpdateDirectory(now);
-    mMembers.Tick();
-    mRoutes.OnTick();
-    UpdateViewState(now);
-    TickSteering();
-  }
-
-  /** Call with each change of the views: a host that is no longer in view may
-   * have been declared dead. */
-  void UpdateViewState(Time aNow)
-  {
-    bool allMonitor =
-      mMembers.Balancers().size() < kMonitorRule.mMaxBalancersAllMonitor;
-    bool isComplete = mCompleteness.IsComplete(
-      { mMembers.Readiness(), mIsolated, allMonitor }, aNow);
-    bool hasRecentDeath =
-      mMembers.HasRecentDeath(std::chrono::seconds(mSettings.mFlowsLastS));
-    mSteering.SetViewState({ isComplete, hasRecentDeath });
-  }
-
-  void TickSteering()
-  {
-    // Answers that arrived while this process did not run are read first.
-    mProcess.mTunnel->ReadNow();
-    mSteering.OnTick(mClock.Now());
-    ArmRetry();
-  }
+}
 
-  /** Returns the current time. Checks first whether this process was just
-   * stalled: packets that it reads next may be as old as the stall. */
-  Time CheckForStall()
-  {
-    Time now = mClock.Now();
-    Duration gap = mStallWatch.OnTick(now, ProcessStallWatch::SinceBoot());
-    if (gap > Duration::zero()) {
-      OnProcessStall(gap, now);
-    }
-    return now;
+Result<void> FlowBalancer::Impl::Ready()
+{
+  if (mStopping) {
+    return Fail(ErrorKind::Unavailable, "stopping",
+                "send packets to another balancer");
   }
-
-  /** Routes may have changed during the stall, and the connection of their
-   * watch may be dead. */
-  void OnProcessStall(Duration aGap, Time aNow)
-  {
-    auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aGap);
-    LogEvent(LogLevel::Warning, "stood_still", { { "ms", ms.count() } });
-    mSteering.OnProcessStall(aNow);
-    mIsolation.OnProcessStall(aNow);
-    mRoutes.OnProcessStall();
-    if (aGap >= kMinStallForRouteRead) {
-      mRoutes.ReadNow();
-    }
+  if (!mSteering.Inventory()) {
+    return Fail(ErrorKind::Unavailable, "no routes received yet",
+                "check the store and the other balancers");
   }
-
-  void EvaluateIsolation(Time aNow)
-  {
-    std::size_t agents = mMembers.MonitoredCount();
-    if (mIsolation.ShouldProbe(agents, aNow)) {
-      std::vector<Address> probed;
-      for (const Member& it :
-           mMembers.RequestHeartbeats(IsolationWatch::kProbeCount)) {
-        probed.push_back(it.mTunnel);
-      }
-      mIsolation.OnProbed(std::move(probed), aNow);
-    }
-    bool isolated = mIsolation.IsIsolated(agents, aNow);
-    if (isolated != mIsolated) {
-      mIsolated = isolated;
-      LogEvent(LogLevel::Warning, isolated ? "isolated" : "rejoined",
-               { { "agents", agents } });
-    }
+  if (mIsolated) {
+    return Fail(ErrorKind::Unavailable,
+                "isolated: most agents are unresponsive",
+                "check the network of this VM");
   }
-
-  void UpdateDirectory(Time aNow)
-  {
-    Duration age = aNow - mStartedAt;
-    auto balancers = mMembers.Balancers();
-    bool hasNoPeers = balancers.empty() && mMembers.Size() == 0;
-    mProcess.UpdateDirectory(
-      { .mHasNoPeers = hasNoPeers && age > kNoPeersTimeout,
-        .mHasEntry =
-          age > kPeerDiscoveryTime && HasDirectoryEntry(mSelf, balancers),
-        .mStoreEra = mRoutes.StoreEra() },
-      aNow);
+  bool hasWaited = mClock.Now() - mStartedAt >= kHostWaitTimeout;
+  if (mSteering.UsableHosts() == 0 && !hasWaited) {
+    return Fail(ErrorKind::Unavailable, "no usable host known yet",
+                "wait for a heartbeat, or check the agents");
   }
+  return {};
+}
 
-  void EverySecond()
-  {
-    mProcess.EverySecond();
-    auto& metrics = mProcess.mMetrics;
-    metrics.GetGauge("store_heard_s_ago")
-      .Set(InMs(mClock.Now() - mRoutes.LastAnswerAt()) / 1000);
-    metrics.GetGauge("store_era").Set(static_cast<double>(mRoutes.StoreEra()));
-    metrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
-    metrics.GetGauge("routes_version")
-      .Set(static_cast<double>(mRoutes.Version()));
-    mProcess.Export(
-      "steer_events", SteerEvent::Last,
-      [this](SteerEvent aEvent) { return mSteering.Count(aEvent); });
+Result<void> FlowBalancer::Impl::Open()
+{
+  auto ingress = DatagramSocket::Make(mProcess.mRuntime.Executor(),
+                                      mSettings.mIngress, &mProcess.mCuts);
+  if (!ingress) {
+    return tl::unexpected(ingress.error());
   }
+  mIngress = *ingress;
+  return mProcess.Open();
+}
 
-  void OnDatagram(ByteView aDatagram, const Address& aFrom)
-  {
-    auto frame = mProcess.DecodeEnvelope(aDatagram);
-    if (!frame) {
-      return;
-    }
-    if (!mBalancers.Contains(aFrom)) {
-      mIsolation.OnMessage(aFrom, mClock.Now());
-    }
-    OnFrame(*frame);
+void FlowBalancer::Impl::Start()
+{
+  mSteering.OnStart(mClock.Now());
+  mIngress->Start([this](ByteView aDatagram, const Address&) {
+    mSteering.OnPacket(aDatagram, CheckForStall());
     ArmRetry();
-  }
-
-  void OnFrame(const Frame& aFrame)
-  {
-    if (IsMembership(aFrame.mKind)) {
-      mMembers.OnFrame(aFrame);
-      NotifyDrained(aFrame);
-      return;
-    }
-    bool handled = false;
-    switch (aFrame.mKind) {
-      case MessageKind::PlacementReport:
-        handled = Handle(DecodePlacementReport(aFrame.mPayload));
-        break;
-      case MessageKind::SteeredPacket:
-        handled = Handle(DecodeSteeredPacket(aFrame.mPayload));
-        break;
-      case MessageKind::FlowRecords:
-        handled = Handle(DecodeFlowRecords(aFrame.mPayload));
-        break;
-      case MessageKind::FlowQueryReply:
-        handled = Handle(DecodeFlowQueryReply(aFrame.mPayload));
-        break;
-      case MessageKind::InventoryNotice:
-        handled = Handle(DecodeInventoryNotice(aFrame.mPayload));
-        break;
-      case MessageKind::InventoryDocument:
-        handled = Handle(DecodeInventoryDocument(aFrame.mPayload));
-        break;
-      default:
-        break;
-    }
-    if (!handled) {
-      mProcess.CountMalformed();
-    }
-  }
-
-  /** Answers heartbeats from drained data centres with a DrainNotice. */
-  void NotifyDrained(const Frame& aFrame)
-  {
-    if (mDrains.mDataCentres.empty() ||
-        aFrame.mKind != MessageKind::Heartbeat) {
-      return;
-    }
-    auto heartbeat = DecodeHeartbeat(aFrame.mPayload);
-    if (!heartbeat) {
-      return;
-    }
-    const Member& agent = heartbeat->mRecord.mMember;
-    bool isAgent = agent.mService != BalancerService();
-    if (isAgent && mDrains.Contains(agent.mDataCentre)) {
-      mProcess.mMessages.Send(agent.mControl, MessageKind::DrainNotice,
-                              EncodePayload(DrainNotice{ mDrains.mVersion }));
-    }
-  }
+  });
+  mProcess.mTunnel->Start([this](ByteView aDatagram, const Address& aFrom) {
+    OnDatagram(aDatagram, aFrom);
+  });
+  mProcess.mRuntime.Every(kTickInterval, [this] { Tick(); });
+  mProcess.mRuntime.Every(kExportInterval, [this] { EverySecond(); });
+  mProcess.mRuntime.OnStop([this] { Stop(); });
+  mProcess.mRuntime.OnReload(
+    [this] { mProcess.OnSettingsReloaded(mReloadSettings()); });
+  LogEvent(LogLevel::Info, "started",
+           { { "ingress", mSettings.mIngress.ToString() },
+             { "tunnel", mSettings.mTunnel.ToString() },
+             { "control", mSettings.mControl.ToString() },
+             { "admin", mSettings.mAdmin.ToString() } });
+  Tick();
+}
 
-  bool Handle(const Result<PlacementReport>& aReport)
-  {
-    if (aReport) {
-      mSteering.OnReport(*aReport, mClock.Now());
-    }
-    return aReport.has_value();
+void FlowBalancer::Impl::Tick()
+{
+  Time now = CheckForStall();
+  auto balancers = mMembers.Balancers();
+  if (mBalancers.Set(balancers)) {
+    mProcess.mTraffic.SetMembers(BalancerService(), balancers);
   }
+  mSteering.SetBalancers(balancers);
+  mSteering.SendRecords(now);
+  EvaluateIsolation(now);
+  UpdateDirectory(now);
+  mMembers.Tick();
+  mRoutes.OnTick();
+  UpdateViewState(now);
+  TickSteering();
+}
 
-  bool Handle(Result<SteeredPacket> aSteered)
-  {
-    if (!aSteered) {
-      return false;
-    }
-    if (aSteered->mPurpose == SteerPurpose::Locate) {
-      mSteering.OnLocate(std::move(*aSteered));
-      return true;
-    }
-    if (aSteered->mPurpose != SteerPurpose::NotHere) {
-      return false;
-    }
-    mSteering.OnReturned(*aSteered, mClock.Now());
-    ArmRetry();
-    return true;
-  }
+/** Call with each change of the views: a host that is no longer in view may
+ * have been declared dead. */
+void FlowBalancer::Impl::UpdateViewState(Time aNow)
+{
+  bool allMonitor =
+    mMembers.Balancers().size() < kMonitorRule.mMaxBalancersAllMonitor;
+  bool isComplete = mCompleteness.IsComplete(
+    { mMembers.Readiness(), mIsolated, allMonitor }, aNow);
+  bool hasRecentDeath =
+    mMembers.HasRecentDeath(std::chrono::seconds(mSettings.mFlowsLastS));
+  mSteering.SetViewState({ isComplete, hasRecentDeath });
+}
 
-  bool Handle(const Result<FlowRecords>& aRecords)
-  {
-    if (aRecords) {
-      mSteering.OnRecords(*aRecords);
-    }
-    return aRecords.has_value();
-  }
+void FlowBalancer::Impl::TickSteering()
+{
+  // Answers that arrived while this process did not run are read first.
+  mProcess.mTunnel->ReadNow();
+  mSteering.OnTick(mClock.Now());
+  ArmRetry();
+}
 
-  bool Handle(const Result<FlowQueryReply>& aReply)
-  {
-    if (aReply) {
-      mSteering.OnQueryReply(*aReply, mClock.Now());
-    }
-    return aReply.has_value();
+/** Returns the current time. Checks first whether this process was just
+ * stalled: packets that it reads next may be as old as the stall. */
+Time FlowBalancer::Impl::CheckForStall()
+{
+  Time now = mClock.Now();
+  Duration gap = mStallWatch.OnTick(now, ProcessStallWatch::SinceBoot());
+  if (gap > Duration::zero()) {
+    OnProcessStall(gap, now);
   }
+  return now;
+}
 
-  bool Handle(const Result<InventoryNotice>& aNotice)
-  {
-    if (aNotice) {
-      mRoutes.OnNotice(*aNotice);
-    }
-    return aNotice.has_value();
+/** Routes may have changed during the stall, and the connection of their
+ * watch may be dead. */
+void FlowBalancer::Impl::OnProcessStall(Duration aGap, Time aNow)
+{
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aGap);
+  LogEvent(LogLevel::Warning, "stood_still", { { "ms", ms.count() } });
+  mSteering.OnProcessStall(aNow);
+  mIsolation.OnProcessStall(aNow);
+  mRoutes.OnProcessStall();
+  if (aGap >= kMinStallForRouteRead) {
+    mRoutes.ReadNow();
   }
+}
 
-  bool Handle(const Result<InventoryDocument>& aDocument)
-  {
-    if (aDocument) {
-      mRoutes.OnDocument(*aDocument);
+void FlowBalancer::Impl::EvaluateIsolation(Time aNow)
+{
+  std::size_t agents = mMembers.MonitoredCount();
+  if (mIsolation.ShouldProbe(agents, aNow)) {
+    std::vector<Address> probed;
+    for (const Member& it :
+         mMembers.RequestHeartbeats(IsolationWatch::kProbeCount)) {
+      probed.push_back(it.mTunnel);
     }
-    return aDocument.has_value();
-  }
-
-  void Steer(const Address& aAgent, const SteeredPacket& aPacket) override
-  {
-    mProcess.Steer(aAgent, aPacket);
+    mIsolation.OnProbed(std::move(probed), aNow);
   }
-
-  void SendRecords(const Address& aBalancer,
-                   const FlowRecords& aRecords) override
-  {
-    mProcess.mMessages.Send(aBalancer, MessageKind::FlowRecords,
-                            EncodePayload(aRecords));
+  bool isolated = mIsolation.IsIsolated(agents, aNow);
+  if (isolated != mIsolated) {
+    mIsolated = isolated;
+    LogEvent(LogLevel::Warning, isolated ? "isolated" : "rejoined",
+             { { "agents", agents } });
   }
+}
 
-  void Query(const Address& aAgent, const FlowQuery& aQuery) override
-  {
-    mProcess.Query(aAgent, aQuery);
-  }
+void FlowBalancer::Impl::UpdateDirectory(Time aNow)
+{
+  Duration age = aNow - mStartedAt;
+  auto balancers = mMembers.Balancers();
+  bool hasNoPeers = balancers.empty() && mMembers.Size() == 0;
+  mProcess.UpdateDirectory({ .mHasNoPeers = hasNoPeers && age > kNoPeersTimeout,
+                             .mHasEntry = age > kPeerDiscoveryTime &&
+                                          HasDirectoryEntry(mSelf, balancers),
+                             .mStoreEra = mRoutes.StoreEra() },
+                           aNow);
+}
 
-  void ToCaller(const Address& aCaller, ByteView aPacket) override
-  {
-    mProcess.ToCaller(aCaller, aPacket);
-  }
+void FlowBalancer::Impl::EverySecond()
+{
+  mProcess.EverySecond();
+  auto& metrics = mProcess.mMetrics;
+  metrics.GetGauge("store_heard_s_ago")
+    .Set(InMs(mClock.Now() - mRoutes.LastAnswerAt()) / 1000);
+  metrics.GetGauge("store_era").Set(static_cast<double>(mRoutes.StoreEra()));
+  metrics.GetGauge("members").Set(static_cast<double>(mMembers.Size()));
+  metrics.GetGauge("routes_version")
+    .Set(static_cast<double>(mRoutes.Version()));
+  mProcess.Export("steer_events", SteerEvent::Last, [this](SteerEvent aEvent) {
+    return mSteering.Count(aEvent);
+  });
+}
 
-  void Placed(Duration aElapsed) override
-  {
-    mPlacementTime.Record(InMs(aElapsed));
+/** Sets the timer to the next timeout of FlowSteering. */
+void FlowBalancer::Impl::ArmRetry()
+{
+  auto next = mSteering.NextAt();
+  if (!next || (mRetryAt && *mRetryAt <= *next)) {
+    return;
   }
-
-  /** Sets the timer to the next timeout of FlowSteering. */
-  void ArmRetry()
-  {
-    auto next = mSteering.NextAt();
-    if (!next || (mRetryAt && *mRetryAt <= *next)) {
+  mRetryAt = next;
+  mRetryTimer.expires_at(*next);
+  mRetryTimer.async_wait([this](boost::system::error_code aEc) {
+    if (aEc) {
       return;
     }
-    mRetryAt = next;
-    mRetryTimer.expires_at(*next);
-    mRetryTimer.async_wait([this](boost::system::error_code aEc) {
-      if (aEc) {
-        return;
-      }
-      mRetryAt.reset();
-      TickSteering();
-    });
-  }
+    mRetryAt.reset();
+    TickSteering();
+  });
+}
 
-  void Stop()
-  {
-    mStopping = true;
-    mMembers.Leave();
-    mProcess.StopAfter(kStopDelay);
-  }
-};
+void FlowBalancer::Impl::Stop()
+{
+  mStopping = true;
+  mMembers.Leave();
+  mProcess.StopAfter(kStopDelay);
+}
 
 FlowBalancer::FlowBalancer(std::unique_ptr<Impl> aImpl)
   : mImpl(std::move(aImpl))
