--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -325,6 +325,10 @@
   std::erase_if(mFlows, [aNow](const auto& aIt) {
     return aNow - aIt.second.mLastPacketAt >= kRetention;
   });
+  std::erase_if(mDenied, [this](const FlowKey& aIt) {
+    auto flow = mFlows.find(aIt);
+    return flow == mFlows.end() || flow->second.mStage != Stage::Denied;
+  });
 }
 
 std::optional<Time> FlowQueries::NextAt() const
--- a/src/passthrough/FlowQueryRounds.cpp
+++ b/src/passthrough/FlowQueryRounds.cpp
@@ -290,7 +290,7 @@
     include(round.mSentAt + kReplyTimeout);
   }
   for (const auto& [id, batch] : mBatches) {
-    if (!batch.mLater.empty()) {
+    if (!batch.mLater.empty() && std::ranges::count(batch.mFound, false) > 0) {
       include(batch.mStartedAt + kOwnDataCentreTimeout);
     }
   }
--- a/tests/FlowQueriesTest.cpp
+++ b/tests/FlowQueriesTest.cpp
@@ -289,6 +289,23 @@
   CHECK(mOut.mQueries[2].first == Host(3).mTunnel);
 }
 
+// Guards against: a flow is found while one of two relays is silent, and the
+// balancer's timer fires again and again for the other data centres.
+TEST(FlowQueries, FoundFlowLeavesNoTimerInThePast)
+{
+  std::vector<QueriedHost> hosts;
+  for (int i = 1; i <= 70; ++i) {
+    hosts.push_back(Host(i));
+  }
+  hosts.push_back(Host(71, "far"));
+  mQueries->SetHosts(hosts);
+  Packet();
+  CHECK_EQUAL(2, mOut.mQueries.size());
+  Reply(0, FlowOutcome::Held);
+  Advance(60ms);
+  CHECK(*mQueries->NextAt() > mClock.Now());
+}
+
 // A flow that all hosts in view deny while the view may lack hosts. It is not
 // queried again, and is reset once the view is complete, if its caller sends.
 TEST(FlowQueries, DeniedFlowWaitsForACompleteView)
