--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -84,7 +84,7 @@
   flow->mMayBeReset = aMayBeReset;
   flow->mLastPacketAt = aNow;
   if (flow->mStage == Stage::Undecided) {
-    flow->mProbes = 0;
+    flow->mWasProbed = false;
     Enqueue(aFlow.mFlow, *flow);
     StartBatchIfDue(aNow);
   } else if (flow->mStage == Stage::Denied) {
@@ -237,8 +237,7 @@
 void FlowQueries::StartProbe(const FlowKey& aKey, Flow& aFlow,
                              std::span<const Address> aHosts, Time aNow)
 {
-  if (aFlow.mProbes < kMaxProbes) {
-    ++aFlow.mProbes;
+  if (!std::exchange(aFlow.mWasProbed, true)) {
     aFlow.mStage = Stage::Probed;
     mProbed.emplace_back(aNow + kProbeDuration, aKey);
     mOutput.OnUndecided(aKey, aHosts);
--- a/src/passthrough/FlowQueries.h
+++ b/src/passthrough/FlowQueries.h
@@ -95,9 +95,6 @@
    * its packet. A host returns it within about 1 ms, and the agents are asked
    * again after this time. */
   static constexpr Duration kProbeDuration = std::chrono::milliseconds(20);
-  /** Maximum number of probes per packet: the hosts of the own data centre,
-   * then the others. */
-  static constexpr int kMaxProbes = 2;
   /** What is known of a flow is kept for this long after its last packet. */
   static constexpr Duration kRetention = std::chrono::seconds(10);
   /** A caller that has been silent for this long has given up: the deadline of
@@ -169,8 +166,8 @@
     Stage mStage = Stage::Undecided;
     QueriedFlow mLastPacket;
     bool mMayBeReset = false;
-    /** How often hosts were probed with the last packet. */
-    int mProbes = 0;
+    /** Hosts were probed with the last packet: it starts no further probe. */
+    bool mWasProbed = false;
     Time mLastPacketAt{};
     /** The batch in which the flow is asked for. */
     std::uint64_t mBatch = 0;
--- a/src/passthrough/FlowQueryRounds.cpp
+++ b/src/passthrough/FlowQueryRounds.cpp
@@ -186,26 +186,13 @@
     return;
   }
   bool isFound = std::ranges::count(batch.mFound, false) == 0;
-  if (isFound || batch.mLater.empty() || HasUndecided(batch)) {
+  if (isFound || batch.mLater.empty()) {
     EndBatch(aRound.mBatch, aNow);
   } else {
     AskOthers(aRound.mBatch, aNow);
   }
 }
 
-/** Guards against: all agents have restarted and none knows what its host
- * holds. Most flows are held in the own data centre, whose hosts are probed
- * with the flow's packet before other data centres are asked. */
-bool FlowQueryRounds::HasUndecided(const Batch& aBatch)
-{
-  for (std::size_t i = 0; i < aBatch.mOutcomes.size(); ++i) {
-    if (!aBatch.mFound[i] && !aBatch.mOutcomes[i].mUndecided.empty()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void FlowQueryRounds::AskOthers(std::uint64_t aBatch, Time aNow)
 {
   auto hosts = std::exchange(mBatches[aBatch].mLater, {});
--- a/src/passthrough/FlowQueryRounds.h
+++ b/src/passthrough/FlowQueryRounds.h
@@ -46,9 +46,8 @@
   virtual void SendQuery(const Address& aAgent, const FlowQuery& aQuery) = 0;
   /** A host holds the flow. Called at most once per flow and batch. */
   virtual void OnHeld(const FlowKey& aFlow, HostId aHost, Time aNow) = 0;
-  /** All replies for a batch arrived or timed out, or the hosts of the own data
-   * centre are undecided and the others were not asked; without the flows that
-   * were found. aBatch: see FlowQueryRounds::Ask. */
+  /** All replies for a batch arrived or timed out; without the flows that were
+   * found. aBatch: see FlowQueryRounds::Ask. */
   virtual void OnEnded(std::uint64_t aBatch,
                        std::span<const QueryOutcome> aOutcomes, Time aNow) = 0;
 };
@@ -134,7 +133,6 @@
                     const Round& aRound, const FlowQueryReply& aReply,
                     Time aNow);
   void MarkIncomplete(const Round& aRound);
-  static bool HasUndecided(const Batch& aBatch);
   void AskOthers(std::uint64_t aBatch, Time aNow);
   void EndRound(const Round& aRound, Time aNow);
   void EndBatch(std::uint64_t aId, Time aNow);
