Opening of ports and the earlier of two times stand once

Cause: Agent, Balancer and PassthroughProcess each bound the tunnel, listened and mounted the faults; three NextAt() each chose the earlier of optional times; FlowSearches kept a count of earlier lookups and TakeFirst() that only a test called. Change: OpenPorts() in src/process, EarlierOf() beside Time, and the unused members are gone with the two checks of that count; the test of expiry now checks that the expired lookup's packet is gone.

--- a/include/heatherplank/Clock.h
+++ b/include/heatherplank/Clock.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace heatherplank {
 
@@ -10,6 +12,13 @@
 /** A span of time. */
 using Duration = std::chrono::steady_clock::duration;
 
+/** Returns the earlier of two times; none if both are absent. Thread safe. */
+inline std::optional<Time> EarlierOf(std::optional<Time> aLeft,
+                                     std::optional<Time> aRight)
+{
+  return aLeft && aRight ? std::min(aLeft, aRight) : (aLeft ? aLeft : aRight);
+}
+
 /** Interface to the monotonic clock, so that tests can control the time.
  */
 class Clock
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -22,6 +22,7 @@
 #include "src/net/DatagramSocket.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
+#include "src/process/ProcessPorts.h"
 #include "src/process/ProcessRuntime.h"
 #include "src/process/StatusSender.h"
 #include "src/process/WallClock.h"
@@ -159,18 +160,12 @@
   Result<void> Open(bool aFaultInjection)
   {
     auto executor = mRuntime.Executor();
-    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+    auto tunnel = OpenPorts(
+      { executor, mSettings.mTunnel, mCuts, mLinks, mAdmin, aFaultInjection });
     if (!tunnel) {
       return tl::unexpected(tunnel.error());
     }
     mTunnel = *tunnel;
-    auto listening = mLinks.Listen();
-    if (!listening) {
-      return listening;
-    }
-    if (aFaultInjection) {
-      mAdmin.MountFaults(mCuts);
-    }
     return mAdmin.Start(executor, mSettings.mAdmin);
   }
 
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -18,6 +18,7 @@
 #include "src/net/DatagramSocket.h"
 #include "src/process/AdminServer.h"
 #include "src/process/ControlLinks.h"
+#include "src/process/ProcessPorts.h"
 #include "src/process/ProcessRuntime.h"
 #include "src/process/StatusSender.h"
 #include "src/process/WallClock.h"
@@ -129,18 +130,12 @@
   Result<void> Open(bool aFaultInjection)
   {
     auto executor = mRuntime.Executor();
-    auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+    auto tunnel = OpenPorts(
+      { executor, mSettings.mTunnel, mCuts, mLinks, mAdmin, aFaultInjection });
     if (!tunnel) {
       return tl::unexpected(tunnel.error());
     }
     mTunnel = *tunnel;
-    auto listening = mLinks.Listen();
-    if (!listening) {
-      return listening;
-    }
-    if (aFaultInjection) {
-      mAdmin.MountFaults(mCuts);
-    }
     if (!mSettings.mTokenFile.empty()) {
       auto tokens = AdminTokens::Read(mSettings.mTokenFile);
       if (!tokens) {
--- a/src/passthrough/FlowQueries.cpp
+++ b/src/passthrough/FlowQueries.cpp
@@ -334,12 +334,10 @@
 {
   std::optional<Time> next = mRounds.NextAt();
   if (!mQueue.empty() && !mHosts.empty() && mLastBatchAt) {
-    Time due = *mLastBatchAt + kBatchInterval;
-    next = next ? std::min(*next, due) : due;
+    next = EarlierOf(next, *mLastBatchAt + kBatchInterval);
   }
   if (!mProbed.empty()) {
-    Time due = mProbed.front().first;
-    next = next ? std::min(*next, due) : due;
+    next = EarlierOf(next, mProbed.front().first);
   }
   return next;
 }
--- a/src/passthrough/FlowQueryRounds.cpp
+++ b/src/passthrough/FlowQueryRounds.cpp
@@ -270,15 +270,12 @@
 std::optional<Time> FlowQueryRounds::NextAt() const
 {
   std::optional<Time> next;
-  auto include = [&next](Time aDue) {
-    next = next ? std::min(*next, aDue) : aDue;
-  };
   for (const auto& [id, round] : mRounds) {
-    include(round.mSentAt + kReplyTimeout);
+    next = EarlierOf(next, round.mSentAt + kReplyTimeout);
   }
   for (const auto& [id, batch] : mBatches) {
     if (!batch.mLater.empty() && std::ranges::count(batch.mFound, false) > 0) {
-      include(batch.mStartedAt + kOwnDataCentreTimeout);
+      next = EarlierOf(next, batch.mStartedAt + kOwnDataCentreTimeout);
     }
   }
   return next;
--- a/src/passthrough/FlowSearches.cpp
+++ b/src/passthrough/FlowSearches.cpp
@@ -10,8 +10,7 @@
     RemoveOlderThan(kRetentionDuration, aNow);
   }
   auto it = mLookups.find(aFlow);
-  bool isRepeated = it != mLookups.end();
-  if (!isRepeated) {
+  if (it == mLookups.end()) {
     if (mLookups.size() >= kMaxFlows &&
         aNow - mLastExpiryAt >= kAnswerTimeout) {
       RemoveOlderThan(kAnswerTimeout, aNow);
@@ -25,7 +24,6 @@
   DropHeld(lookup);
   lookup.mStartedAt = aNow;
   lookup.mStage = Stage::Locating;
-  lookup.mEarlier += isRepeated ? 1 : 0;
   lookup.mFirst = aPacket;
   mByStart.emplace_back(aNow, aFlow);
   return &lookup;
@@ -76,17 +74,6 @@
                                                     : &*it->second.mFirst;
 }
 
-SteeredPacket FlowSearches::TakeFirst(const FlowKey& aFlow)
-{
-  return *std::exchange(mLookups.at(aFlow).mFirst, std::nullopt);
-}
-
-std::uint32_t FlowSearches::EarlierLookups(const FlowKey& aFlow) const
-{
-  auto it = mLookups.find(aFlow);
-  return it == mLookups.end() ? 0 : it->second.mEarlier;
-}
-
 std::vector<FlowKey> FlowSearches::TakeUnlocated(Time aNow)
 {
   std::vector<FlowKey> out;
--- a/src/passthrough/FlowSearches.h
+++ b/src/passthrough/FlowSearches.h
@@ -40,8 +40,8 @@
    * for it are dropped as if lost in the network, and the next packet starts
    * another lookup. */
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(250);
-  /** How long a lookup is remembered, for EarlierLookups(). A caller's repeats
-   * arrive within 1.6 s. */
+  /** How long a failed lookup is remembered. A packet of it that a replica
+   * returns late starts no other one. */
   static constexpr Duration kRetentionDuration = std::chrono::seconds(2);
   /** Maximum number of packets held per flow: twice the number that a caller
    * has in flight. */
@@ -81,13 +81,6 @@
   /** The first packet of the lookup, or null. Valid until the next call. */
   const SteeredPacket* First(const FlowKey& aFlow) const;
 
-  /** Removes the first packet of the lookup, because it is sent with the
-   * search. Precondition: First(aFlow) is not null. */
-  SteeredPacket TakeFirst(const FlowKey& aFlow);
-
-  /** Number of recent lookups of the flow before the present one. */
-  std::uint32_t EarlierLookups(const FlowKey& aFlow) const;
-
   /** Returns the flows whose replicas did not answer within kLocateTimeout.
    * They stay in Stage::Locating until BeginQuery(). */
   std::vector<FlowKey> TakeUnlocated(Time aNow);
@@ -105,7 +98,6 @@
   {
     Time mStartedAt;
     Stage mStage = Stage::Locating;
-    std::uint32_t mEarlier = 0;
     std::optional<SteeredPacket> mFirst;
     std::vector<SteeredPacket> mHeld;
   };
--- a/src/passthrough/FlowSteering.cpp
+++ b/src/passthrough/FlowSteering.cpp
@@ -327,13 +327,8 @@
 
 std::optional<Time> FlowSteering::NextAt() const
 {
-  std::optional<Time> next = mWatch.NextAt();
-  for (auto it : { mSearches.NextAt(), mQueries.NextAt() }) {
-    if (it && (!next || *it < *next)) {
-      next = it;
-    }
-  }
-  return next;
+  return EarlierOf(mWatch.NextAt(),
+                   EarlierOf(mSearches.NextAt(), mQueries.NextAt()));
 }
 
 void FlowSteering::Forward(const FlowPacket& aPacket, ByteView aDatagram,
--- a/src/passthrough/PassthroughProcess.cpp
+++ b/src/passthrough/PassthroughProcess.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "src/base/Log.h"
+#include "src/process/ProcessPorts.h"
 #include "src/wire/LocationCodec.h"
 #include "src/wire/PassthroughCodec.h"
 
@@ -44,24 +45,18 @@
 Result<void> PassthroughProcess::Open()
 {
   auto executor = mRuntime.Executor();
-  auto tunnel = DatagramSocket::Make(executor, mSettings.mTunnel, &mCuts);
+  auto tunnel = OpenPorts({ executor, mSettings.mTunnel, mCuts, mLinks, mAdmin,
+                            mSettings.mFaultInjection });
   if (!tunnel) {
     return tl::unexpected(tunnel.error());
   }
   mTunnel = *tunnel;
   mMessages.SetSocket(mTunnel);
-  auto listening = mLinks.Listen();
-  if (!listening) {
-    return listening;
-  }
   mAdmin.Mount("/status", [this](const HttpRequest& aRequest,
                                  const HttpServer::Respond& aRespond) {
     aRespond(
       MakeResponse(aRequest, http::status::ok, "application/json", Status()));
   });
-  if (mSettings.mFaultInjection) {
-    mAdmin.MountFaults(mCuts);
-  }
   auto admin = mAdmin.Start(executor, mSettings.mAdmin);
   if (!admin || mSettings.mMetrics.IsNone()) {
     return admin;
--- a/tests/FlowSearchesTest.cpp
+++ b/tests/FlowSearchesTest.cpp
@@ -50,7 +50,6 @@
   Packet();
   mClock.Advance(FlowSearches::kAnswerTimeout);
   CHECK_TRUE(Packet());
-  CHECK_EQUAL(1, mSearches.EarlierLookups(Flow(1)));
   // The packet held for the first lookup was dropped: the caller sends it
   // again.
   CHECK_EQUAL(0, mSearches.TakeFound(Flow(1)).size());
@@ -59,9 +58,9 @@
 TEST(FlowSearches, LookupsOfAFlowExpire)
 {
   Packet();
-  mClock.Advance(2s);
-  CHECK_TRUE(Packet());
-  CHECK_EQUAL(0, mSearches.EarlierLookups(Flow(1)));
+  mClock.Advance(FlowSearches::kRetentionDuration);
+  CHECK_TRUE(Packet(2));
+  CHECK_TRUE(mSearches.First(Flow(1)) == nullptr);
 }
 
 // A replica forwards the first packet. If it does not answer, the packet waits
