--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -74,6 +74,7 @@
   /** Whether every process runs, apart from planned restarts. */
   bool AllRun();
 
+  Node& Balancer(std::size_t aIndex) { return *mBalancers[aIndex]; }
   Node& Agent(std::size_t aIndex) { return *mAgents[aIndex]; }
   Host& HostAt(std::size_t aIndex) { return *mHosts[aIndex]; }
   std::size_t HostCount() const { return mHosts.size(); }
--- a/review/standins/ForeignPingDrain.cpp
+++ b/review/standins/ForeignPingDrain.cpp
@@ -51,9 +51,14 @@
     bool isLost =
       aFlow.mAccepted && aFlow.mOutcome != Clients::Outcome::Answered;
     lost += isLost ? 1 : 0;
+    if (isLost) {
+      aRecord.Line("LOST: " + aFlow.mAttempt + " was sent on the open flow " +
+                   aFlow.mKey.ToString() + " and " + ToString(aFlow.mOutcome));
+    }
   };
   Deployment::Options options = aOptions;
   options.mServesAfterDrain = seconds(10);
+  options.mWork = milliseconds(100);
   world = std::make_unique<Deployment>(options, aRecord, hosts, clients);
   if (!world->Start()) {
     return Verdict::CouldNotRun;
--- a/review/standins/ForeignPingReset.cpp
+++ b/review/standins/ForeignPingReset.cpp
@@ -43,9 +43,9 @@
     }
   };
   clients.mOnEnd = [](const Clients::Flow&) {};
-  Host::Observer hosts{ [](const Host&, const FlowKey&) {},
-                        [](const Host&, const FlowKey&, const std::string&) {
-                        } };
+  Host::Observer hosts;
+  hosts.mOnOpening = [](const Host&, const FlowKey&) {};
+  hosts.mOnRun = [](const Host&, const FlowKey&, const std::string&) {};
   world = std::make_unique<Deployment>(aOptions, aRecord, hosts, clients);
   if (!world->Start()) {
     return Verdict::CouldNotRun;
--- a/review/standins/Host.cpp
+++ b/review/standins/Host.cpp
@@ -149,6 +149,9 @@
     OnOpening(key, *packet);
     return;
   }
+  if (mObserver.mOnPacket) {
+    mObserver.mOnPacket(*this, key);
+  }
   auto it = mFlows.find(key);
   bool holds = it != mFlows.end() &&
                packet->mAcknowledged - it->second.mInitial <= kWindow;
--- a/review/standins/Host.h
+++ b/review/standins/Host.h
@@ -47,6 +47,8 @@
   {
     /** A flow's opening packet was taken. */
     std::function<void(const Host&, const FlowKey&)> mOnOpening;
+    /** A packet other than an opening one arrived, held or not. */
+    std::function<void(const Host&, const FlowKey&)> mOnPacket;
     /** Work on a request began. */
     std::function<void(const Host&, const FlowKey&,
                        const std::string& aAttempt)>
