--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -12,7 +12,7 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 110 "$cases" foreign-ping-reset "$program" "$root" "$folder" \
+timeout -k 2 110 "$cases" roll-after-route-change "$program" "$root" "$folder" \
   "$here/record.txt" "${TROUBLE:-1}"
 result=$?
 [ "$result" -le 2 ] || result=2
--- a/review/standins/Cases.h
+++ b/review/standins/Cases.h
@@ -20,7 +20,7 @@
                             Record& aRecord, bool aTrouble);
 Verdict RunForeignPingDrain(const Deployment::Options& aOptions,
                             Record& aRecord, bool aTrouble);
-Verdict RunPortReuseDrain(const Deployment::Options& aOptions, Record& aRecord,
-                          bool aTrouble);
+Verdict RunRollAfterRouteChange(const Deployment::Options& aOptions,
+                                Record& aRecord, bool aTrouble);
 
 } // namespace heatherplank::review
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/json/value.hpp>
 
 #include "lab/Process.h"
 #include "lab/soak/StoreStandIn.h"
@@ -20,9 +19,9 @@
 
 namespace heatherplank::review {
 
-/** A small deployment: three balancers in three zones, hosts of two services
- * with an agent each, the store, routers and clients. The programs run as in
- * the deploy file, with settings filled into its templates; the rest are
+/** A small deployment: one balancer in each of three zones, hosts of two
+ * services with an agent each, the store, routers and clients. The programs run
+ * as in the deploy file, with settings filled into its templates; the rest are
  * stand-ins on one thread. Every address is a loopback address. */
 class Deployment
 {
@@ -38,6 +37,10 @@
     /** How long a draining host serves after the acknowledgement. */
     Duration mServesAfterDrain = std::chrono::milliseconds(6000);
     Duration mWork = std::chrono::milliseconds(20);
+    /** Weight of service "archive" on route 1, of 100, at the start. */
+    int mArchiveWeight = 0;
+    /** The zone of the clients; it has one balancer, of this index. */
+    std::size_t mClientZone = 0;
   };
   struct Node
   {
@@ -82,7 +85,7 @@
   /** The address of route 1 (service "desk") or 2 (service "archive"). */
   Address Route(int aIndex) const;
   boost::asio::io_context& Context() { return mContext; }
-  void WriteConfig(boost::json::value aConfig);
+  void WriteConfig(int aVersion, int aArchiveWeight);
 
 private:
   Address At(int aMachine, std::uint16_t aPort) const;
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -12,7 +12,7 @@
   const std::map<std::string, Case> cases{
     { "foreign-ping-reset", RunForeignPingReset },
     { "foreign-ping-drain", RunForeignPingDrain },
-    { "port-reuse-drain", RunPortReuseDrain },
+    { "roll-after-route-change", RunRollAfterRouteChange },
   };
   constexpr int kArguments = 7;
   auto it = aArgc == kArguments ? cases.find(aArgv[1]) : cases.end();
