Review: a live flow is reset for an earlier one between the same addresses

The agent of a host that crashed keeps the entry of the lost flow as open; a packet of the caller's new flow, which lives at another host, is delivered there, returned, and answered by a reset.

--- a/review/standins-2/Callers.cpp
+++ b/review/standins-2/Callers.cpp
@@ -235,7 +235,10 @@
     if (mStopped || flow.mNumber != number) {
       return;
     }
-    if (flow.mEnded) {
+    if (flow.mEnded && mUsesNewPorts) {
+      ++flow.mNumber;
+      Open(flow.mKey.mService, Habit::Kept);
+    } else if (flow.mEnded) {
       Begin(flow);
     } else if (!flow.mWaits) {
       ++mRequests;
--- a/review/standins-2/Callers.h
+++ b/review/standins-2/Callers.h
@@ -67,6 +67,9 @@
   /** Opens a flow from a port that was not used before. */
   void Open(const Address& aRoute, Habit aHabit);
 
+  /** Each flow of habit Kept is followed by one from a new port. */
+  void UseNewPorts() { mUsesNewPorts = true; }
+
   /** No flow opens another one from now on. */
   void Stop() { mStopped = true; }
 
@@ -102,6 +105,7 @@
   std::size_t mAnswered = 0;
   std::size_t mRequests = 0;
   bool mStopped = false;
+  bool mUsesNewPorts = false;
 };
 
 } // namespace heatherplank::review
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -140,7 +140,7 @@
 }
 
 /** Two hosts crash, one after the other, and come back; fronts are restarted in
- * turn. Callers use their ports again. */
+ * turn. Callers use their ports again, unless NEW_PORTS is set. */
 int PlayReusedPorts(const World::Options& aOptions, Record& aRecord)
 {
   constexpr int kCallers = 240;
@@ -173,6 +173,9 @@
   if (!world.Start() || !world.WaitUntilReady()) {
     return Conclude(aRecord, kNotRun, "the processes did not start");
   }
+  if (std::getenv("NEW_PORTS") != nullptr) {
+    world.GetCallers().UseNewPorts();
+  }
   for (int i = 0; i < kCallers; ++i) {
     world.RunAfter(milliseconds(8 * i), [&world] {
       world.GetCallers().Open(world.Route(), Callers::Habit::Kept);
