--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -40,7 +40,9 @@
   constexpr double kColdOverage = 1.5;
   constexpr double kColdSlack = 5;
   constexpr double kFlowsPerSecond = 340;
-  constexpr auto kDown = milliseconds(500);
+  // DOWN_MS: how long a host is down, in milliseconds.
+  const char* text = std::getenv("DOWN_MS");
+  const milliseconds down(text != nullptr ? std::atoi(text) : 500);
   constexpr auto kBetween = seconds(8);
   aOptions.mColdPerSecond = kColdPerSecond;
   World world(aOptions, aRecord, [](const Callers::Flow&, std::uint32_t) {});
@@ -53,7 +55,7 @@
     world.RunFor(milliseconds(world.Random() % 1200));
     if (HasTrouble()) {
       world.GetHost(i).Crash();
-      world.RunFor(kDown);
+      world.RunFor(down);
       world.GetHost(i).Start(true);
     }
     world.RunFor(kBetween);
